--- /dev/null
+++ b/cmd/wmux-entry/main.go
@@ -0,0 +1,68 @@
+// Command wmux-entry runs the entry daemon of an entry VM.
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/entry"
+	"github.com/wisteriamux/wisteriamux/internal/settings"
+	"github.com/wisteriamux/wisteriamux/internal/telemetry"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:          "wmux-entry",
+		Short:        "Run the entry daemon",
+		Example:      "  wmux-entry --settings entry.toml",
+		SilenceUsage: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			loaded, err := settings.LoadEntry(path)
+			if err != nil {
+				return err
+			}
+			return run(cmd.Context(), loaded)
+		},
+	}
+	command.Flags().StringVar(&path, "settings", "entry.toml", "settings file")
+	return command
+}
+
+func run(ctx context.Context, loaded settings.Entry) error {
+	log := telemetry.NewLogger(os.Stderr, "wmux-entry", loaded.ID)
+	callers, err := net.Listen("tcp", loaded.CallerAddress)
+	if err != nil {
+		return err
+	}
+	peers, err := net.Listen("tcp", loaded.RPCAddress)
+	if err != nil {
+		return err
+	}
+	control := controlrpc.NewClient(loaded.ControlAddresses, controlrpc.PlainDialer)
+	defer control.Close()
+	config := entry.Config{
+		ID:            loaded.ID,
+		FailureDomain: loaded.FailureDomain,
+		LameDuck:      time.Duration(loaded.LameDuckMillis) * time.Millisecond,
+		DrainTimeout:  time.Duration(loaded.DrainMillis) * time.Millisecond,
+	}
+	server := entry.New(config, control, loaded.RPCAddress, controlrpc.PlainDialer, log)
+	log.Info("started", "caller_address", loaded.CallerAddress, "rpc_address", loaded.RPCAddress)
+	return server.Run(ctx, callers, peers)
+}
--- /dev/null
+++ b/internal/controlrpc/client.go
@@ -0,0 +1,191 @@
+package controlrpc
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlstate"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/model"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	retryPause  = 50 * time.Millisecond
+)
+
+// Dialer opens a connection to an address.
+type Dialer func(address string) (net.Conn, error)
+
+// PlainDialer opens TCP connections without TLS.
+func PlainDialer(address string) (net.Conn, error) {
+	return net.DialTimeout("tcp", address, dialTimeout)
+}
+
+// Client calls the control group and follows its leader. It is safe for concurrent use.
+type Client struct {
+	dial      Dialer
+	addresses []string
+
+	// mu guards preferred and conns.
+	mu        sync.Mutex
+	preferred int
+	conns     map[string]*rpc.Client
+}
+
+// NewClient returns a client of the control members at the addresses.
+func NewClient(addresses []string, dial Dialer) *Client {
+	return &Client{dial: dial, addresses: addresses, conns: map[string]*rpc.Client{}}
+}
+
+// Close closes every connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		_ = conn.Close()
+		delete(c.conns, address)
+	}
+}
+
+// Join registers an entry VM and returns its instance.
+func (c *Client) Join(ctx context.Context, member model.Member) (uint64, error) {
+	reply, err := call[JoinReply](ctx, c, "Join", JoinArgs{Member: member})
+	return reply.Instance, err
+}
+
+// Renew renews the lease of an entry VM.
+func (c *Client) Renew(ctx context.Context, args RenewArgs) (RenewReply, error) {
+	return call[RenewReply](ctx, c, "Renew", args)
+}
+
+// View returns the current view, or unchanged when known is current.
+func (c *Client) View(ctx context.Context, known uint64) (view model.View, unchanged bool, err error) {
+	reply, err := call[ViewReply](ctx, c, "View", ViewArgs{Known: known})
+	return reply.View, reply.Unchanged, err
+}
+
+// Propose appends a command and returns its result. A Fault inside the result is returned as the error.
+func (c *Client) Propose(ctx context.Context, command controlstate.Command) (controlstate.Result, error) {
+	reply, err := call[ProposeReply](ctx, c, "Propose", ProposeArgs{Command: command})
+	if err != nil {
+		return controlstate.Result{}, err
+	}
+	return reply.Result, reply.Result.Fault.AsError()
+}
+
+// Status returns the state of the control group as its leader sees it.
+func (c *Client) Status(ctx context.Context) (StatusReply, error) {
+	return call[StatusReply](ctx, c, "Status", StatusArgs{})
+}
+
+// reply is implemented by every reply message of the control service.
+type reply interface {
+	failure() *fault.Wire
+}
+
+// call tries the members in turn until one answers as leader or the context ends. Commands are safe to resend: every
+// command is idempotent by its identifier, key or target state. Each attempt decodes into a fresh reply, because gob
+// leaves fields that a message omits at their earlier value and an abandoned call may still write to its reply.
+func call[R reply](ctx context.Context, c *Client, method string, args any) (R, error) {
+	for attempt := 0; ; attempt++ {
+		address := c.address()
+		answer := new(R)
+		err := c.callOnce(ctx, address, method, args, answer)
+		if err == nil {
+			err = (*answer).failure().AsError()
+		}
+		if err == nil || !retryable(err) {
+			return *answer, err
+		}
+		c.advance(address)
+		if pauseErr := pause(ctx, attempt/len(c.addresses)); pauseErr != nil {
+			var none R
+			return none, fault.New(fault.Unavailable, "control."+method, "no control leader answered: %w", err)
+		}
+	}
+}
+
+func retryable(err error) bool {
+	code := fault.CodeOf(err)
+	return code == fault.NotLeader || code == fault.Unavailable
+}
+
+func pause(ctx context.Context, round int) error {
+	wait := time.Duration(round) * retryPause
+	timer := time.NewTimer(min(wait, 4*retryPause))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return ctx.Err()
+	}
+}
+
+func (c *Client) address() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.addresses[c.preferred%len(c.addresses)]
+}
+
+func (c *Client) advance(from string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.addresses[c.preferred%len(c.addresses)] == from {
+		c.preferred++
+	}
+}
+
+func (c *Client) callOnce(ctx context.Context, address, method string, args, answer any) error {
+	conn, err := c.conn(address)
+	if err != nil {
+		return err
+	}
+	call := conn.Go(ServiceName+"."+method, args, answer, make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		c.drop(address, conn)
+		return fault.New(fault.Unavailable, "control."+method, "%s: %w", address, ctx.Err())
+	case done := <-call.Done:
+		if done.Error != nil {
+			c.drop(address, conn)
+			return fault.New(fault.Unavailable, "control."+method, "%s: %w", address, done.Error)
+		}
+		return nil
+	}
+}
+
+func (c *Client) conn(address string) (*rpc.Client, error) {
+	c.mu.Lock()
+	conn, ok := c.conns[address]
+	c.mu.Unlock()
+	if ok {
+		return conn, nil
+	}
+	raw, err := c.dial(address)
+	if err != nil {
+		return nil, fault.New(fault.Unavailable, "control.dial", "%s: %w", address, err)
+	}
+	conn = rpc.NewClient(raw)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other, ok := c.conns[address]; ok {
+		_ = conn.Close()
+		return other, nil
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+func (c *Client) drop(address string, conn *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+	}
+	_ = conn.Close()
+}
--- /dev/null
+++ b/internal/controlstate/commands.go
@@ -0,0 +1,136 @@
+// Package controlstate is the deterministic state machine of the control plane: configuration, members, upstreams,
+// bookings and quarantines. It does no I/O and reads no clock; time arrives inside the commands.
+package controlstate
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/model"
+)
+
+// Command is one entry of the replicated log. Exactly one of the pointers is set.
+type Command struct {
+	// UnixMillis is the proposing leader's time. It only ever moves retention forward.
+	UnixMillis int64 `cbor:"1,keyasint"`
+
+	ApplyConfig      *ApplyConfig      `cbor:"2,keyasint,omitempty"`
+	JoinMember       *JoinMember       `cbor:"3,keyasint,omitempty"`
+	ExpireMember     *ExpireMember     `cbor:"4,keyasint,omitempty"`
+	AnnounceUpstream *AnnounceUpstream `cbor:"5,keyasint,omitempty"`
+	SetUpstreamState *SetUpstreamState `cbor:"6,keyasint,omitempty"`
+	BookingIntent    *BookingIntent    `cbor:"7,keyasint,omitempty"`
+	BookingOutcome   *BookingOutcome   `cbor:"8,keyasint,omitempty"`
+	AddQuarantine    *AddQuarantine    `cbor:"9,keyasint,omitempty"`
+}
+
+// ApplyConfig replaces the configuration if BaseVersion is the current version. ChangeID makes a resend idempotent.
+type ApplyConfig struct {
+	ChangeID    string
+	BaseVersion uint64
+	Inventory   model.Inventory
+	Rules       []model.Rule
+}
+
+// JoinMember registers a new instance of an entry VM and fences the earlier ones.
+type JoinMember struct {
+	Member model.Member
+}
+
+// ExpireMember removes an instance whose lease has ended.
+type ExpireMember struct {
+	ID       string
+	Instance uint64
+}
+
+// AnnounceUpstream records a new upstream or a change of what it announces.
+type AnnounceUpstream struct {
+	Announcement model.Announcement
+}
+
+// SetUpstreamState moves an upstream to another state.
+type SetUpstreamState struct {
+	Name  string
+	State model.UpstreamState
+}
+
+// BookingIntent asks for the right to send a booking once.
+type BookingIntent struct {
+	Key           string
+	Digest        string
+	Service       string
+	Upstream      string
+	OwnerID       string
+	OwnerInstance uint64
+	// SenderID and SenderInstance name the entry VM that took the request from the caller.
+	SenderID       string
+	SenderInstance uint64
+}
+
+// BookingState is the state of a booking key.
+type BookingState string
+
+// The states of a booking. Only BookingNotRun allows another attempt.
+const (
+	BookingOpen    BookingState = "open"
+	BookingDone    BookingState = "done"
+	BookingNotRun  BookingState = "not_run"
+	BookingUnknown BookingState = "unknown"
+)
+
+// BookingOutcome records the outcome of an attempt.
+type BookingOutcome struct {
+	Key     string
+	Attempt uint64
+	State   BookingState
+	// Response is the upstream's answer when State is BookingDone.
+	Response []byte
+}
+
+// Booking is the record of one key.
+type Booking struct {
+	Intent   BookingIntent
+	Attempt  uint64
+	State    BookingState
+	Response []byte
+	// UpdatedMillis is the command time of the last change; retention counts from it.
+	UpdatedMillis int64
+}
+
+// AddQuarantine refuses a fingerprint for a bounded time.
+type AddQuarantine struct {
+	Fingerprint    string
+	DurationMillis int64
+}
+
+// Result is the answer to a command.
+type Result struct {
+	Revision uint64
+	Fault    *fault.Wire
+	// Version is the configuration version after ApplyConfig.
+	Version uint64
+	// Instance is the instance granted by JoinMember.
+	Instance uint64
+	// Booking is the record after BookingIntent or BookingOutcome.
+	Booking *Booking
+	// Granted reports that a BookingIntent may be sent as Booking.Attempt.
+	Granted bool
+}
+
+// Encode serialises a command for the log.
+func (c Command) Encode() ([]byte, error) {
+	data, err := cbor.Marshal(c)
+	if err != nil {
+		return nil, fault.New(fault.Internal, "controlstate.encode", "encode command: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeCommand parses a log entry.
+func DecodeCommand(data []byte) (Command, error) {
+	var command Command
+	if err := cbor.Unmarshal(data, &command); err != nil {
+		return Command{}, fault.New(fault.Corrupt, "controlstate.decode", "decode command: %w", err)
+	}
+	return command, nil
+}
--- /dev/null
+++ b/internal/ownership/ownership.go
@@ -0,0 +1,52 @@
+// Package ownership computes which entry VM owns each upstream. The result is a pure function of the view, so that
+// every entry VM that serves the same revision agrees without further messages.
+package ownership
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wisteriamux/wisteriamux/internal/model"
+)
+
+// shardsPerOwner is the number of consecutive shards of a service that share an owner. Grouping keeps the number of
+// owners that a wide query contacts well below its number of shards.
+const shardsPerOwner = 16
+
+// Assign returns the owning member of each upstream in the view. Two replicas of a shard have different owners when
+// two or more members are alive.
+func Assign(view model.View) map[string]model.Member {
+	owners := make(map[string]model.Member, len(view.Upstreams))
+	if len(view.Members) == 0 {
+		return owners
+	}
+	replicas := map[model.ShardID]int{}
+	ranked := map[string][]model.Member{}
+	for _, upstream := range view.Upstreams {
+		ranking, ok := ranked[upstream.Service]
+		if !ok {
+			ranking = rank(upstream.Service, view.Members)
+			ranked[upstream.Service] = ranking
+		}
+		shard := upstream.ShardID()
+		position := upstream.Shard/shardsPerOwner + replicas[shard]
+		replicas[shard]++
+		owners[upstream.Name] = ranking[position%len(ranking)]
+	}
+	return owners
+}
+
+// rank orders the members by rendezvous hash, so that a change of membership moves few services.
+func rank(service string, members []model.Member) []model.Member {
+	ranking := append([]model.Member(nil), members...)
+	score := func(member model.Member) uint64 { return xxhash.Sum64String(service + "\x00" + member.ID) }
+	sort.Slice(ranking, func(i, j int) bool {
+		a, b := score(ranking[i]), score(ranking[j])
+		if a != b {
+			return a > b
+		}
+		return ranking[i].ID < ranking[j].ID
+	})
+	return ranking
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,57 @@
+#!/usr/bin/env bash
+# Builds the binaries and runs the whole path on loopback: one control member, two entry VMs, four upstreams, an
+# inventory, searches, a booking and its resend. Every process is ended at exit.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+work=$(mktemp -d)
+pids=()
+finish() {
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+  rm -rf "$work"
+}
+trap finish EXIT
+
+go build -o "$work/" ./cmd/...
+start() { "$@" 2>>"$work/log" & pids+=($!); }
+
+port=${WMUX_DEMO_PORT:-17100}
+control=127.0.0.1:$port
+printf 'id = "control-1"\nfailure_domain = "halle-a"\nrpc_address = "%s"\ndata_dir = "%s/control-1"\n' \
+  "$control" "$work" >"$work/control.toml"
+start "$work/wmux-control" --settings "$work/control.toml"
+entries=()
+for n in 1 2; do
+  printf 'id = "entry-%s"\nfailure_domain = "halle-a"\ncaller_address = "127.0.0.1:%s"\nrpc_address = "127.0.0.1:%s"\ncontrol_addresses = ["%s"]\nlame_duck_ms = 200\n' \
+    "$n" "$((port + 10 + n))" "$((port + 20 + n))" "$control" >"$work/entry-$n.toml"
+  start "$work/wmux-entry" --settings "$work/entry-$n.toml"
+  entries+=("http://127.0.0.1:$((port + 10 + n))")
+done
+all=$(IFS=,; echo "${entries[*]}")
+ctl() { "$work/wmuxctl" --control "$control" "$@"; }
+echo "== operator applies the inventory"
+ctl apply --file examples/inventory.toml --base 0 --change demo-1
+n=0
+for upstream in clerk-01:0:halle-a clerk-01:1:halle-b clerk-02:0:halle-a settlement:0:kuehlhaus; do
+  IFS=: read -r service shard domain <<<"$upstream"
+  shards=1; [ "$service" = clerk-01 ] && shards=2
+  n=$((n + 1))
+  start "$work/wmux-upstream" --name "$service-$shard" --service "$service" --shard "$shard" --shards "$shards" \
+    --failure-domain "$domain" --address "127.0.0.1:$((port + 30 + n))" --entry "$all"
+done
+for _ in $(seq 100); do
+  [ "$(ctl upstreams 2>/dev/null | grep -c ready)" = 4 ] && break
+  sleep 0.1
+done
+sleep 1.2
+echo "== upstreams have announced themselves"
+ctl upstreams
+ctl status
+echo "== a search over all shards of clerk-*"
+curl -sS -H 'Content-Type: application/json' -d '{"services":["clerk-*"],"query":"trolley 4711"}' "${entries[0]}/v1/search"; echo
+echo "== a booking, and its resend through the other entry VM"
+for url in "${entries[@]}"; do
+  curl -sS -H 'Content-Type: application/json' -d '{"service":"settlement","key":"demo-booking","payload":{"lot":17}}' "$url/v1/bookings"; echo
+done
+echo "== 100 searches per second for 3 s"
+"$work/wmux-load" search --target "$all" --services 'clerk-*' --rate 100 --duration 3s
