--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -173,9 +173,9 @@
 	for _, member := range view.Members {
 		applied, left := s.leases.remaining(member, s.now())
 		members = append(members, controlrpc.MemberStatus{Member: member, Applied: applied, LeaseMillis: left.Milliseconds()})
-		if left > 0 {
-			inForce = min(inForce, applied)
-		}
+		// A lapsed lease still counts: an instance whose removal is not in the log could renew at this or at a later
+		// leader with an old view. Once ExpireMember is applied, every leader refuses that instance.
+		inForce = min(inForce, applied)
 	}
 	return members, inForce
 }
