--- /dev/null
+++ b/internal/burn/burn_test.go
@@ -0,0 +1,74 @@
+package burn_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wisteriamux/wisteriamux/internal/burn"
+)
+
+func TestBurn(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Burn")
+}
+
+var _ = Describe("History", func() {
+	objective := burn.Objective{Service: "clerk-01", Kind: burn.Latency, Target: 0.99, ThresholdMillis: 390}
+	start := time.Unix(1_000_000, 0)
+	var history *burn.History
+	add := func(after time.Duration, good, total uint64) {
+		history.Add(burn.Sample{At: start.Add(after), Counts: map[burn.Objective]burn.Counts{objective: {Good: good, Total: total}}})
+	}
+
+	BeforeEach(func() { history = &burn.History{} })
+
+	It("reports a rate of 1 when the bad share equals the budget", func() {
+		add(0, 0, 0)
+		add(time.Minute, 990, 1000)
+		row := history.Report().Rows[0]
+		Expect(row.Recent).To(BeNumerically("~", 1, 1e-9))
+		Expect(row.BudgetLeft).To(BeNumerically("~", 0, 1e-9))
+	})
+
+	It("forgets an old failure in the short window, so that an alert ends after its cause", func() {
+		add(0, 0, 0)
+		add(time.Minute, 500, 1000)
+		Expect(history.Report().Rows[0].Windows[0].Alert).To(BeTrue())
+		add(20*time.Minute, 10_500, 11_000)
+		row := history.Report().Rows[0]
+		Expect(row.Windows[0].Short).To(BeZero())
+		Expect(row.Windows[0].Alert).To(BeFalse())
+	})
+
+	It("counts from zero after a process restart instead of reporting a huge rate", func() {
+		add(0, 1000, 1000)
+		add(time.Minute, 10, 10)
+		Expect(history.Report().Rows[0].Recent).To(BeZero())
+	})
+
+	It("adds the counters of several VMs", func() {
+		part := map[burn.Objective]burn.Counts{objective: {Good: 9, Total: 10}}
+		merged := burn.Merge(start, []map[burn.Objective]burn.Counts{part, part})
+		Expect(merged.Counts[objective]).To(Equal(burn.Counts{Good: 18, Total: 20}))
+	})
+
+	It("writes the same figures as text, JSON and a page without outside references", func() {
+		add(0, 0, 0)
+		add(time.Minute, 900, 1000)
+		var text, encoded, page bytes.Buffer
+		Expect(history.Report().WriteText(&text)).To(Succeed())
+		Expect(history.Report().WriteJSON(&encoded)).To(Succeed())
+		Expect(history.WriteHTML(&page)).To(Succeed())
+		Expect(text.String()).To(ContainSubstring("10.00"))
+		var decoded burn.Report
+		Expect(json.Unmarshal(encoded.Bytes(), &decoded)).To(Succeed())
+		Expect(decoded.Rows[0].Recent).To(BeNumerically("~", 10, 1e-9))
+		Expect(page.String()).To(ContainSubstring("<polyline"))
+		Expect(page.String()).NotTo(ContainSubstring("http"))
+	})
+})
