Secure processes with mutual TLS that reloads its files

Cause: processes and operators talked in clear and without checking each other. Change: internal/security loads certificate, key and authority, reloads them on change at the next handshake, and checks the peer's role in place of a host name, since VMs are addressed by IP number. A set of files that does not load is ignored while an earlier one is in use.

Ruled out: the standard host-name check, which needs a certificate for every IP number and every replacement of a VM. Not wired to the daemons yet.

--- /dev/null
+++ b/internal/security/security_test.go
@@ -0,0 +1,114 @@
+package security_test
+
+import (
+	"crypto/tls"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wisteriamux/wisteriamux/internal/security"
+)
+
+func TestSecurity(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Security")
+}
+
+func plainDial(address string) (net.Conn, error) { return net.Dial("tcp", address) }
+
+var _ = Describe("Store", func() {
+	var dir string
+	clock := time.Now()
+	now := func() time.Time { return clock }
+
+	open := func(directory string, role security.Role, name string) (*security.Store, security.Files) {
+		files, err := security.Issue(directory, security.Identity{Role: role, Name: name}, time.Hour)
+		Expect(err).NotTo(HaveOccurred())
+		store, err := security.Open(files, now)
+		Expect(err).NotTo(HaveOccurred())
+		return store, files
+	}
+	// serve accepts connections and finishes their handshakes.
+	serve := func(store *security.Store, allowed ...security.Role) string {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		listener := store.Listener(inner, allowed...)
+		DeferCleanup(func() { _ = listener.Close() })
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					if conn.(*tls.Conn).Handshake() == nil {
+						_, _ = conn.Write([]byte("ok"))
+					}
+					_ = conn.Close()
+				}()
+			}
+		}()
+		return inner.Addr().String()
+	}
+	exchange := func(dial func(string) (net.Conn, error), address string) error {
+		conn, err := dial(address)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = conn.Close() }()
+		_, err = conn.Read(make([]byte, 2))
+		return err
+	}
+
+	BeforeEach(func() {
+		dir = GinkgoT().TempDir()
+		Expect(security.CreateAuthority(dir, time.Hour)).To(Succeed())
+	})
+
+	It("connects peers whose roles are allowed", func() {
+		control, _ := open(dir, security.RoleControl, "control-1")
+		entry, _ := open(dir, security.RoleEntry, "entry-1")
+		address := serve(control, security.RoleEntry)
+		Expect(exchange(entry.Dialer(plainDial, security.RoleControl), address)).To(Succeed())
+	})
+
+	It("refuses a client and a server whose role is not allowed", func() {
+		control, _ := open(dir, security.RoleControl, "control-1")
+		operator, _ := open(dir, security.RoleOperator, "anna")
+		address := serve(control, security.RoleEntry)
+		Expect(exchange(operator.Dialer(plainDial, security.RoleControl), address)).NotTo(Succeed())
+		Expect(exchange(operator.Dialer(plainDial, security.RoleEntry), address)).To(MatchError(ContainSubstring("roles")))
+	})
+
+	It("refuses a peer of another authority", func() {
+		other := GinkgoT().TempDir()
+		Expect(security.CreateAuthority(other, time.Hour)).To(Succeed())
+		control, _ := open(dir, security.RoleControl, "control-1")
+		stranger, _ := open(other, security.RoleEntry, "entry-1")
+		address := serve(control, security.RoleEntry)
+		Expect(exchange(stranger.Dialer(plainDial, security.RoleControl), address)).NotTo(Succeed())
+	})
+
+	It("uses replaced files without a restart, and keeps the old ones while the new ones are unreadable", func() {
+		control, files := open(dir, security.RoleControl, "control-1")
+		entry, _ := open(dir, security.RoleEntry, "entry-1")
+		address := serve(control, security.RoleEntry)
+		dial := entry.Dialer(plainDial, security.RoleControl)
+
+		Expect(os.WriteFile(files.Certificate, []byte("half"), 0o600)).To(Succeed())
+		Expect(os.Chtimes(files.Certificate, clock, clock.Add(time.Minute))).To(Succeed())
+		clock = clock.Add(2 * time.Second)
+		Expect(exchange(dial, address)).To(Succeed())
+		Expect(control.Failure()).To(HaveOccurred())
+
+		_, err := security.Issue(dir, security.Identity{Role: security.RoleOperator, Name: "control-1"}, time.Hour)
+		Expect(err).NotTo(HaveOccurred())
+		clock = clock.Add(2 * time.Second)
+		Expect(exchange(dial, address)).To(MatchError(ContainSubstring("roles")))
+		Expect(control.Failure()).NotTo(HaveOccurred())
+	})
+})
