raftnode, wal: serve a durable group of one

Cause: the control member keeps its state in memory only. Change: a segmented, checksummed log with one frame and one sync for each save, the final signatures of raftnode, and a group of one behind them. Ruled out: separate records for each entry of a batch, because an interrupted batch could then leave an intact record behind a damaged one, which could not be told from corruption. Shown by: go test -race ./internal/raftnode (restart keeps an acknowledged entry; an empty directory forms no group).

--- /dev/null
+++ b/internal/wal/open.go
@@ -0,0 +1,190 @@
+package wal
+
+import (
+	"path/filepath"
+)
+
+// Recovered is what Open found.
+type Recovered struct {
+	Checkpoint
+	// Torn is set when an interrupted last write was removed.
+	Torn *TornTail
+}
+
+// Open reads the log in dir and prepares it for appending.
+func Open(fs FS, dir string, segmentSize int64) (*Log, Recovered, error) {
+	if segmentSize <= 0 {
+		segmentSize = DefaultSegmentSize
+	}
+	log := &Log{fs: fs, dir: dir, segmentSize: segmentSize}
+	segments, err := log.readSegments()
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	segments, recovered, err := log.dropTornTail(segments)
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	segments, obsolete, err := fromLastCheckpoint(segments)
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	if err := log.replay(segments, &recovered.Checkpoint); err != nil {
+		return nil, Recovered{}, err
+	}
+	if err := log.resume(segments[len(segments)-1]); err != nil {
+		return nil, Recovered{}, err
+	}
+	return log, recovered, log.removeSegments(obsolete)
+}
+
+// segment is a segment file as read. Its frames end at valid; data beyond that is damaged. foreign is set when the
+// data there is an intact frame that does not belong at this place, which no interrupted write can cause.
+type segment struct {
+	name    string
+	data    []byte
+	records []record
+	first   uint64
+	valid   int
+	foreign bool
+}
+
+func (s segment) isWhole() bool { return s.valid == len(s.data) }
+
+func (s segment) next() uint64 { return s.first + uint64(len(s.records)) }
+
+func (s segment) startsWithCheckpoint() bool {
+	return len(s.records) > 0 && s.records[0].kind == kindCheckpoint
+}
+
+func (l *Log) readSegments() ([]segment, error) {
+	names, err := l.fs.ReadDir(l.dir)
+	if err != nil {
+		return nil, storageFailed("open", err)
+	}
+	var segments []segment
+	for _, name := range names {
+		if !isSegment(name) {
+			continue
+		}
+		data, err := l.fs.ReadFile(filepath.Join(l.dir, name))
+		if err != nil {
+			return nil, storageFailed("open", err)
+		}
+		segments = append(segments, parseSegment(name, data))
+	}
+	if len(segments) == 0 {
+		return nil, corrupt("no segment in %s", l.dir)
+	}
+	return segments, nil
+}
+
+func parseSegment(name string, data []byte) segment {
+	s := segment{name: name, data: data}
+	for s.valid < len(data) {
+		sequence, payload, size, err := decodeFrame(data[s.valid:])
+		if err != nil {
+			return s
+		}
+		if len(s.records) == 0 {
+			s.first = sequence
+		}
+		r, err := decodeRecord(payload)
+		if err != nil || sequence != s.next() || segmentName(s.first) != name {
+			s.foreign = true
+			return s
+		}
+		s.records = append(s.records, r)
+		s.valid += size
+	}
+	return s
+}
+
+// dropTornTail truncates an interrupted write at the end of the last segment. A damaged last frame that was complete
+// on disk before cannot be told apart from an interrupted write and is treated as one.
+func (l *Log) dropTornTail(segments []segment) ([]segment, Recovered, error) {
+	last := &segments[len(segments)-1]
+	if last.isWhole() && len(last.records) > 0 {
+		return segments, Recovered{}, nil
+	}
+	if last.foreign || holdsLaterFrame(last.data[last.valid:], last.next()) {
+		return nil, Recovered{}, corrupt("segment %s is damaged at offset %d, before intact frames", last.name, last.valid)
+	}
+	torn := &TornTail{Segment: last.name, Offset: int64(last.valid), Dropped: int64(len(last.data) - last.valid)}
+	if len(last.records) > 0 {
+		last.data = last.data[:last.valid]
+		return segments, Recovered{Torn: torn}, nil
+	}
+	segments = segments[:len(segments)-1]
+	if len(segments) == 0 {
+		return nil, Recovered{}, corrupt("the only segment %s holds no intact frame", last.name)
+	}
+	return segments, Recovered{Torn: torn}, l.removeSegments([]string{last.name})
+}
+
+// fromLastCheckpoint splits off the segments before the newest checkpoint.
+func fromLastCheckpoint(segments []segment) (live []segment, obsolete []string, err error) {
+	for i := len(segments) - 1; i >= 0; i-- {
+		if !segments[i].startsWithCheckpoint() {
+			continue
+		}
+		for _, s := range segments[:i] {
+			obsolete = append(obsolete, s.name)
+		}
+		return segments[i:], obsolete, nil
+	}
+	return nil, nil, corrupt("no segment starts with an intact checkpoint")
+}
+
+func (l *Log) replay(segments []segment, out *Checkpoint) error {
+	expected := segments[0].first
+	for _, s := range segments {
+		if !s.isWhole() {
+			return corrupt("segment %s is damaged at offset %d, before later segments", s.name, s.valid)
+		}
+		if s.first != expected {
+			return corrupt("segment %s does not follow frame %d", s.name, expected-1)
+		}
+		for _, r := range s.records {
+			if err := out.replay(r); err != nil {
+				return err
+			}
+		}
+		expected = s.next()
+		l.segments = append(l.segments, s.name)
+	}
+	l.sequence = expected
+	l.identity = out.Identity
+	return nil
+}
+
+func (c *Checkpoint) replay(r record) error {
+	if r.kind == kindCheckpoint {
+		*c = Checkpoint{Identity: r.identity, Mark: r.mark}
+	}
+	c.State = r.state
+	for _, entry := range r.entries {
+		last := c.Mark.Index + uint64(len(c.Entries))
+		if entry.Index <= c.Mark.Index || entry.Index > last+1 {
+			return corrupt("entry %d does not follow entry %d", entry.Index, last)
+		}
+		c.Entries = append(c.Entries[:entry.Index-c.Mark.Index-1], entry)
+	}
+	if last := c.Mark.Index + uint64(len(c.Entries)); c.State.Commit > last {
+		return corrupt("commit index %d is beyond the last entry %d", c.State.Commit, last)
+	}
+	return nil
+}
+
+func (l *Log) resume(last segment) error {
+	file, err := l.fs.OpenAppend(filepath.Join(l.dir, last.name), int64(last.valid))
+	if err != nil {
+		return storageFailed("open", err)
+	}
+	l.file = file
+	l.size = int64(last.valid)
+	if err := file.Sync(); err != nil {
+		return storageFailed("open", err)
+	}
+	return nil
+}
