--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -12,14 +13,22 @@
 
 // Machine adapts controlstate.State to the StateMachine interface and makes it readable from other goroutines.
 type Machine struct {
-	// mu guards state.
-	mu    sync.RWMutex
-	state *controlstate.State
+	now func() time.Time
+
+	// mu guards the fields below.
+	mu      sync.RWMutex
+	state   *controlstate.State
+	changes changeTimes
+	// wake is closed and replaced when the revision changes.
+	wake chan struct{}
 }
 
 // NewMachine returns a machine with an empty state.
-func NewMachine() *Machine {
-	return &Machine{state: controlstate.New()}
+func NewMachine() *Machine { return NewMachineWithClock(time.Now) }
+
+// NewMachineWithClock returns a machine that records the time of changes by the clock.
+func NewMachineWithClock(now func() time.Time) *Machine {
+	return &Machine{now: now, state: controlstate.New(), wake: make(chan struct{})}
 }
 
 // Apply implements StateMachine.
@@ -29,9 +38,7 @@
 	if err != nil {
 		result.Fault = fault.ToWire(err)
 	} else {
-		m.mu.Lock()
-		result = m.state.Apply(index, command)
-		m.mu.Unlock()
+		result = m.apply(index, command)
 	}
 	encoded, err := cbor.Marshal(result)
 	if err != nil {
@@ -40,14 +47,43 @@
 	return encoded
 }
 
+func (m *Machine) apply(index uint64, command controlstate.Command) controlstate.Result {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.state.Revision()
+	result := m.state.Apply(index, command)
+	if m.state.Revision() != before {
+		m.noteChange()
+	}
+	return result
+}
+
+// noteChange requires mu.
+func (m *Machine) noteChange() {
+	m.changes.add(m.state.Revision(), m.now())
+	close(m.wake)
+	m.wake = make(chan struct{})
+}
+
 // Snapshot implements StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
-	return nil, fault.New(fault.Internal, "machine.snapshot", "snapshots are not implemented")
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Snapshot()
 }
 
 // Restore implements StateMachine.
-func (m *Machine) Restore([]byte) error {
-	return fault.New(fault.Internal, "machine.restore", "snapshots are not implemented")
+func (m *Machine) Restore(data []byte) error {
+	state, err := controlstate.Restore(data)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state = state
+	m.changes = changeTimes{}
+	m.noteChange()
+	return nil
 }
 
 // Revision returns the revision of the last change of the view.
@@ -57,10 +93,44 @@
 	return m.state.Revision()
 }
 
-// View returns the current view.
-func (m *Machine) View() model.View {
+// RevisionAt returns the newest revision that was applied here at the time or before.
+func (m *Machine) RevisionAt(at time.Time) uint64 {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	return m.changes.revisionAt(at)
+}
+
+// Changed returns a channel that is closed at the next change of the view.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.wake
+}
+
+// Member returns the registered instance of an entry VM.
+func (m *Machine) Member(id string) (model.Member, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Member(id)
+}
+
+// Booking returns the record of a key.
+func (m *Machine) Booking(key string) (controlstate.Booking, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Booking(key)
+}
+
+// View returns the current view. It is shared by all callers at the same revision and must not be changed.
+func (m *Machine) View() *model.View {
+	m.mu.RLock()
+	view := m.state.CachedView()
+	m.mu.RUnlock()
+	if view != nil {
+		return view
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	return m.state.View()
 }
 
@@ -72,3 +142,30 @@
 	}
 	return result, nil
 }
+
+// changeTimes remembers when this member applied the latest revisions.
+type changeTimes struct {
+	revisions []uint64
+	times     []time.Time
+}
+
+// add drops what is older than the grace that a behind member has, except for the newest of those.
+func (c *changeTimes) add(revision uint64, at time.Time) {
+	c.revisions = append(c.revisions, revision)
+	c.times = append(c.times, at)
+	drop := 0
+	for drop+1 < len(c.times) && at.Sub(c.times[drop+1]) >= BehindGrace {
+		drop++
+	}
+	c.revisions = c.revisions[drop:]
+	c.times = c.times[drop:]
+}
+
+func (c *changeTimes) revisionAt(at time.Time) uint64 {
+	for i := len(c.times) - 1; i >= 0; i-- {
+		if !c.times[i].After(at) {
+			return c.revisions[i]
+		}
+	}
+	return 0
+}
--- a/internal/controlrpc/client.go
+++ b/internal/controlrpc/client.go
@@ -15,6 +15,12 @@
 const (
 	dialTimeout = 500 * time.Millisecond
 	retryPause  = 50 * time.Millisecond
+	// attemptTimeout bounds the wait for one member. A frozen or silently isolated leader keeps its connections open,
+	// so only the time tells the client to try the next member.
+	attemptTimeout = time.Second
+	// groupTimeout is longer because the leader asks the added member for its identity and commits a log entry.
+	groupTimeout = 5 * time.Second
+	inForceWait  = 400 * time.Millisecond
 )
 
 // Dialer opens a connection to an address.
@@ -77,6 +83,48 @@
 	return reply.Result, reply.Result.Fault.AsError()
 }
 
+// Booking returns the record of a key.
+func (c *Client) Booking(ctx context.Context, key string) (controlstate.Booking, error) {
+	reply, err := call[BookingReply](ctx, c, "Booking", BookingArgs{Key: key})
+	return reply.Booking, err
+}
+
+// WaitInForce returns once the revision is in force everywhere, or with the error of the context.
+func (c *Client) WaitInForce(ctx context.Context, revision uint64) error {
+	args := InForceArgs{Revision: revision, WaitMillis: inForceWait.Milliseconds()}
+	for {
+		reply, err := call[InForceReply](ctx, c, "InForce", args)
+		if err != nil {
+			return err
+		}
+		if reply.InForce >= revision {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return fault.New(fault.Unavailable, "control.InForce", "revision %d accepted, but %d is in force: %w",
+				revision, reply.InForce, ctx.Err())
+		}
+	}
+}
+
+// GroupMembers lists the members of the control group as its leader sees them.
+func (c *Client) GroupMembers(ctx context.Context) ([]GroupMember, error) {
+	reply, err := call[GroupReply](ctx, c, "GroupMembers", GroupArgs{})
+	return reply.Members, err
+}
+
+// GroupAdd adds a control member.
+func (c *Client) GroupAdd(ctx context.Context, args GroupAddArgs) error {
+	_, err := callWithin[GroupChangeReply](ctx, c, groupTimeout, "GroupAdd", args)
+	return err
+}
+
+// GroupRemove removes a control member.
+func (c *Client) GroupRemove(ctx context.Context, args GroupRemoveArgs) error {
+	_, err := callWithin[GroupChangeReply](ctx, c, groupTimeout, "GroupRemove", args)
+	return err
+}
+
 // Status returns the state of the control group as its leader sees it.
 func (c *Client) Status(ctx context.Context) (StatusReply, error) {
 	return call[StatusReply](ctx, c, "Status", StatusArgs{})
@@ -91,10 +139,14 @@
 // command is idempotent by its identifier, key or target state. Each attempt decodes into a fresh reply, because gob
 // leaves fields that a message omits at their earlier value and an abandoned call may still write to its reply.
 func call[R reply](ctx context.Context, c *Client, method string, args any) (R, error) {
+	return callWithin[R](ctx, c, attemptTimeout, method, args)
+}
+
+func callWithin[R reply](ctx context.Context, c *Client, limit time.Duration, method string, args any) (R, error) {
 	for attempt := 0; ; attempt++ {
 		address := c.address()
 		answer := new(R)
-		err := c.callOnce(ctx, address, method, args, answer)
+		err := c.callOnce(ctx, limit, address, method, args, answer)
 		if err == nil {
 			err = (*answer).failure().AsError()
 		}
@@ -140,7 +192,9 @@
 	}
 }
 
-func (c *Client) callOnce(ctx context.Context, address, method string, args, answer any) error {
+func (c *Client) callOnce(ctx context.Context, limit time.Duration, address, method string, args, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	conn, err := c.conn(address)
 	if err != nil {
 		return err
--- a/internal/controlrpc/messages.go
+++ b/internal/controlrpc/messages.go
@@ -27,11 +27,15 @@
 	Instance uint64
 	// Applied is the revision of the view that the VM serves from.
 	Applied uint64
+	// Served is the newest revision that the VM has ever served. Control answers only at or above it.
+	Served uint64
 }
 
 // RenewReply grants a lease that the VM counts from the moment it sent the request.
 type RenewReply struct {
-	Fault       *fault.Wire
+	Fault *fault.Wire
+	// LeaseMillis is the time left. A VM that is behind gets what is left of its earlier lease and no extension; it
+	// extends its lease by reading the view and renewing again.
 	LeaseMillis int64
 	Revision    uint64
 }
@@ -59,6 +63,67 @@
 	Result controlstate.Result
 }
 
+// InForceArgs asks until when the revision is in force everywhere.
+type InForceArgs struct {
+	Revision uint64
+	// WaitMillis is how long to wait for the revision; control shortens it to half a second.
+	WaitMillis int64
+}
+
+// InForceReply carries the highest revision in force.
+type InForceReply struct {
+	Fault   *fault.Wire
+	InForce uint64
+}
+
+// BookingArgs asks for the record of a key.
+type BookingArgs struct {
+	Key string
+}
+
+// BookingReply carries the record of a key.
+type BookingReply struct {
+	Fault   *fault.Wire
+	Booking controlstate.Booking
+}
+
+// GroupMember is a member of the control group.
+type GroupMember struct {
+	// ID is the identity of the member's data directory in hexadecimal.
+	ID      string `json:"id"`
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Role    string `json:"role"`
+	// Match is the last log index on the member's disk, as the leader knows it.
+	Match             uint64 `json:"match"`
+	LastContactMillis int64  `json:"last_contact_ms"`
+}
+
+// GroupArgs asks for the members of the control group.
+type GroupArgs struct{}
+
+// GroupReply lists the members of the control group.
+type GroupReply struct {
+	Fault   *fault.Wire
+	Members []GroupMember
+}
+
+// GroupAddArgs adds the member at the address, first as a learner.
+type GroupAddArgs struct {
+	Name    string
+	Address string
+}
+
+// GroupRemoveArgs removes the member with the name or the identity.
+type GroupRemoveArgs struct {
+	Member string
+}
+
+// GroupChangeReply is returned once the change of the group is committed.
+type GroupChangeReply struct {
+	Fault *fault.Wire
+}
+
 // StatusArgs asks for the state of the control group.
 type StatusArgs struct{}
 
@@ -77,7 +142,8 @@
 	Revision uint64         `json:"revision"`
 	Version  uint64         `json:"version"`
 	Members  []MemberStatus `json:"members"`
-	// InForce is the highest revision that every entry VM has applied or has lost its lease under.
+	// InForce is the highest revision that every entry VM has applied or has lost its lease under. It is 0 for one
+	// lease length after an election, because the leases of the previous leader are unknown.
 	InForce uint64 `json:"in_force"`
 }
 
@@ -89,4 +155,12 @@
 
 func (r ProposeReply) failure() *fault.Wire { return r.Fault }
 
+func (r InForceReply) failure() *fault.Wire { return r.Fault }
+
+func (r BookingReply) failure() *fault.Wire { return r.Fault }
+
+func (r GroupReply) failure() *fault.Wire { return r.Fault }
+
+func (r GroupChangeReply) failure() *fault.Wire { return r.Fault }
+
 func (r StatusReply) failure() *fault.Wire { return r.Fault }
--- a/internal/controlstate/commands.go
+++ b/internal/controlstate/commands.go
@@ -22,6 +22,8 @@
 	BookingIntent    *BookingIntent    `cbor:"7,keyasint,omitempty"`
 	BookingOutcome   *BookingOutcome   `cbor:"8,keyasint,omitempty"`
 	AddQuarantine    *AddQuarantine    `cbor:"9,keyasint,omitempty"`
+	ClearQuarantine  *ClearQuarantine  `cbor:"10,keyasint,omitempty"`
+	Tick             *Tick             `cbor:"11,keyasint,omitempty"`
 }
 
 // ApplyConfig replaces the configuration if BaseVersion is the current version. ChangeID makes a resend idempotent.
@@ -52,6 +54,9 @@
 type SetUpstreamState struct {
 	Name  string
 	State model.UpstreamState
+	// Instance restricts the command to one process instance of the upstream, so that a late report about an earlier
+	// process has no effect on a newer one. Empty addresses every instance.
+	Instance string
 }
 
 // BookingIntent asks for the right to send a booking once.
@@ -103,8 +108,18 @@
 	DurationMillis int64
 }
 
+// ClearQuarantine accepts a fingerprint again before its time, or every fingerprint when All is set.
+type ClearQuarantine struct {
+	Fingerprint string
+	All         bool
+}
+
+// Tick moves the time of the state forward, so that quarantines and bookings expire on an idle group.
+type Tick struct{}
+
 // Result is the answer to a command.
 type Result struct {
+	// Revision is the revision after the command. A resent ApplyConfig gets the revision of its first execution.
 	Revision uint64
 	Fault    *fault.Wire
 	// Version is the configuration version after ApplyConfig.
--- /dev/null
+++ b/internal/controlstate/snapshot.go
@@ -0,0 +1,111 @@
+package controlstate
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/model"
+)
+
+// snapshotFormat is the version of the snapshot's encoding. A member refuses a format that it does not know.
+const snapshotFormat = 1
+
+// snapshot is the encoded form of a State. Lists are sorted or in log order, so that equal states encode alike.
+type snapshot struct {
+	Format      int                 `cbor:"1,keyasint"`
+	NowMillis   int64               `cbor:"2,keyasint"`
+	Revision    uint64              `cbor:"3,keyasint"`
+	Config      model.Configuration `cbor:"4,keyasint"`
+	Changes     []configChange      `cbor:"5,keyasint"`
+	Members     []model.Member      `cbor:"6,keyasint"`
+	Upstreams   []snapshotUpstream  `cbor:"7,keyasint"`
+	Bookings    []Booking           `cbor:"8,keyasint"`
+	Quarantines []snapshotDeadline  `cbor:"9,keyasint"`
+}
+
+type snapshotUpstream struct {
+	Upstream model.Upstream `cbor:"1,keyasint"`
+	// Leaving is set when the process instance LeavingInstance was ordered to drain.
+	Leaving         bool   `cbor:"2,keyasint,omitempty"`
+	LeavingInstance string `cbor:"3,keyasint,omitempty"`
+}
+
+type snapshotDeadline struct {
+	Fingerprint string `cbor:"1,keyasint"`
+	UntilMillis int64  `cbor:"2,keyasint"`
+}
+
+// Snapshot encodes the whole state.
+func (s *State) Snapshot() ([]byte, error) {
+	view := s.buildView()
+	content := snapshot{
+		Format:    snapshotFormat,
+		NowMillis: s.nowMillis,
+		Revision:  s.revision,
+		Config:    s.config,
+		Members:   view.Members,
+		Bookings:  make([]Booking, 0, s.bookings.order.Len()),
+	}
+	for _, id := range s.changes.order {
+		content.Changes = append(content.Changes, s.changes.byID[id])
+	}
+	for _, upstream := range view.Upstreams {
+		instance, leaving := s.leaving[upstream.Name]
+		content.Upstreams = append(content.Upstreams, snapshotUpstream{Upstream: upstream, Leaving: leaving, LeavingInstance: instance})
+	}
+	for element := s.bookings.order.Front(); element != nil; element = element.Next() {
+		content.Bookings = append(content.Bookings, *element.Value.(*Booking))
+	}
+	for _, quarantine := range view.Quarantines {
+		deadline := snapshotDeadline{Fingerprint: quarantine.Fingerprint, UntilMillis: quarantine.Until.UnixMilli()}
+		content.Quarantines = append(content.Quarantines, deadline)
+	}
+	data, err := cbor.Marshal(content)
+	if err != nil {
+		return nil, fault.New(fault.Internal, "controlstate.snapshot", "encode: %w", err)
+	}
+	return data, nil
+}
+
+// Restore returns the state that a snapshot holds.
+func Restore(data []byte) (*State, error) {
+	// The default bound of a list is below MaxBookings.
+	mode, err := cbor.DecOptions{MaxArrayElements: 2 * MaxBookings}.DecMode()
+	if err != nil {
+		return nil, fault.New(fault.Internal, "controlstate.restore", "decoder: %w", err)
+	}
+	var content snapshot
+	if err := mode.Unmarshal(data, &content); err != nil {
+		return nil, fault.New(fault.Corrupt, "controlstate.restore", "decode: %w", err)
+	}
+	if content.Format != snapshotFormat {
+		return nil, fault.New(fault.Corrupt, "controlstate.restore", "format is %d, this version reads %d", content.Format, snapshotFormat)
+	}
+	return content.state(), nil
+}
+
+func (c snapshot) state() *State {
+	s := New()
+	s.nowMillis = c.NowMillis
+	s.revision = c.Revision
+	s.config = c.Config
+	for _, change := range c.Changes {
+		s.changes.remember(change, s.limits.changes)
+	}
+	for _, member := range c.Members {
+		s.members[member.ID] = member
+	}
+	for _, entry := range c.Upstreams {
+		s.upstreams[entry.Upstream.Name] = entry.Upstream
+		if entry.Leaving {
+			s.leaving[entry.Upstream.Name] = entry.LeavingInstance
+		}
+	}
+	for _, record := range c.Bookings {
+		s.bookings.put(&record)
+	}
+	for _, quarantine := range c.Quarantines {
+		s.quarantines[quarantine.Fingerprint] = quarantine.UntilMillis
+	}
+	return s
+}
