wmuxctl, wmux-control, netcut: operate a group of control members

Cause: one control member ran without a disk, and operators had apply, status and upstreams only, with one exit code for every failure. Ruled out: default exit codes of cobra, because scripts must tell a conflict from a leader that does not answer; a firewall for partitions in tests, because the transport can hold bytes back itself without closing connections. Conclusion: wmux-control has run, bootstrap and check over internal/raftnode and hands leadership over at a planned stop. wmuxctl has apply with a dry run and a wait, config, services, members, drain, undrain, bookings, quarantine and control.

--- a/cmd/wmux-control/main.go
+++ b/cmd/wmux-control/main.go
@@ -3,19 +3,14 @@
 
 import (
 	"context"
-	"net"
-	"net/rpc"
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/spf13/cobra"
 
-	"github.com/wisteriamux/wisteriamux/internal/control"
-	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/raftnode"
 	"github.com/wisteriamux/wisteriamux/internal/settings"
-	"github.com/wisteriamux/wisteriamux/internal/telemetry"
 )
 
 func main() {
@@ -27,40 +22,53 @@
 }
 
 func command() *cobra.Command {
-	var path string
-	command := &cobra.Command{
-		Use:          "wmux-control",
-		Short:        "Run a control member",
-		Example:      "  wmux-control --settings control.toml",
+	root := &cobra.Command{
+		Use:   "wmux-control",
+		Short: "Run a member of the control group",
+		Long: `Run a member of the control group.
+
+A new group begins with one member, which "bootstrap" prepares. Every other member starts with an empty data directory
+and waits until an operator adds it with "wmuxctl control add". A member whose disk was wiped is added again in the same
+way, and its old identity is removed.`,
 		SilenceUsage: true,
+	}
+	path := root.PersistentFlags().String("settings", "control.toml", "settings file")
+	root.AddCommand(
+		settingsCommand(path, "run", "Run the control member until it is told to stop", run),
+		settingsCommand(path, "bootstrap", "Prepare the empty data directory of the first member of a new group", bootstrap),
+		settingsCommand(path, "check", "Check the settings file and the data directory without starting", check),
+	)
+	return root
+}
+
+// settingsCommand returns a subcommand that works on checked settings.
+func settingsCommand(path *string, name, short string, work func(*cobra.Command, settings.Control) error) *cobra.Command {
+	return &cobra.Command{
+		Use:     name,
+		Short:   short,
+		Example: "  wmux-control " + name + " --settings control.toml",
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			loaded, err := settings.LoadControl(path)
+			loaded, err := settings.LoadControl(*path)
 			if err != nil {
 				return err
 			}
-			return run(cmd.Context(), loaded)
+			if err := checkSettings(loaded); err != nil {
+				return err
+			}
+			return work(cmd, loaded)
 		},
 	}
-	command.Flags().StringVar(&path, "settings", "control.toml", "settings file")
-	return command
 }
 
-func run(ctx context.Context, loaded settings.Control) error {
-	log := telemetry.NewLogger(os.Stderr, "wmux-control", loaded.ID)
-	listener, err := net.Listen("tcp", loaded.RPCAddress)
-	if err != nil {
-		return err
-	}
-	machine := control.NewMachine()
-	service := control.NewService(loaded.ID, machine, control.NewMemoryReplicator(loaded.ID, machine), time.Now)
-	server := rpc.NewServer()
-	if err := server.RegisterName(controlrpc.ServiceName, service); err != nil {
+func bootstrap(cmd *cobra.Command, loaded settings.Control) error {
+	if err := raftnode.Bootstrap(nodeConfig(loaded)); err != nil {
 		return err
 	}
-	go service.Run(ctx)
-	go server.Accept(listener)
-	log.Info("started", "rpc_address", loaded.RPCAddress)
-	<-ctx.Done()
-	log.Info("stopped")
-	return listener.Close()
+	cmd.Printf("%s prepared as the first member %s\n", loaded.DataDir, loaded.ID)
+	return nil
+}
+
+func nodeConfig(loaded settings.Control) raftnode.Config {
+	return raftnode.Config{Name: loaded.ID, Address: loaded.RPCAddress, Dir: loaded.DataDir}
 }
--- /dev/null
+++ b/cmd/wmux-control/run.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/rpc"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/wisteriamux/wisteriamux/internal/control"
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/netcut"
+	"github.com/wisteriamux/wisteriamux/internal/raftnode"
+	"github.com/wisteriamux/wisteriamux/internal/settings"
+	"github.com/wisteriamux/wisteriamux/internal/telemetry"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// transferTimeout bounds a planned stop when no other voter can take over.
+	transferTimeout = 3 * time.Second
+)
+
+// run serves until the context ends or the node stops by itself, for example after a disk failure.
+func run(cmd *cobra.Command, loaded settings.Control) error {
+	ctx := cmd.Context()
+	log := telemetry.NewLogger(os.Stderr, "wmux-control", loaded.ID)
+	rules, err := netcut.Open(loaded.FaultRulesFile, log)
+	if err != nil {
+		return err
+	}
+	go rules.Run(ctx)
+	listener, err := net.Listen("tcp", loaded.RPCAddress)
+	if err != nil {
+		return fault.New(fault.Unavailable, "control.listen", "%w", err)
+	}
+	defer func() { _ = listener.Close() }()
+	machine := control.NewMachine()
+	node, err := openNode(loaded, machine, rules, log)
+	if err != nil {
+		return err
+	}
+	service := control.NewService(loaded.ID, machine, node, time.Now).WithGroup(control.NewRaftGroup(node)).WithLog(log)
+	if err := serve(rules.Listener(listener), service, node); err != nil {
+		return err
+	}
+	go service.Run(ctx)
+	log.Info("started", "rpc_address", loaded.RPCAddress, "identity", node.Status().ID)
+	select {
+	case <-ctx.Done():
+		return stop(node, loaded.ID, log)
+	case <-node.Done():
+		log.Error("node stopped", "code", fault.CodeOf(node.Err()), "error", node.Err())
+		return node.Err()
+	}
+}
+
+func openNode(loaded settings.Control, machine *control.Machine, rules *netcut.Rules, log *slog.Logger) (*raftnode.Node, error) {
+	config := nodeConfig(loaded)
+	config.Machine = machine
+	config.Log = log
+	config.Dial = raftnode.Dialer(rules.Dialer(dialFrom(loaded, rules != nil)))
+	return raftnode.Open(config)
+}
+
+// dialFrom returns the dialer of the transport. Fault rules for one peer need connections from that peer's address.
+func dialFrom(loaded settings.Control, ownAddress bool) func(address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	if host, _, err := net.SplitHostPort(loaded.RPCAddress); err == nil && ownAddress {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(host)}
+	}
+	return func(address string) (net.Conn, error) { return dialer.Dial("tcp", address) }
+}
+
+func serve(listener net.Listener, service *control.Service, node *raftnode.Node) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName(controlrpc.ServiceName, service); err != nil {
+		return fault.New(fault.Internal, "control.register", "%w", err)
+	}
+	if err := server.RegisterName(raftnode.ServiceName, node.Service()); err != nil {
+		return fault.New(fault.Internal, "control.register", "%w", err)
+	}
+	go accept(listener, server)
+	return nil
+}
+
+func accept(listener net.Listener, server *rpc.Server) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go server.ServeConn(conn)
+	}
+}
+
+// stop hands leadership over first, so that a planned stop costs no election timeout.
+func stop(node *raftnode.Node, id string, log *slog.Logger) error {
+	if node.Leader() == id && len(node.Members()) > 1 {
+		ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
+		defer cancel()
+		if err := node.TransferLeadership(ctx, ""); err != nil {
+			log.Warn("leadership not transferred", "code", fault.CodeOf(err), "error", err)
+		} else {
+			log.Info("leadership transferred")
+		}
+	}
+	err := node.Close()
+	log.Info("stopped")
+	return err
+}
--- a/cmd/wmuxctl/main.go
+++ b/cmd/wmuxctl/main.go
@@ -3,19 +3,15 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
-	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
-	"github.com/wisteriamux/wisteriamux/internal/controlstate"
-	"github.com/wisteriamux/wisteriamux/internal/settings"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
 )
 
 const callTimeout = 10 * time.Second
@@ -23,111 +19,66 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := command().ExecuteContext(ctx); err != nil {
-		os.Exit(1)
+	shared := &options{out: os.Stdout}
+	root := command(shared)
+	if err := root.ExecuteContext(ctx); err != nil {
+		shared.printError(os.Stderr, err)
+		os.Exit(exitCodeOf(err))
 	}
 }
 
-type options struct {
-	control []string
-	json    bool
-}
-
-func (o *options) client() *controlrpc.Client {
-	return controlrpc.NewClient(o.control, controlrpc.PlainDialer)
-}
+func command(shared *options) *cobra.Command {
+	root := &cobra.Command{
+		Use:   "wmuxctl",
+		Short: "Operate wisteriamux",
+		Long: `Operate wisteriamux.
 
-func command() *cobra.Command {
-	var shared options
-	root := &cobra.Command{Use: "wmuxctl", Short: "Operate wisteriamux", SilenceUsage: true}
+Every command takes --json for programs. Exit codes:
+  0  done
+  1  internal failure
+  2  bad request: wrong usage, or a file with problems
+  3  conflict: the base version is not current, or the state does not allow the change
+  4  not found
+  5  unavailable: no control leader answered; repeat the command
+  6  accepted, but not in force in time; it will be`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
 	root.PersistentFlags().StringSliceVar(&shared.control, "control", []string{"127.0.0.1:7001"}, "addresses of the control members")
 	root.PersistentFlags().BoolVar(&shared.json, "json", false, "print JSON")
-	root.AddCommand(applyCommand(&shared), statusCommand(&shared), upstreamsCommand(&shared))
+	root.PersistentFlags().DurationVar(&shared.timeout, "timeout", callTimeout, "how long to try to reach the control leader")
+	root.AddCommand(
+		applyCommand(shared), configCommand(shared),
+		statusCommand(shared), servicesCommand(shared), membersCommand(shared),
+		upstreamsCommand(shared), drainCommand(shared), undrainCommand(shared),
+		bookingsCommand(shared), quarantineCommand(shared), controlCommand(shared),
+	)
 	return root
 }
 
-func applyCommand(shared *options) *cobra.Command {
-	var path, changeID string
-	var base uint64
-	command := &cobra.Command{
-		Use:     "apply",
-		Short:   "Apply an inventory with rules if the base version is current",
-		Example: "  wmuxctl apply --file inventory.toml --base 0 --change first-inventory",
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			loaded, err := settings.LoadOperator(path)
-			if err != nil {
-				return err
-			}
-			ctx, cancel := context.WithTimeout(cmd.Context(), callTimeout)
-			defer cancel()
-			apply := controlstate.ApplyConfig{ChangeID: changeID, BaseVersion: base, Inventory: loaded.Inventory, Rules: loaded.Rules}
-			result, err := shared.client().Propose(ctx, controlstate.Command{ApplyConfig: &apply})
-			if err != nil {
-				return err
-			}
-			fmt.Printf("accepted version %d at revision %d\n", result.Version, result.Revision)
-			return nil
-		},
-	}
-	command.Flags().StringVar(&path, "file", "inventory.toml", "inventory and rules")
-	command.Flags().StringVar(&changeID, "change", "", "change identifier; a resend with the same identifier gets the first result")
-	command.Flags().Uint64Var(&base, "base", 0, "version that the change is based on")
-	_ = command.MarkFlagRequired("change")
-	return command
-}
-
-func statusCommand(shared *options) *cobra.Command {
+// parentCommand returns a command that only holds subcommands. Without RunE, cobra would answer a mistyped subcommand
+// with the help text and the exit code of success.
+func parentCommand(use, short string) *cobra.Command {
 	return &cobra.Command{
-		Use:   "status",
-		Short: "Show the control group and the leases of the entry VMs",
+		Use:   use,
+		Short: short,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := context.WithTimeout(cmd.Context(), callTimeout)
-			defer cancel()
-			status, err := shared.client().Status(ctx)
-			if err != nil {
-				return err
-			}
-			if shared.json {
-				return printJSON(status)
-			}
-			fmt.Printf("leader %s  version %d  revision %d  in force %d\n", status.Leader, status.Version, status.Revision, status.InForce)
-			table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-			_, _ = fmt.Fprintln(table, "VM\tFAILURE DOMAIN\tINSTANCE\tAPPLIED\tLEASE MS")
-			for _, member := range status.Members {
-				_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\n", member.ID, member.FailureDomain, member.Instance, member.Applied, member.LeaseMillis)
-			}
-			return table.Flush()
+			return fault.New(fault.BadRequest, "wmuxctl", "%q needs a subcommand; see %q", cmd.CommandPath(), cmd.CommandPath()+" --help")
 		},
 	}
 }
 
-func upstreamsCommand(shared *options) *cobra.Command {
-	return &cobra.Command{
-		Use:   "upstreams",
-		Short: "List the announced upstreams",
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := context.WithTimeout(cmd.Context(), callTimeout)
-			defer cancel()
-			view, _, err := shared.client().View(ctx, 0)
-			if err != nil {
-				return err
-			}
-			if shared.json {
-				return printJSON(view.Upstreams)
-			}
-			table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-			_, _ = fmt.Fprintln(table, "UPSTREAM\tSERVICE\tSHARD\tVERSIONS\tSLOTS\tSTATE")
-			for _, upstream := range view.Upstreams {
-				_, _ = fmt.Fprintf(table, "%s\t%s\t%d/%d\t%d-%d\t%d\t%s\n", upstream.Name, upstream.Service, upstream.Shard,
-					upstream.ShardCount, upstream.MinVersion, upstream.MaxVersion, upstream.Slots, upstream.State)
-			}
-			return table.Flush()
-		},
-	}
+// session is one command's connection to the control group.
+type session struct {
+	*controlrpc.Client
+	ctx context.Context
 }
 
-func printJSON(value any) error {
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(value)
+// withControl runs the work with a client and the time limit of the command.
+func (o *options) withControl(cmd *cobra.Command, work func(s session) error) error {
+	ctx, cancel := context.WithTimeout(cmd.Context(), o.timeout)
+	defer cancel()
+	client := controlrpc.NewClient(o.control, controlrpc.PlainDialer)
+	defer client.Close()
+	return work(session{Client: client, ctx: ctx})
 }
--- /dev/null
+++ b/cmd/wmuxctl/quarantine.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlstate"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+)
+
+func quarantineCommand(shared *options) *cobra.Command {
+	command := parentCommand("quarantine", "Show and clear quarantined request fingerprints")
+	command.AddCommand(quarantineListCommand(shared), quarantineClearCommand(shared))
+	return command
+}
+
+func quarantineListCommand(shared *options) *cobra.Command {
+	return &cobra.Command{
+		Use:     "list",
+		Short:   "List the fingerprints whose requests are refused",
+		Example: "  wmuxctl quarantine list",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return shared.withControl(cmd, func(s session) error {
+				view, _, err := s.View(s.ctx, 0)
+				if err != nil {
+					return err
+				}
+				var rows [][]any
+				for _, quarantine := range view.Quarantines {
+					rows = append(rows, []any{quarantine.Fingerprint, quarantine.Until.Format(time.RFC3339)})
+				}
+				return shared.printTable(view.Quarantines, "FINGERPRINT|UNTIL", rows)
+			})
+		},
+	}
+}
+
+// quarantineChange is the result of clear for programs.
+type quarantineChange struct {
+	Cleared  string `json:"cleared"`
+	Revision uint64 `json:"revision"`
+}
+
+func quarantineClearCommand(shared *options) *cobra.Command {
+	var all bool
+	command := &cobra.Command{
+		Use:   "clear FINGERPRINT | --all",
+		Short: "Accept the requests of a fingerprint again before its time",
+		Example: `  wmuxctl quarantine clear 5f1d3c
+  wmuxctl quarantine clear --all`,
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if all == (len(args) == 1) {
+				return fault.New(fault.BadRequest, "quarantine.clear", "name either one fingerprint or --all")
+			}
+			clear := controlstate.ClearQuarantine{All: all}
+			cleared := "every fingerprint"
+			if !all {
+				clear.Fingerprint, cleared = args[0], args[0]
+			}
+			return shared.withControl(cmd, func(s session) error {
+				result, err := s.Propose(s.ctx, controlstate.Command{ClearQuarantine: &clear})
+				if err != nil {
+					return err
+				}
+				return shared.printLine(quarantineChange{Cleared: cleared, Revision: result.Revision}, "cleared %s at revision %d", cleared, result.Revision)
+			})
+		},
+	}
+	command.Flags().BoolVar(&all, "all", false, "clear every fingerprint")
+	return command
+}
--- /dev/null
+++ b/cmd/wmuxctl/services.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/wisteriamux/wisteriamux/internal/model"
+)
+
+// serviceSummary is the state of one service.
+type serviceSummary struct {
+	model.Service
+	Rule   model.Rule `json:"rule"`
+	Shards int        `json:"shards"`
+	// Covered is the number of shards with a ready upstream.
+	Covered   int                         `json:"covered"`
+	Upstreams map[model.UpstreamState]int `json:"upstreams"`
+}
+
+func servicesCommand(shared *options) *cobra.Command {
+	return &cobra.Command{
+		Use:     "services",
+		Short:   "List the services with their rule, their shards and the states of their upstreams",
+		Example: "  wmuxctl services",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return shared.withControl(cmd, func(s session) error {
+				view, _, err := s.View(s.ctx, 0)
+				if err != nil {
+					return err
+				}
+				summaries := summarise(view)
+				return shared.printTable(summaries, "SERVICE|KIND|SHARDS COVERED|READY|DRAINING|DRAINED|LOST|MAX SHRINK|PARTIAL", serviceRows(summaries))
+			})
+		},
+	}
+}
+
+func summarise(view model.View) []serviceSummary {
+	byService := map[string][]model.Upstream{}
+	for _, upstream := range view.Upstreams {
+		byService[upstream.Service] = append(byService[upstream.Service], upstream)
+	}
+	summaries := make([]serviceSummary, 0, len(view.Config.Inventory.Services))
+	for _, service := range view.Config.Inventory.Services {
+		summary := serviceSummary{Service: service, Rule: view.Config.RuleFor(service.Name), Upstreams: map[model.UpstreamState]int{}}
+		covered := map[int]bool{}
+		for _, upstream := range byService[service.Name] {
+			summary.Shards = max(summary.Shards, upstream.ShardCount)
+			summary.Upstreams[upstream.State]++
+			covered[upstream.Shard] = covered[upstream.Shard] || upstream.State == model.UpstreamReady
+		}
+		for _, ready := range covered {
+			if ready {
+				summary.Covered++
+			}
+		}
+		summaries = append(summaries, summary)
+	}
+	return summaries
+}
+
+func serviceRows(summaries []serviceSummary) [][]any {
+	var rows [][]any
+	for _, s := range summaries {
+		rows = append(rows, []any{
+			s.Name, s.Kind, fmt.Sprintf("%d/%d", s.Covered, s.Shards),
+			s.Upstreams[model.UpstreamReady], s.Upstreams[model.UpstreamDraining], s.Upstreams[model.UpstreamDrained],
+			s.Upstreams[model.UpstreamLost], s.Rule.MaxShrink, s.Rule.PartialAllowed,
+		})
+	}
+	return rows
+}
--- /dev/null
+++ b/cmd/wmuxctl/upstreams.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlstate"
+	"github.com/wisteriamux/wisteriamux/internal/model"
+)
+
+func upstreamsCommand(shared *options) *cobra.Command {
+	return &cobra.Command{
+		Use:     "upstreams",
+		Short:   "List the announced upstreams",
+		Example: "  wmuxctl upstreams --json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return shared.withControl(cmd, func(s session) error {
+				view, _, err := s.View(s.ctx, 0)
+				if err != nil {
+					return err
+				}
+				var rows [][]any
+				for _, u := range view.Upstreams {
+					rows = append(rows, []any{
+						u.Name, u.Service, fmt.Sprintf("%d/%d", u.Shard, u.ShardCount), u.FailureDomain,
+						fmt.Sprintf("%d-%d", u.MinVersion, u.MaxVersion), u.Slots, u.State,
+					})
+				}
+				return shared.printTable(view.Upstreams, "UPSTREAM|SERVICE|SHARD|FAILURE DOMAIN|VERSIONS|SLOTS|STATE", rows)
+			})
+		},
+	}
+}
+
+func drainCommand(shared *options) *cobra.Command {
+	command := parentCommand("drain", "Order an upstream to leave")
+	command.AddCommand(upstreamStateCommand(shared, "drain",
+		"Give an upstream no new work and let its requests in flight finish", model.UpstreamDraining))
+	return command
+}
+
+func undrainCommand(shared *options) *cobra.Command {
+	command := parentCommand("undrain", "Take back the order to leave")
+	command.AddCommand(upstreamStateCommand(shared, "undrain",
+		"Give a draining or drained upstream work again", model.UpstreamReady))
+	return command
+}
+
+// upstreamChange is the result of a change of an upstream for programs.
+type upstreamChange struct {
+	Upstream string              `json:"upstream"`
+	State    model.UpstreamState `json:"state"`
+	Revision uint64              `json:"revision"`
+	InForce  bool                `json:"in_force"`
+}
+
+func upstreamStateCommand(shared *options, verb, short string, state model.UpstreamState) *cobra.Command {
+	var wait bool
+	command := &cobra.Command{
+		Use:     "upstream NAME",
+		Short:   short,
+		Example: "  wmuxctl " + verb + " upstream clerk-01-0 --wait",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return shared.withControl(cmd, func(s session) error {
+				set := controlstate.SetUpstreamState{Name: args[0], State: state}
+				result, err := s.Propose(s.ctx, controlstate.Command{SetUpstreamState: &set})
+				if err != nil {
+					return err
+				}
+				if wait {
+					if err := waitInForce(cmd.Context(), s, result.Revision); err != nil {
+						return err
+					}
+				}
+				output := upstreamChange{Upstream: args[0], State: state, Revision: result.Revision, InForce: wait}
+				return shared.printLine(output, "%s is %s at revision %d", args[0], state, result.Revision)
+			})
+		},
+	}
+	command.Flags().BoolVar(&wait, "wait", false, "wait until the change is in force on every entry VM")
+	return command
+}
--- /dev/null
+++ b/internal/control/raftgroup.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/raftnode"
+)
+
+// RaftGroup is the Group of a raftnode.Node.
+type RaftGroup struct {
+	node *raftnode.Node
+}
+
+// NewRaftGroup returns the Group of the node.
+func NewRaftGroup(node *raftnode.Node) RaftGroup { return RaftGroup{node: node} }
+
+// Members implements Group.
+func (g RaftGroup) Members() []controlrpc.GroupMember {
+	var members []controlrpc.GroupMember
+	for _, member := range g.node.Members() {
+		members = append(members, controlrpc.GroupMember{
+			ID:                strconv.FormatUint(member.ID, 16),
+			Name:              member.Name,
+			Address:           member.Address,
+			Role:              string(member.Role),
+			Match:             member.Match,
+			LastContactMillis: member.LastContact.Milliseconds(),
+		})
+	}
+	return members
+}
+
+// Add implements Group.
+func (g RaftGroup) Add(ctx context.Context, name, address string) error {
+	return g.node.AddMember(ctx, name, address)
+}
+
+// Remove implements Group.
+func (g RaftGroup) Remove(ctx context.Context, member string) error {
+	return g.node.RemoveMember(ctx, member)
+}
--- /dev/null
+++ b/internal/netcut/rules.go
@@ -0,0 +1,118 @@
+// Package netcut lets fault tests cut the transport of a process silently: connections stay open, but what is written
+// is not delivered, or what arrives is not read, until the cut is lifted. It is used only when the settings name a
+// rules file.
+package netcut
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+)
+
+// reloadInterval is how often the rules file is read, which bounds how exactly a test can time a cut.
+const reloadInterval = 50 * time.Millisecond
+
+// anyAddress matches every address.
+const anyAddress = "*"
+
+// rule cuts the directions of one address. An address without a port matches every port of the host.
+type rule struct {
+	in, out bool
+	address string
+}
+
+// Rules holds the cuts of the rules file. Each line of the file is "in", "out" or "both" followed by an address, a
+// host, or "*"; the rest of a line after "#" is a comment. "in" stalls what comes from the address, "out" holds back
+// what goes to it. A missing file cuts nothing. A nil Rules cuts nothing and wraps nothing.
+type Rules struct {
+	path    string
+	log     *slog.Logger
+	current atomic.Pointer[[]rule]
+}
+
+// Open reads the rules file. It returns nil when the path is empty.
+func Open(path string, log *slog.Logger) (*Rules, error) {
+	if path == "" {
+		return nil, nil
+	}
+	r := &Rules{path: path, log: log}
+	r.current.Store(&[]rule{})
+	return r, r.reload()
+}
+
+// Run reads the rules file again until the context ends. A faulty file leaves the earlier rules in place.
+func (r *Rules) Run(ctx context.Context) {
+	if r == nil {
+		return
+	}
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if err := r.reload(); err != nil {
+				r.log.Warn("fault rules not read", "path", r.path, "error", err)
+			}
+		}
+	}
+}
+
+func (r *Rules) reload() error {
+	data, err := os.ReadFile(r.path)
+	if err != nil && !os.IsNotExist(err) {
+		return fault.New(fault.Settings, "netcut.reload", "%w", err)
+	}
+	rules, err := parse(data)
+	if err != nil {
+		return fault.New(fault.Settings, "netcut.reload", "%s: %w", r.path, err)
+	}
+	r.current.Store(&rules)
+	return nil
+}
+
+func parse(data []byte) ([]rule, error) {
+	var rules []rule
+	lines := bufio.NewScanner(bytes.NewReader(data))
+	for number := 1; lines.Scan(); number++ {
+		line, _, _ := strings.Cut(lines.Text(), "#")
+		fields := strings.Fields(line)
+		if len(fields) == 0 {
+			continue
+		}
+		if len(fields) != 2 || (fields[0] != "in" && fields[0] != "out" && fields[0] != "both") {
+			return nil, fmt.Errorf("line %d: want a direction (in, out, both) and an address", number)
+		}
+		rules = append(rules, rule{in: fields[0] != "out", out: fields[0] != "in", address: fields[1]})
+	}
+	return rules, lines.Err()
+}
+
+// cut reports which directions of the address are cut.
+func (r *Rules) cut(address string) (in, out bool) {
+	for _, rule := range *r.current.Load() {
+		if rule.matches(address) {
+			in = in || rule.in
+			out = out || rule.out
+		}
+	}
+	return in, out
+}
+
+func (r rule) matches(address string) bool {
+	if r.address == anyAddress || r.address == address {
+		return true
+	}
+	host, _, err := net.SplitHostPort(address)
+	return err == nil && host == r.address
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,8 @@
 	FailureDomain string `toml:"failure_domain"`
 	RPCAddress    string `toml:"rpc_address"`
 	DataDir       string `toml:"data_dir"`
+	// FaultRulesFile names the rules of internal/netcut. It is set only in fault tests.
+	FaultRulesFile string `toml:"fault_rules_file"`
 }
 
 // Operator holds the inventory and the rules that an operator applies.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the binaries and runs the whole path on loopback: one control member, two entry VMs, four upstreams, an
+# Builds the binaries and runs the whole path on loopback: three control members, two entry VMs, four upstreams, an
 # inventory, searches, a booking and its resend. Every process is ended at exit.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -16,21 +16,29 @@
 start() { "$@" 2>>"$work/log" & pids+=($!); }
 
 port=${WMUX_DEMO_PORT:-17100}
-control=127.0.0.1:$port
-printf 'id = "control-1"\nfailure_domain = "halle-a"\nrpc_address = "%s"\ndata_dir = "%s/control-1"\n' \
-  "$control" "$work" >"$work/control.toml"
-start "$work/wmux-control" --settings "$work/control.toml"
+control=127.0.0.1:$port,127.0.0.1:$((port + 1)),127.0.0.1:$((port + 2))
+ctl() { "$work/wmuxctl" --control "$control" "$@"; }
+n=0
+for domain in halle-a halle-b kuehlhaus; do
+  n=$((n + 1))
+  printf 'id = "control-%s"\nfailure_domain = "%s"\nrpc_address = "127.0.0.1:%s"\ndata_dir = "%s/control-%s"\n' \
+    "$n" "$domain" "$((port + n - 1))" "$work" "$n" >"$work/control-$n.toml"
+  [ "$n" = 1 ] && "$work/wmux-control" bootstrap --settings "$work/control-1.toml"
+  start "$work/wmux-control" run --settings "$work/control-$n.toml"
+done
+echo "== the first control member adds the other two"
+for n in 2 3; do ctl control add "control-$n" "127.0.0.1:$((port + n - 1))"; done
 entries=()
 for n in 1 2; do
   printf 'id = "entry-%s"\nfailure_domain = "halle-a"\ncaller_address = "127.0.0.1:%s"\nrpc_address = "127.0.0.1:%s"\ncontrol_addresses = ["%s"]\nlame_duck_ms = 200\n' \
-    "$n" "$((port + 10 + n))" "$((port + 20 + n))" "$control" >"$work/entry-$n.toml"
+    "$n" "$((port + 10 + n))" "$((port + 20 + n))" "${control//,/\", \"}" >"$work/entry-$n.toml"
   start "$work/wmux-entry" --settings "$work/entry-$n.toml"
   entries+=("http://127.0.0.1:$((port + 10 + n))")
 done
 all=$(IFS=,; echo "${entries[*]}")
-ctl() { "$work/wmuxctl" --control "$control" "$@"; }
-echo "== operator applies the inventory"
-ctl apply --file examples/inventory.toml --base 0 --change demo-1
+echo "== operator looks at what the inventory changes, and applies it"
+ctl apply --file examples/inventory.toml --base 0 --dry-run
+ctl apply --file examples/inventory.toml --base 0 --change demo-1 --wait
 n=0
 for upstream in clerk-01:0:halle-a clerk-01:1:halle-b clerk-02:0:halle-a settlement:0:kuehlhaus; do
   IFS=: read -r service shard domain <<<"$upstream"
@@ -53,5 +61,6 @@
 for url in "${entries[@]}"; do
   curl -sS -H 'Content-Type: application/json' -d '{"service":"settlement","key":"demo-booking","payload":{"lot":17}}' "$url/v1/bookings"; echo
 done
+ctl bookings show demo-booking
 echo "== 100 searches per second for 3 s"
 "$work/wmux-load" search --target "$all" --services 'clerk-*' --rate 100 --duration 3s
