Bound hedges and retries by traffic-filled token buckets

Hedges and retries need a bound on the extra load that does not depend on the rate. A bucket filled by time was ruled out: its share of the load falls at a spike and grows at night.

--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,60 @@
+package budget_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/wisteriamux/wisteriamux/internal/budget"
+)
+
+func TestBudget(t *testing.T) {
+	_ = flag.Set("rapid.seed", "1")
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Budget")
+}
+
+var _ = Describe("Bucket", func() {
+	It("never grants more than its burst plus its share, so that hedges cannot double the load", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			share := rapid.Float64Range(0.01, 0.5).Draw(t, "share")
+			burst := rapid.Float64Range(1, 20).Draw(t, "burst")
+			bucket := budget.NewBucket(share, burst)
+			earned, granted := 0, 0
+			for _, take := range rapid.SliceOfN(rapid.Bool(), 1, 500).Draw(t, "steps") {
+				if !take {
+					bucket.Earn()
+					earned++
+				} else if bucket.Take() {
+					granted++
+				}
+				if float64(granted) > burst+share*float64(earned)+1e-6 {
+					t.Fatalf("granted %d of burst %f + %f × %d", granted, burst, share, earned)
+				}
+			}
+		})
+	})
+})
+
+var _ = Describe("Budget", func() {
+	It("stops hedges at busy upstreams and retries while queues grow", func() {
+		now := time.Unix(0, 0)
+		b := budget.New()
+		Expect(b.Hedge(false)).To(BeFalse())
+		Expect(b.Hedge(true)).To(BeTrue())
+		for length := range 40 {
+			now = now.Add(10 * time.Millisecond)
+			b.Queue(now, length)
+		}
+		Expect(b.Retry()).To(BeFalse())
+		for range 2_000 {
+			now = now.Add(10 * time.Millisecond)
+			b.Queue(now, 20)
+		}
+		Expect(b.Retry()).To(BeTrue(), "a long but stable queue allows retries")
+	})
+})
