Run each query as a state machine over events

The thin path sent one attempt per shard and took whatever came back. Machine decides attempts, hedges, retries, the one restart, coverage and the final code from events and the time passed in, so that every interleaving can be tested without a network.

--- /dev/null
+++ b/internal/fanout/messages.go
@@ -0,0 +1,104 @@
+package fanout
+
+import (
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/snapshot"
+)
+
+// Event is an input of a Machine.
+type Event interface{ event() }
+
+// Result is the outcome of a sub-request. An empty Code means success.
+type Result struct {
+	ID         uint64
+	Code       fault.Code
+	Version    uint64
+	Generation uint64
+	Items      [][]byte
+}
+
+// OwnerLost reports that the owner of the sub-requests is gone; they may have run.
+type OwnerLost struct{ IDs []uint64 }
+
+// Wake reports that the time of the last ArmTimer has come.
+type Wake struct{}
+
+// Replanned answers Replan with the plan at the newest snapshot of the served view.
+type Replanned struct{ Plan snapshot.Plan }
+
+// CallerGone reports that the caller has closed its request.
+type CallerGone struct{}
+
+func (Result) event()     {}
+func (OwnerLost) event()  {}
+func (Wake) event()       {}
+func (Replanned) event()  {}
+func (CallerGone) event() {}
+
+// Action is an output of a Machine.
+type Action interface{ action() }
+
+// Send asks for a sub-request to an upstream at the pinned snapshot.
+type Send struct {
+	ID         uint64
+	Shard      model.ShardID
+	Upstream   model.Upstream
+	Version    uint64
+	Generation uint64
+	Timeout    time.Duration
+	// Extra marks a hedge or a retry.
+	Extra bool
+}
+
+// Cancel asks to stop a sub-request whose result is no longer needed.
+type Cancel struct{ ID uint64 }
+
+// ArmTimer asks for a Wake at that time. It replaces the timer armed before.
+type ArmTimer struct{ At time.Time }
+
+// Replan asks for a Replanned event.
+type Replan struct{}
+
+// Finish is the last action of a query.
+type Finish struct{ Outcome Outcome }
+
+func (Send) action()     {}
+func (Cancel) action()   {}
+func (ArmTimer) action() {}
+func (Replan) action()   {}
+func (Finish) action()   {}
+
+// Outcome is the whole response to a query. An empty Code means answered, or partial when shards are missing.
+type Outcome struct {
+	Code     fault.Code
+	Snapshot model.Snapshot
+	Coverage model.Coverage
+	// Items holds the items of the included shards in the order of Coverage.Included.
+	Items     [][]byte
+	Restarted bool
+}
+
+// Policy decides on replicas and on extra attempts.
+type Policy interface {
+	// Choose returns one of the replicas.
+	Choose(now time.Time, replicas []model.Upstream) (model.Upstream, bool)
+	// HedgeDelay returns how long to wait for a sub-request of the service before a hedge; false for no hedge.
+	HedgeDelay(service string) (time.Duration, bool)
+	// Hedge returns the replica for a hedge and spends a token; false when none is idle or the budget is empty.
+	Hedge(now time.Time, replicas []model.Upstream) (model.Upstream, bool)
+	// Retry spends a token of the retry budget.
+	Retry(now time.Time) bool
+}
+
+// Query describes the query of a Machine.
+type Query struct {
+	Started  time.Time
+	Deadline time.Time
+	// Rules holds the rule of each service of the query.
+	Rules map[string]model.Rule
+	// NextID returns identifiers that are unique among all sub-requests of the entry VM.
+	NextID func() uint64
+}
