Keep the shard map that covers most while a repartition builds up

With no complete shard map, the newest generation won even when it covered one shard of eight and the old one three of four. The map with the larger covered share now wins, as the comment of the function already said. An upstream whose shard lies outside its map no longer counts as coverage.

--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -33,7 +33,15 @@
 	byShard    map[int][]model.Upstream
 }
 
-func (c candidate) full() bool { return c.shardCount > 0 && len(c.byShard) == c.shardCount }
+// PolicyOf returns the policy for a query over services with these rules: newest only if every rule says so.
+func PolicyOf(rules map[string]model.Rule) model.SnapshotPolicy {
+	for _, rule := range rules {
+		if rule.Snapshot != model.SnapshotNewest {
+			return model.SnapshotNewestFull
+		}
+	}
+	return model.SnapshotNewest
+}
 
 // Choose pins one index version for all the services. The policy newest-full prefers the newest version with the
 // most covered services; newest takes the newest version that any upstream serves.
@@ -83,8 +91,8 @@
 	return versions
 }
 
-// at groups the upstreams that serve the version by shard, under the shard map that covers most shards; the newer
-// generation wins a tie.
+// at groups the upstreams that serve the version by shard, under the shard map that covers the largest share of its
+// shards; the newer generation wins a tie. While a repartition builds up, the old map stays in use.
 func at(upstreams []model.Upstream, version uint64) candidate {
 	byGeneration := map[uint64]candidate{}
 	for _, upstream := range upstreams {
@@ -95,6 +103,10 @@
 		if !ok {
 			group = candidate{generation: upstream.Generation, shardCount: upstream.ShardCount, byShard: map[int][]model.Upstream{}}
 		}
+		if upstream.Shard >= group.shardCount {
+			// An upstream that contradicts its shard map must not count as coverage of it.
+			continue
+		}
 		group.byShard[upstream.Shard] = append(group.byShard[upstream.Shard], upstream)
 		byGeneration[upstream.Generation] = group
 	}
@@ -108,8 +120,8 @@
 }
 
 func better(a, b candidate) bool {
-	if a.full() != b.full() {
-		return a.full()
+	if covered, other := len(a.byShard)*b.shardCount, len(b.byShard)*a.shardCount; covered != other && b.shardCount > 0 {
+		return covered > other
 	}
 	return a.generation > b.generation
 }
