Drive searches by the fan-out machine over batched owner calls

The thin path held one net/rpc call and one goroutine per shard, picked replicas at random and did not cancel anything at a remote owner. Each query now has one driver goroutine over internal/fanout; sub-requests to one owner leave as a batch.

Results come back by a long-polled Owner.Collect. The reverse call Owner.Deliver was ruled out: the open Collect shows a lost or frozen owner at once, without pings, and needs no connection back. Two Collect calls stay open, so that results do not wait for the round trip between two of them.

An upstream keeps one pool by name: the thin path made a fresh set of slots when an announcement changed, which allowed more requests in flight than slots. Settings ownership, balance and hedging select the baselines.

--- a/cmd/wmux-entry/main.go
+++ b/cmd/wmux-entry/main.go
@@ -11,8 +11,10 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/wisteriamux/wisteriamux/internal/balance"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/entry"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/settings"
 	"github.com/wisteriamux/wisteriamux/internal/telemetry"
 )
@@ -61,6 +63,12 @@
 		FailureDomain: loaded.FailureDomain,
 		LameDuck:      time.Duration(loaded.LameDuckMillis) * time.Millisecond,
 		DrainTimeout:  time.Duration(loaded.DrainMillis) * time.Millisecond,
+		Ownership:     entry.Ownership(loaded.Ownership),
+		Balance:       balance.Policy(loaded.Balance),
+		Hedging:       loaded.Hedging,
+	}
+	if !config.Ownership.Valid() || !config.Balance.Valid() {
+		return fault.New(fault.Settings, "settings", "unknown ownership %q or balance %q", loaded.Ownership, loaded.Balance)
 	}
 	server := entry.New(config, control, loaded.RPCAddress, controlrpc.PlainDialer, log)
 	log.Info("started", "caller_address", loaded.CallerAddress, "rpc_address", loaded.RPCAddress)
--- /dev/null
+++ b/internal/entry/link.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
+)
+
+const (
+	// collectors is the number of Collect calls kept open at an owner. With a single one, results would wait for the
+	// round trip between its reply and the next call.
+	collectors = 2
+	// collectTimeout ends the link to an owner that answers no Collect, for example a frozen one.
+	collectTimeout = 2 * ownerrpc.CollectHold
+	// redialPause is the time during which an owner that could not be reached is not dialled again.
+	redialPause = 200 * time.Millisecond
+)
+
+// waiter takes the result of one sub-request.
+type waiter func(ownerrpc.SubResult)
+
+// link carries the searches of this entry VM to one owner: batches out, batches of results back. An open Collect call
+// shows the loss of the owner at once. A link that has failed stays failed; its successor starts a new session.
+type link struct {
+	address string
+	session ownerrpc.Session
+	wake    chan struct{}
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	queued  []ownerrpc.SubRequest
+	cancels []uint64
+	waiters map[uint64]waiter
+	unsent  map[uint64]bool
+	failed  time.Time
+}
+
+func newLink(selfID, address string, dial controlrpc.Dialer) *link {
+	l := &link{
+		address: address,
+		session: ownerrpc.Session{Member: selfID, Nonce: rand.Uint64()},
+		wake:    make(chan struct{}, 1),
+		waiters: map[uint64]waiter{},
+		unsent:  map[uint64]bool{},
+	}
+	go l.run(dial)
+	return l
+}
+
+// submit queues the sub-requests for the next batch; false when the link has failed.
+func (l *link) submit(subs []ownerrpc.SubRequest, done waiter) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.failed.IsZero() {
+		return false
+	}
+	for _, sub := range subs {
+		l.waiters[sub.ID] = done
+		l.unsent[sub.ID] = true
+	}
+	l.queued = append(l.queued, subs...)
+	l.signal()
+	return true
+}
+
+func (l *link) cancel(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, open := l.waiters[id]; !open {
+		return
+	}
+	delete(l.waiters, id)
+	l.cancels = append(l.cancels, id)
+	l.signal()
+}
+
+func (l *link) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run connects, then sends batches until the link fails. What is queued while a batch is written forms the next one.
+func (l *link) run(dial controlrpc.Dialer) {
+	raw, err := dial(l.address)
+	if err != nil {
+		l.fail(err)
+		return
+	}
+	conn := rpc.NewClient(raw)
+	defer func() { _ = conn.Close() }()
+	lost := make(chan error, collectors+1)
+	for range collectors {
+		go l.collect(conn, lost)
+	}
+	replies := make(chan *rpc.Call, 1_000)
+	for {
+		select {
+		case err := <-lost:
+			l.fail(err)
+			return
+		case reply := <-replies:
+			if reply.Error != nil {
+				l.fail(reply.Error)
+				return
+			}
+		case <-l.wake:
+			l.flush(conn, replies)
+		}
+	}
+}
+
+func (l *link) flush(conn *rpc.Client, replies chan *rpc.Call) {
+	l.mu.Lock()
+	subs, cancels := l.queued, l.cancels
+	l.queued, l.cancels = nil, nil
+	clear(l.unsent)
+	l.mu.Unlock()
+	if len(subs) > 0 {
+		args := ownerrpc.SubmitArgs{Session: l.session, SubRequests: subs}
+		conn.Go(ownerrpc.ServiceName+".Submit", args, &ownerrpc.SubmitReply{}, replies)
+	}
+	if len(cancels) > 0 {
+		args := ownerrpc.CancelArgs{Session: l.session, IDs: cancels}
+		conn.Go(ownerrpc.ServiceName+".Cancel", args, &ownerrpc.CancelReply{}, replies)
+	}
+}
+
+// collect fetches results until a call fails or takes too long. It closes the connection then, since the goroutine that
+// writes batches may be blocked on a silent owner.
+func (l *link) collect(conn *rpc.Client, lost chan<- error) {
+	defer func() { _ = conn.Close() }()
+	timeout := time.NewTimer(collectTimeout)
+	defer timeout.Stop()
+	for {
+		var reply ownerrpc.CollectReply
+		call := conn.Go(ownerrpc.ServiceName+".Collect", ownerrpc.CollectArgs{Session: l.session}, &reply, make(chan *rpc.Call, 1))
+		timeout.Reset(collectTimeout)
+		select {
+		case <-timeout.C:
+			lost <- fault.New(fault.Unavailable, "link.collect", "owner at %s gave no answer for %s", l.address, collectTimeout)
+			return
+		case <-call.Done:
+		}
+		if call.Error != nil {
+			lost <- call.Error
+			return
+		}
+		for _, result := range reply.Results {
+			l.deliver(result)
+		}
+	}
+}
+
+func (l *link) deliver(result ownerrpc.SubResult) {
+	l.mu.Lock()
+	done, open := l.waiters[result.ID]
+	delete(l.waiters, result.ID)
+	l.mu.Unlock()
+	if open {
+		done(result)
+	}
+}
+
+// fail ends every open sub-request: those never written have not run, the others may have.
+func (l *link) fail(err error) {
+	l.mu.Lock()
+	l.failed = time.Now()
+	waiters, unsent := l.waiters, l.unsent
+	l.waiters, l.unsent, l.queued, l.cancels = nil, nil, nil, nil
+	l.mu.Unlock()
+	for id, done := range waiters {
+		code := fault.Unavailable
+		if unsent[id] {
+			code = fault.NotRun
+		}
+		done(ownerrpc.SubResult{ID: id, Fault: fault.ToWire(fault.New(code, "link", "owner at %s: %w", l.address, err))})
+	}
+}
+
+// replaceable reports whether the link has failed long enough ago to dial again.
+func (l *link) replaceable(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.failed.IsZero() && now.Sub(l.failed) > redialPause
+}
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -6,74 +6,267 @@
 	"sync"
 	"time"
 
+	"github.com/wisteriamux/wisteriamux/internal/admission"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
 )
 
-// pool holds the slots and the connections of one upstream.
+// poolsInterval is the time between adjustments of the pools to the served view.
+const poolsInterval = time.Second
+
+// Ownership tells which entry VM uses the slots of an upstream.
+type Ownership string
+
+// The kinds of ownership. With direct ownership, the baseline, each entry VM connects to every upstream by itself and
+// limits its requests in flight to the slots without regard to the others.
+const (
+	OwnershipOwner  Ownership = "owner"
+	OwnershipDirect Ownership = "direct"
+)
+
+// Valid reports whether the ownership is known.
+func (o Ownership) Valid() bool { return o == OwnershipOwner || o == OwnershipDirect }
+
+// job is a sub-request at its owner.
+type job struct {
+	sub     ownerrpc.SubRequest
+	request *admission.Request[*job]
+	pool    *pool
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    func(ownerrpc.SubResult)
+}
+
+// pool holds the queue, the slots and the connections of one upstream. There is one pool for each upstream name as long
+// as the upstream is in the view, so that a change of its settings cannot put more requests in flight than slots.
 type pool struct {
-	address string
-	slots   chan struct{}
-	client  *upstreamapi.Client
+	name string
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	queue    *admission.Queue[*job]
+	client   *upstreamapi.Client
+	upstream model.Upstream
+	closed   bool
 }
 
-// owner runs sub-requests on the upstreams that this entry VM owns.
+// owner runs sub-requests on the upstreams that this entry VM owns, or on all of them with direct ownership.
 type owner struct {
 	session *session
+	direct  bool
 
 	// mu guards pools.
 	mu    sync.Mutex
 	pools map[string]*pool
 }
 
-func newOwner(session *session) *owner {
-	return &owner{session: session, pools: map[string]*pool{}}
+func newOwner(session *session, direct bool) *owner {
+	return &owner{session: session, direct: direct, pools: map[string]*pool{}}
+}
+
+// run keeps pools of the owned upstreams ready, with connections, and closes those of upstreams that left.
+func (o *owner) run(ctx context.Context) {
+	ticker := time.NewTicker(poolsInterval)
+	defer ticker.Stop()
+	for {
+		if current, err := o.session.leased(); err == nil {
+			o.adjust(current)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (o *owner) adjust(current *served) {
+	for name, upstream := range current.upstreams {
+		if upstream.State == model.UpstreamReady && o.owns(current, name) {
+			o.pool(upstream)
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name, p := range o.pools {
+		if _, ok := current.upstreams[name]; !ok || !o.owns(current, name) {
+			if p.closeIdle() {
+				delete(o.pools, name)
+			}
+		}
+	}
+}
+
+func (o *owner) owns(current *served, upstream string) bool {
+	return o.direct || current.owners[upstream].ID == o.session.member.ID
 }
 
 func (o *owner) pool(upstream model.Upstream) *pool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	current, ok := o.pools[upstream.Name]
-	if ok && current.address == upstream.Address && cap(current.slots) == upstream.Slots {
-		return current
+	p, ok := o.pools[upstream.Name]
+	if !ok {
+		p = &pool{name: upstream.Name, queue: admission.NewQueue[*job](upstream.Slots, admission.EqualWeight)}
+		o.pools[upstream.Name] = p
+	}
+	p.adapt(upstream)
+	return p
+}
+
+// adapt applies a changed announcement. Requests in flight keep their slots and connections.
+func (p *pool) adapt(upstream model.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.client != nil && p.upstream.Announcement == upstream.Announcement {
+		return
 	}
-	created := &pool{
-		address: upstream.Address,
-		slots:   make(chan struct{}, upstream.Slots),
-		client:  upstreamapi.NewClient(upstream.Address, upstream.Connections),
+	if p.client != nil {
+		p.client.Close()
 	}
-	o.pools[upstream.Name] = created
-	return created
+	p.client = upstreamapi.NewClient(upstream.Address, upstream.Connections, upstream.Slots)
+	p.queue.Resize(upstream.Slots)
+	p.upstream = upstream
 }
 
-// execute runs a sub-request on its upstream once a slot is free.
-func (o *owner) execute(ctx context.Context, sub ownerrpc.SubRequest) ownerrpc.SubResult {
-	result := ownerrpc.SubResult{ID: sub.ID}
-	ctx, cancel := context.WithTimeout(ctx, sub.Timeout)
-	defer cancel()
+// closeIdle closes the connections of a pool without work.
+func (p *pool) closeIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.queue.Backlog() > 0 {
+		return false
+	}
+	p.client.Close()
+	p.closed = true
+	return true
+}
+
+func (p *pool) push(now time.Time, r *admission.Request[*job]) (*admission.Request[*job], error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, fault.New(fault.NotRun, "owner.push", "upstream %s has left", p.name)
+	}
+	return p.queue.Push(now, r)
+}
+
+func (p *pool) backlog() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.Backlog()
+}
+
+// submit queues a sub-request. done is called once with its result, unless the job is cancelled while it waits; ctx
+// cancels the job as well once it runs.
+func (o *owner) submit(ctx context.Context, sub ownerrpc.SubRequest, done func(ownerrpc.SubResult)) *job {
+	now := o.session.now()
+	j := &job{sub: sub, done: done}
+	j.ctx, j.cancel = context.WithTimeout(ctx, sub.Timeout)
 	upstream, err := o.admit(sub)
 	if err != nil {
-		result.Fault = fault.ToWire(err)
-		return result
+		j.refuse(err)
+		return j
 	}
-	target := o.pool(upstream)
-	select {
-	case target.slots <- struct{}{}:
-		defer func() { <-target.slots }()
-	case <-ctx.Done():
-		result.Fault = fault.ToWire(fault.New(fault.NotRun, "owner.execute", "no slot on %s in time", sub.Upstream))
-		return result
+	p := o.pool(upstream)
+	j.pool = p
+	j.request = &admission.Request[*job]{Caller: sub.Caller, Deadline: now.Add(sub.Timeout), Payload: j}
+	evicted, err := p.push(now, j.request)
+	if err != nil {
+		j.refuse(err)
+		return j
+	}
+	if evicted != nil {
+		evicted.Payload.refuse(fault.New(fault.OverShare, "owner.submit", "gave way to a caller below its share"))
+	}
+	o.dispatch(p)
+	return j
+}
+
+// refuse ends a job that has not run.
+func (j *job) refuse(err error) {
+	j.cancel()
+	result := ownerrpc.SubResult{ID: j.sub.ID, Fault: fault.ToWire(err)}
+	if j.pool != nil {
+		result.Backlog = j.pool.backlog()
+	}
+	j.done(result)
+}
+
+// stop cancels a job; true means that it was still waiting, has not run, and gets no result.
+func (j *job) stop() bool {
+	defer j.cancel()
+	if j.pool == nil {
+		return false
+	}
+	j.pool.mu.Lock()
+	defer j.pool.mu.Unlock()
+	return j.pool.queue.Remove(j.request)
+}
+
+// dispatch starts waiting jobs while slots are free.
+func (o *owner) dispatch(p *pool) {
+	for {
+		p.mu.Lock()
+		next, dropped := p.queue.Next(o.session.now())
+		client := p.client
+		p.mu.Unlock()
+		for _, r := range dropped {
+			r.Payload.refuse(fault.New(fault.NotRun, "owner.dispatch", "no slot on %s in time", p.name))
+		}
+		if next == nil {
+			return
+		}
+		go o.serve(p, client, next.Payload)
 	}
+}
+
+// serve runs a job that holds a slot.
+func (o *owner) serve(p *pool, client *upstreamapi.Client, j *job) {
+	defer j.cancel()
+	result := ownerrpc.SubResult{ID: j.sub.ID}
 	started := o.session.now()
-	result.Items, err = o.send(ctx, target, sub)
-	result.Service = o.session.now().Sub(started)
+	_, err := o.admit(j.sub)
+	if err == nil {
+		err = o.send(j, client, &result)
+		result.Service = o.session.now().Sub(started)
+	}
 	result.Fault = fault.ToWire(err)
-	return result
+	p.mu.Lock()
+	p.queue.Done(learned(p.queue.ServiceTime(), result, err))
+	result.Backlog = p.queue.Backlog()
+	p.mu.Unlock()
+	o.dispatch(p)
+	j.done(result)
 }
 
-// admit checks the lease and that the upstream still takes new work.
+// learned returns the service time to learn from a result. A cancelled request only shows that its service time is
+// longer than its age.
+func learned(expected time.Duration, result ownerrpc.SubResult, err error) time.Duration {
+	if err == nil || (fault.Is(err, fault.Cancelled) && result.Service > expected) {
+		return result.Service
+	}
+	return 0
+}
+
+// execute runs a sub-request and waits for its result.
+func (o *owner) execute(ctx context.Context, sub ownerrpc.SubRequest) ownerrpc.SubResult {
+	results := make(chan ownerrpc.SubResult, 1)
+	j := o.submit(ctx, sub, func(result ownerrpc.SubResult) { results <- result })
+	select {
+	case result := <-results:
+		return result
+	case <-j.ctx.Done():
+	}
+	if j.stop() {
+		err := fault.New(fault.NotRun, "owner.execute", "no slot on %s in time", sub.Upstream)
+		return ownerrpc.SubResult{ID: sub.ID, Fault: fault.ToWire(err)}
+	}
+	return <-results
+}
+
+// admit checks the lease, that the upstream still takes new work, and that this VM owns it unless the sender has seen a
+// later view.
 func (o *owner) admit(sub ownerrpc.SubRequest) (model.Upstream, error) {
 	current, err := o.session.leased()
 	if err != nil {
@@ -83,11 +276,15 @@
 	if !ok || upstream.State != model.UpstreamReady {
 		return upstream, fault.New(fault.NotRun, "owner.admit", "upstream %s takes no new work", sub.Upstream)
 	}
+	if sub.Revision <= current.view.Revision && !o.owns(current, sub.Upstream) {
+		return upstream, fault.New(fault.NotRun, "owner.admit", "upstream %s has another owner", sub.Upstream)
+	}
 	return upstream, nil
 }
 
-func (o *owner) send(ctx context.Context, target *pool, sub ownerrpc.SubRequest) ([][]byte, error) {
-	deadline, _ := ctx.Deadline()
+func (o *owner) send(j *job, client *upstreamapi.Client, result *ownerrpc.SubResult) error {
+	deadline, _ := j.ctx.Deadline()
+	sub := j.sub
 	call := upstreamapi.Call{
 		RequestID:  sub.RequestID,
 		Timeout:    time.Until(deadline),
@@ -95,11 +292,15 @@
 		Generation: sub.Generation,
 	}
 	if sub.Booking != nil {
-		answer, err := target.client.Book(ctx, call, sub.Booking.Key, sub.Booking.Attempt, sub.Booking.Payload)
-		return [][]byte{answer}, err
+		answer, err := client.Book(j.ctx, call, sub.Booking.Key, sub.Booking.Attempt, sub.Booking.Payload)
+		result.Items = [][]byte{answer}
+		return err
 	}
-	response, err := target.client.Search(ctx, call, upstreamapi.SearchRequest{Query: sub.Query, Shard: sub.Shard})
-	return rawItems(response.Items), err
+	response, err := client.Search(j.ctx, call, upstreamapi.SearchRequest{Query: sub.Query, Shard: sub.Shard})
+	result.Items = rawItems(response.Items)
+	result.Version = response.Version
+	result.Generation = response.Generation
+	return err
 }
 
 func rawItems(items []json.RawMessage) [][]byte {
@@ -109,14 +310,3 @@
 	}
 	return raw
 }
-
-// OwnerService is the net/rpc face of the owner.
-type OwnerService struct {
-	owner *owner
-}
-
-// Execute runs one sub-request.
-func (s *OwnerService) Execute(args ownerrpc.ExecuteArgs, reply *ownerrpc.ExecuteReply) error {
-	reply.Result = s.owner.execute(context.Background(), args.SubRequest)
-	return nil
-}
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"github.com/wisteriamux/wisteriamux/internal/fanout"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
-	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
 	"github.com/wisteriamux/wisteriamux/internal/snapshot"
 )
 
@@ -36,82 +35,63 @@
 	StatusPartial  = "partial"
 )
 
-type shardOutcome struct {
-	shard  model.ShardID
-	result ownerrpc.SubResult
-}
-
 // search fans the request out over all shards of the services at one snapshot.
 func (s *Server) search(ctx context.Context, requestID, caller string, request SearchRequest) (SearchResponse, error) {
 	current, err := s.session.leased()
 	if err != nil {
 		return SearchResponse{}, err
 	}
-	services := current.view.Config.MatchServices(request.Services, model.ServiceSearch)
+	config := current.view.Config
+	services := config.MatchServices(request.Services, model.ServiceSearch)
 	if len(services) == 0 {
 		return SearchResponse{}, fault.New(fault.BadRequest, "search", "no search service matches %q", request.Services)
 	}
-	rule := current.view.Config.RuleFor(services[0])
-	plan := snapshot.Choose(current.view.Upstreams, services, rule.Snapshot)
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.TimeoutMillis)*time.Millisecond)
-	defer cancel()
-	outcomes := make(chan shardOutcome, len(plan.Targets))
-	for _, target := range plan.Targets {
-		go func() {
-			outcomes <- shardOutcome{target.Shard, s.searchShard(ctx, current, plan.Snapshot, target, requestID, caller, request.Query)}
-		}()
+	rules := make(map[string]model.Rule, len(services))
+	for _, service := range services {
+		rules[service] = config.RuleFor(service)
+	}
+	policy := snapshot.PolicyOf(rules)
+	plan := snapshot.Choose(current.view.Upstreams, services, policy)
+	now := time.Now()
+	timeout := time.Duration(request.TimeoutMillis) * time.Millisecond
+	if err := s.tier.admit(now, caller, plan, waitLimit(rules, timeout)); err != nil {
+		return SearchResponse{RequestID: requestID, Snapshot: plan.Snapshot}, err
 	}
-	response := SearchResponse{RequestID: requestID, Snapshot: plan.Snapshot}
-	response.Coverage.Missing = plan.Missing
-	for range plan.Targets {
-		response.add(<-outcomes)
+	defer s.tier.leave(caller)
+	machine := fanout.New(fanout.Query{Started: now, Deadline: now.Add(timeout), Rules: rules, NextID: s.nextSubRequest}, plan, s.tier)
+	q := &query{
+		server: s, requestID: requestID, caller: caller, text: request.Query, services: services, policy: policy,
+		machine: machine, mailbox: newMailbox(), owners: map[uint64]model.Member{},
 	}
-	return response.finish(rule)
+	return searchResponse(requestID, q.run(ctx))
 }
 
-func (s *Server) searchShard(ctx context.Context, current *served, pinned model.Snapshot, target snapshot.Target,
-	requestID, caller, query string,
-) ownerrpc.SubResult {
-	upstream := target.Upstreams[rand.IntN(len(target.Upstreams))]
-	deadline, _ := ctx.Deadline()
-	sub := ownerrpc.SubRequest{
-		ID:         s.nextID.Add(1),
-		RequestID:  requestID,
-		Caller:     caller,
-		Upstream:   upstream.Name,
-		Revision:   current.view.Revision,
-		Timeout:    time.Until(deadline),
-		Version:    pinned.Version,
-		Generation: pinned.Generations[target.Shard.Service],
-		Query:      query,
-		Shard:      target.Shard.Shard,
+func (s *Server) nextSubRequest() uint64 { return s.nextID.Add(1) }
+
+// waitLimit returns the shortest wait that the rules leave.
+func waitLimit(rules map[string]model.Rule, timeout time.Duration) time.Duration {
+	limit := timeout
+	for _, rule := range rules {
+		limit = min(limit, time.Duration(rule.WaitShare*float64(timeout)))
 	}
-	return s.peers.execute(ctx, current.owners[upstream.Name], sub)
+	return limit
 }
 
-func (r *SearchResponse) add(outcome shardOutcome) {
-	if outcome.result.Fault != nil {
-		missing := model.MissingShard{ShardID: outcome.shard, Reason: string(outcome.result.Fault.Code)}
-		r.Coverage.Missing = append(r.Coverage.Missing, missing)
-		return
+func searchResponse(requestID string, outcome fanout.Outcome) (SearchResponse, error) {
+	response := SearchResponse{
+		Status: StatusAnswered, RequestID: requestID, Snapshot: outcome.Snapshot, Coverage: outcome.Coverage,
 	}
-	r.Coverage.Included = append(r.Coverage.Included, outcome.shard)
-	for _, item := range outcome.result.Items {
-		r.Items = append(r.Items, item)
+	if outcome.Code != "" {
+		included, missing := len(outcome.Coverage.Included), len(outcome.Coverage.Missing)
+		return response, fault.New(outcome.Code, "search", "%d of %d shards are missing", missing, included+missing)
 	}
-}
-
-func (r SearchResponse) finish(rule model.Rule) (SearchResponse, error) {
-	r.Status = StatusAnswered
-	if r.Coverage.Full() {
-		return r, nil
+	for _, item := range outcome.Items {
+		response.Items = append(response.Items, item)
 	}
-	if !rule.PartialAllowed {
-		return r, fault.New(fault.Incomplete, "search", "%d of %d shards are missing",
-			len(r.Coverage.Missing), len(r.Coverage.Missing)+len(r.Coverage.Included))
+	if !outcome.Coverage.Full() {
+		response.Status = StatusPartial
 	}
-	r.Status = StatusPartial
-	return r, nil
+	return response, nil
 }
 
 func searchStatus(response SearchResponse) int {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wisteriamux/wisteriamux/internal/balance"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
@@ -31,6 +32,10 @@
 	LameDuck time.Duration
 	// DrainTimeout bounds the wait for requests in flight.
 	DrainTimeout time.Duration
+	// Ownership, Balance and Hedging select between the design and its baselines; empty means owner and observed.
+	Ownership Ownership
+	Balance   balance.Policy
+	Hedging   bool
 }
 
 // Server is one entry daemon.
@@ -40,6 +45,7 @@
 	session *session
 	owner   *owner
 	peers   *peers
+	tier    *tier
 	log     *slog.Logger
 
 	http     *http.Server
@@ -51,13 +57,14 @@
 func New(config Config, control Control, rpcAddress string, dial controlrpc.Dialer, log *slog.Logger) *Server {
 	member := model.Member{ID: config.ID, RPCAddress: rpcAddress, FailureDomain: config.FailureDomain}
 	session := newSession(control, member, time.Now, log)
-	owner := newOwner(session)
+	owner := newOwner(session, config.Ownership == OwnershipDirect)
 	server := &Server{
 		config:  config,
 		control: control,
 		session: session,
 		owner:   owner,
 		peers:   newPeers(config.ID, owner, dial),
+		tier:    newTier(config.Balance, config.Hedging),
 		log:     log,
 	}
 	server.http = &http.Server{Handler: server.routes(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout}
@@ -69,6 +76,8 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go s.session.run(background)
+	go s.owner.run(background)
+	go s.tier.run(background, s.session)
 	if err := s.servePeers(peers); err != nil {
 		return err
 	}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -183,3 +183,10 @@
 	}
 	return s.current, nil
 }
+
+// latest returns the served view whether or not the lease holds. Owners check their own lease before they use a slot.
+func (s *session) latest() *served {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.current
+}
--- a/internal/ownerrpc/messages.go
+++ b/internal/ownerrpc/messages.go
@@ -41,8 +41,47 @@
 	Items [][]byte
 	// Service is the time that the upstream took, without the wait for a slot.
 	Service time.Duration
+	// Version and Generation are those of the upstream's response.
+	Version    uint64
+	Generation uint64
+	// Backlog is the number of requests that ran or waited for the upstream at the owner when the result left it.
+	Backlog int
+}
+
+// Session identifies one sender at an owner. A sender that loses its connection starts a new session, so that results
+// of the old one never reach it.
+type Session struct {
+	Member string
+	Nonce  uint64
 }
 
+// SubmitArgs carries a batch of searches. Their results are fetched by Collect.
+type SubmitArgs struct {
+	Session     Session
+	SubRequests []SubRequest
+}
+
+// SubmitReply confirms that the batch was accepted.
+type SubmitReply struct{}
+
+// CollectArgs asks for the results of a session. The owner holds the call until there are some or CollectHold is over.
+type CollectArgs struct{ Session Session }
+
+// CollectReply carries a batch of results, which may be empty.
+type CollectReply struct{ Results []SubResult }
+
+// CollectHold is how long an owner holds a Collect without results.
+const CollectHold = time.Second
+
+// CancelArgs names sub-requests whose results are no longer needed.
+type CancelArgs struct {
+	Session Session
+	IDs     []uint64
+}
+
+// CancelReply confirms the cancellation.
+type CancelReply struct{}
+
 // ExecuteArgs carries one sub-request.
 type ExecuteArgs struct {
 	SubRequest SubRequest
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,10 @@
 	ControlAddresses []string `toml:"control_addresses"`
 	LameDuckMillis   int      `toml:"lame_duck_ms"`
 	DrainMillis      int      `toml:"drain_ms"`
+	// Ownership is "owner" or "direct", Balance "observed", "random" or "least-outstanding".
+	Ownership string `toml:"ownership"`
+	Balance   string `toml:"balance"`
+	Hedging   bool   `toml:"hedging"`
 }
 
 // Control holds the settings of wmux-control.
@@ -37,7 +41,7 @@
 
 // LoadEntry reads the settings of wmux-entry.
 func LoadEntry(path string) (Entry, error) {
-	loaded := Entry{LameDuckMillis: 2_000, DrainMillis: 30_000}
+	loaded := Entry{LameDuckMillis: 2_000, DrainMillis: 30_000, Ownership: "owner", Balance: "observed", Hedging: true}
 	err := load(path, &loaded)
 	return loaded, err
 }
--- a/internal/upstreamapi/client.go
+++ b/internal/upstreamapi/client.go
@@ -34,22 +34,28 @@
 type Client struct {
 	base      string
 	transport *http.Transport
+	spares    *spares
 }
 
-// NewClient returns a client of the upstream at the address.
-func NewClient(address string, connections int) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+// NewClient returns a client of the upstream at the address. Connections beyond the slots are in part kept open as
+// spares; together with those in use they never exceed the given number.
+func NewClient(address string, connections, slots int) *Client {
+	spare := min(maxSpares, max(0, connections-slots))
+	spares := newSpares(address, spare)
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
+		DialContext:         spares.dialContext,
+		MaxConnsPerHost:     connections - spare,
+		MaxIdleConnsPerHost: connections - spare,
 		IdleConnTimeout:     idleTimeout,
 	}
-	return &Client{base: "http://" + address, transport: transport}
+	return &Client{base: "http://" + address, transport: transport, spares: spares}
 }
 
-// Close closes the idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+// Close closes the idle and the spare connections.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+	c.spares.close()
+}
 
 // Search runs a search on one shard. A response of another snapshot than the call's is an error.
 func (c *Client) Search(ctx context.Context, call Call, request SearchRequest) (SearchResponse, error) {
