--- a/cmd/wmux-entry/main.go
+++ b/cmd/wmux-entry/main.go
@@ -15,11 +15,17 @@
 	"github.com/wisteriamux/wisteriamux/internal/entry"
 	"github.com/wisteriamux/wisteriamux/internal/settings"
 	"github.com/wisteriamux/wisteriamux/internal/telemetry"
+	"github.com/wisteriamux/wisteriamux/internal/trace"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// A second signal ends the process at once, because the handler of the first one is removed.
+	go func() {
+		<-ctx.Done()
+		stop()
+	}()
 	if err := command().ExecuteContext(ctx); err != nil {
 		os.Exit(1)
 	}
@@ -56,7 +62,13 @@
 	}
 	control := controlrpc.NewClient(loaded.ControlAddresses, controlrpc.PlainDialer)
 	defer control.Close()
+	recorder, err := openTrace(loaded)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = recorder.Close() }()
 	config := entry.Config{
+		Recorder:      recorder,
 		ID:            loaded.ID,
 		FailureDomain: loaded.FailureDomain,
 		LameDuck:      time.Duration(loaded.LameDuckMillis) * time.Millisecond,
@@ -66,3 +78,10 @@
 	log.Info("started", "caller_address", loaded.CallerAddress, "rpc_address", loaded.RPCAddress)
 	return server.Run(ctx, callers, peers)
 }
+
+func openTrace(loaded settings.Entry) (*trace.Recorder, error) {
+	if loaded.TraceFile == "" {
+		return nil, nil
+	}
+	return trace.Create(loaded.TraceFile, loaded.ID, trace.DefaultMaxBytes)
+}
--- a/internal/booking/flow.go
+++ b/internal/booking/flow.go
@@ -112,6 +112,9 @@
 	switch event.Kind {
 	case FlowStart:
 		f.candidates = event.Candidates
+		if f.answered {
+			return f.finish(Answer{})
+		}
 		if len(f.candidates) == 0 {
 			return f.inquire(event.Self)
 		}
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -3,25 +3,35 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
 )
 
-const announceRenewMillis = 2_000
+const (
+	announceRenewMillis = 2_000
+	// MaxAnnouncementBytes bounds the body of an announcement.
+	MaxAnnouncementBytes = 16 << 10
+	identityTimeout      = time.Second
+	// Bounds of what an upstream may announce, far above the largest upstream of the design.
+	maxSlots       = 4_096
+	maxConnections = 65_536
+	maxShards      = 65_536
+)
 
 func (s *Server) handleAnnounce(w http.ResponseWriter, r *http.Request) {
-	requestID := requestIDOf(r)
 	var announcement model.Announcement
-	if err := decode(w, r, &announcement); err != nil {
-		writeError(w, requestID, err, nil)
+	if err := decode(w, r, MaxAnnouncementBytes, s.config.BodyTimeout, &announcement); err != nil {
+		writeError(w, err, nil)
 		return
 	}
 	state, err := s.announce(r.Context(), announcement)
 	if err != nil {
-		writeError(w, requestID, err, nil)
+		writeError(w, err, nil)
 		return
 	}
 	writeJSON(w, http.StatusOK, upstreamapi.AnnounceResponse{State: string(state), RenewMillis: announceRenewMillis})
@@ -38,25 +48,113 @@
 	}
 	known, ok := current.upstreams[announcement.Name]
 	if ok && known.Announcement == announcement && known.State != model.UpstreamLost {
+		s.renewals.note(current, ownerrpc.Renewal{Name: announcement.Name, Address: announcement.Address})
 		return known.State, nil
 	}
+	if ok {
+		if err := s.checkIdentity(ctx, current, known, announcement); err != nil {
+			return "", err
+		}
+	}
 	command := controlstate.Command{AnnounceUpstream: &controlstate.AnnounceUpstream{Announcement: announcement}}
 	if _, err := s.control.Propose(ctx, command); err != nil {
 		return "", err
 	}
-	s.session.refresh()
-	return model.UpstreamReady, nil
+	return s.announcedState(ctx, announcement), nil
+}
+
+// announcedState reads the state after a transition. The command is accepted, so that a failed read is no failure of
+// the announcement.
+func (s *Server) announcedState(ctx context.Context, announcement model.Announcement) model.UpstreamState {
+	defer s.session.refresh()
+	if err := s.session.fetch(ctx); err != nil {
+		s.log.Debug("view not read after an announcement", "upstream", announcement.Name, "error", err)
+	}
+	if known, ok := s.session.view().upstreams[announcement.Name]; ok && known.Announcement == announcement {
+		return known.State
+	}
+	if announcement.Draining {
+		return model.UpstreamDraining
+	}
+	return model.UpstreamReady
 }
 
+// checkAnnouncement refuses an announcement that is malformed or that contradicts the inventory.
 func checkAnnouncement(config model.Configuration, announcement model.Announcement) error {
+	const op = "announce"
 	if _, ok := config.ServiceNamed(announcement.Service); !ok {
-		return fault.New(fault.NotFound, "announce", "service %q is not in the inventory", announcement.Service)
+		return fault.New(fault.NotFound, op, "service %q is not in the inventory", announcement.Service)
 	}
-	valid := announcement.Name != "" && announcement.Address != "" && announcement.Slots > 0 &&
-		announcement.Connections > 0 && announcement.ShardCount > 0 && announcement.Shard >= 0 &&
-		announcement.Shard < announcement.ShardCount && announcement.MinVersion <= announcement.MaxVersion
+	if err := checkShape(announcement); err != nil {
+		return err
+	}
+	for _, upstream := range config.Inventory.Upstreams {
+		if upstream.Name != announcement.Name {
+			continue
+		}
+		if upstream.Service != announcement.Service {
+			return fault.New(fault.Conflict, op, "the inventory has %q in service %q, the announcement says %q",
+				upstream.Name, upstream.Service, announcement.Service)
+		}
+		if upstream.FailureDomain != announcement.FailureDomain {
+			return fault.New(fault.Conflict, op, "the inventory has %q in failure domain %q, the announcement says %q",
+				upstream.Name, upstream.FailureDomain, announcement.FailureDomain)
+		}
+	}
+	if announcement.FailureDomain == "" {
+		return nil
+	}
+	for _, domain := range config.Inventory.FailureDomains {
+		if domain.Name == announcement.FailureDomain {
+			return nil
+		}
+	}
+	return fault.New(fault.NotFound, op, "failure domain %q is not in the inventory", announcement.FailureDomain)
+}
+
+func checkShape(announcement model.Announcement) error {
+	valid := announcement.Name != "" && len(announcement.Name) <= MaxKeyBytes && announcement.Address != "" &&
+		announcement.Slots > 0 && announcement.Slots <= maxSlots &&
+		announcement.Connections > 0 && announcement.Connections <= maxConnections &&
+		announcement.ShardCount > 0 && announcement.ShardCount <= maxShards &&
+		announcement.Shard >= 0 && announcement.Shard < announcement.ShardCount &&
+		announcement.MinVersion <= announcement.MaxVersion
 	if !valid {
 		return fault.New(fault.BadRequest, "announce", "announcement of %q is incomplete or contradictory", announcement.Name)
 	}
 	return nil
 }
+
+// checkIdentity refuses a second process with the name of an upstream at another address, while the first still renews.
+func (s *Server) checkIdentity(ctx context.Context, current *served, known model.Upstream, announcement model.Announcement) error {
+	if known.Address == announcement.Address || known.State == model.UpstreamLost || known.State == model.UpstreamDrained {
+		return nil
+	}
+	renewing, err := s.isRenewing(ctx, current, known)
+	if err != nil {
+		return err
+	}
+	if renewing {
+		return fault.New(fault.Conflict, "announce", "upstream %q still renews from %s, the announcement says %s",
+			known.Name, known.Address, announcement.Address)
+	}
+	return nil
+}
+
+func (s *Server) isRenewing(ctx context.Context, current *served, known model.Upstream) (bool, error) {
+	owner, ok := current.owners[known.Name]
+	if !ok {
+		return false, fault.New(fault.NotRun, "announce", "upstream %q has no owner to ask", known.Name)
+	}
+	args := ownerrpc.IdentityArgs{Name: known.Name, Address: known.Address}
+	if owner.ID == s.config.ID {
+		return s.renewals.isRenewing(args), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, identityTimeout)
+	defer cancel()
+	var reply ownerrpc.IdentityReply
+	if err := s.links.call(ctx, owner.RPCAddress, "Identity", args, &reply); err != nil {
+		return false, fault.New(fault.NotRun, "announce", "owner %s does not answer about %q: %w", owner.ID, known.Name, err)
+	}
+	return reply.Renewing, nil
+}
--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -6,12 +6,15 @@
 	"encoding/hex"
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"time"
 
+	"github.com/wisteriamux/wisteriamux/internal/booking"
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
+	"github.com/wisteriamux/wisteriamux/internal/trace"
 )
 
 // BookingRequest is a caller's booking.
@@ -32,117 +35,415 @@
 	Result    json.RawMessage `json:"result"`
 }
 
-// outcomeTimeout bounds the recording of an outcome after the caller's deadline has passed.
-const outcomeTimeout = 3 * time.Second
+const (
+	recordTimeout  = 2 * time.Second
+	recordPause    = 200 * time.Millisecond
+	resolvePause   = 100 * time.Millisecond
+	maxResolveWait = 2 * time.Second
+	// replySlack is the time that a reply of the owner may take beyond the owner's own bounds.
+	replySlack = time.Second
+	// loadFreshness is how long a reported load is believed.
+	loadFreshness = 2 * time.Second
+)
+
+// bookings runs the bookings that this entry VM takes from callers.
+type bookings struct {
+	session  *session
+	control  Control
+	owner    *bookingOwner
+	guard    *crashGuard
+	links    *links
+	recorder *trace.Recorder
+	// runs counts runs that have not finished, also after their callers were answered.
+	runs sync.WaitGroup
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	nextID uint64
+	// busy holds the keys with a run at this VM; the channel is closed at the end of the run.
+	busy map[string]chan struct{}
+	// loads are reported by owners; sending counts the attempts on their way from this VM.
+	loads   map[string]reportedLoad
+	sending map[string]int
+}
+
+type reportedLoad struct {
+	permille int
+	at       time.Duration
+}
+
+func newBookings(session *session, control Control, owner *bookingOwner, guard *crashGuard, links *links, recorder *trace.Recorder) *bookings {
+	return &bookings{
+		session: session, control: control, owner: owner, guard: guard, links: links, recorder: recorder,
+		busy: map[string]chan struct{}{}, loads: map[string]reportedLoad{}, sending: map[string]int{},
+	}
+}
 
 // book runs a booking at most once. The intent is durable before the request leaves.
-func (s *Server) book(ctx context.Context, requestID, caller string, request BookingRequest) (BookingResponse, error) {
-	current, err := s.session.leased()
+func (b *bookings) book(ctx context.Context, requestID, caller string, request BookingRequest) (BookingResponse, error) {
+	current, err := b.session.leased()
 	if err != nil {
 		return BookingResponse{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.TimeoutMillis)*time.Millisecond)
-	defer cancel()
-	upstream, err := chooseBookingUpstream(current, request.Service)
-	if err != nil {
+	if err := checkBookingService(current, request.Service); err != nil {
 		return BookingResponse{}, err
 	}
-	owner := current.owners[upstream.Name]
-	granted, err := s.intent(ctx, request, upstream, owner)
-	if err != nil {
+	if err := b.guard.IsQuarantined(Fingerprint(request.Service, OperationBooking, request.Payload)); err != nil {
 		return BookingResponse{}, err
 	}
-	if !granted.Granted {
-		return recordedOutcome(requestID, *granted.Booking)
-	}
-	result := s.peers.execute(ctx, owner, s.bookingSubRequest(ctx, current, upstream, requestID, caller, request, granted.Booking.Attempt))
-	record, err := s.recordOutcome(ctx, request.Key, granted.Booking.Attempt, result)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.TimeoutMillis)*time.Millisecond)
+	defer cancel()
+	release, err := b.reserve(ctx, request.Key)
 	if err != nil {
-		return BookingResponse{}, fault.New(fault.OutcomeUnknown, "book", "outcome not recorded: %w", err)
+		return BookingResponse{}, err
 	}
-	return recordedOutcome(requestID, record)
+	run := b.newRun(ctx, requestID, caller, request)
+	b.runs.Add(1)
+	go func() {
+		defer b.runs.Done()
+		defer release()
+		run.loop(context.WithoutCancel(ctx), current)
+	}()
+	return run.wait(ctx)
 }
 
-func chooseBookingUpstream(current *served, service string) (model.Upstream, error) {
+func checkBookingService(current *served, service string) error {
 	configured, ok := current.view.Config.ServiceNamed(service)
 	if !ok || configured.Kind != model.ServiceBooking {
-		return model.Upstream{}, fault.New(fault.BadRequest, "book", "%q is not a booking service", service)
+		return fault.New(fault.BadRequest, "book", "%q is not a booking service", service)
 	}
-	var ready []model.Upstream
+	return nil
+}
+
+// reserve lets one run of a key proceed at this VM. A caller whose deadline ends the wait cannot know how the other run
+// will end.
+func (b *bookings) reserve(ctx context.Context, key string) (release func(), err error) {
+	for {
+		b.mu.Lock()
+		other, ok := b.busy[key]
+		if !ok {
+			done := make(chan struct{})
+			b.busy[key] = done
+			b.mu.Unlock()
+			return func() { b.unreserve(key, done) }, nil
+		}
+		b.mu.Unlock()
+		select {
+		case <-other:
+		case <-ctx.Done():
+			return nil, fault.New(fault.OutcomeUnknown, "book", "another request with key %q is still running", key)
+		}
+	}
+}
+
+func (b *bookings) unreserve(key string, done chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.busy, key)
+	close(done)
+}
+
+// candidates are the ready upstreams of the service whose owners are known.
+func (b *bookings) candidates(current *served, service string) []booking.Candidate {
+	now := b.session.clock.mono()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var candidates []booking.Candidate
 	for _, upstream := range current.view.Upstreams {
-		if upstream.Service == service && upstream.State == model.UpstreamReady {
-			ready = append(ready, upstream)
+		owner, owned := current.owners[upstream.Name]
+		if upstream.Service != service || upstream.State != model.UpstreamReady || !owned {
+			continue
 		}
+		candidates = append(candidates, booking.Candidate{
+			Upstream: upstream.Name, OwnerID: owner.ID, OwnerInstance: owner.Instance,
+			LoadPermille: b.load(upstream, owner, now),
+		})
 	}
-	if len(ready) == 0 {
-		return model.Upstream{}, fault.New(fault.NotRun, "book", "service %q has no ready upstream", service)
+	return candidates
+}
+
+// load combines what the owner knows with what this VM has sent since. The caller holds mu.
+func (b *bookings) load(upstream model.Upstream, owner model.Member, now time.Duration) int {
+	if owner.ID == b.session.member.ID {
+		return b.owner.inFlight(upstream.Name) * 1000 / max(upstream.Slots, 1)
 	}
-	return ready[rand.IntN(len(ready))], nil
+	own := b.sending[upstream.Name] * 1000 / max(upstream.Slots, 1)
+	reported, ok := b.loads[upstream.Name]
+	if !ok || now-reported.at > loadFreshness {
+		return own
+	}
+	return max(reported.permille, own)
 }
 
-func (s *Server) intent(ctx context.Context, request BookingRequest, upstream model.Upstream, owner model.Member) (controlstate.Result, error) {
-	digest := sha256.Sum256(append([]byte(request.Service+"\x00"), request.Payload...))
-	intent := controlstate.BookingIntent{
-		Key:            request.Key,
-		Digest:         hex.EncodeToString(digest[:]),
-		Service:        request.Service,
-		Upstream:       upstream.Name,
-		OwnerID:        owner.ID,
-		OwnerInstance:  owner.Instance,
-		SenderID:       s.config.ID,
-		SenderInstance: s.session.instanceID(),
-	}
-	result, err := s.control.Propose(ctx, controlstate.Command{BookingIntent: &intent})
-	if fault.Is(err, fault.Unavailable) {
-		// The intent may have been recorded, but nothing was sent to an upstream.
-		return result, fault.New(fault.NotRun, "book", "intent not confirmed: %w", err)
-	}
-	return result, err
-}
-
-func (s *Server) bookingSubRequest(ctx context.Context, current *served, upstream model.Upstream,
-	requestID, caller string, request BookingRequest, attempt uint64,
-) ownerrpc.SubRequest {
+func (b *bookings) noteLoads(loads []ownerrpc.UpstreamLoad) {
+	now := b.session.clock.mono()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, load := range loads {
+		b.loads[load.Upstream] = reportedLoad{permille: load.Permille, at: now}
+	}
+}
+
+func (b *bookings) noteSending(upstream string, change int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sending[upstream] += change
+	if b.sending[upstream] == 0 {
+		delete(b.sending, upstream)
+	}
+}
+
+// bookingRun drives the flow of one request. It may outlive the request to record an outcome.
+type bookingRun struct {
+	*bookings
+	id        uint64
+	requestID string
+	caller    string
+	request   BookingRequest
+	deadline  time.Time
+	// sender is the instance of this VM that takes the request.
+	sender  uint64
+	answers chan booking.Answer
+
+	// stepMu guards flow and finished.
+	stepMu   sync.Mutex
+	flow     *booking.Flow
+	finished bool
+}
+
+func (b *bookings) newRun(ctx context.Context, requestID, caller string, request BookingRequest) *bookingRun {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.nextID++
 	deadline, _ := ctx.Deadline()
-	return ownerrpc.SubRequest{
-		ID:        s.nextID.Add(1),
-		RequestID: requestID,
-		Caller:    caller,
-		Upstream:  upstream.Name,
-		Revision:  current.view.Revision,
-		Timeout:   time.Until(deadline),
-		Booking:   &ownerrpc.Booking{Key: request.Key, Attempt: attempt, Payload: request.Payload},
-	}
-}
-
-// recordOutcome makes the outcome of the attempt durable. It outlives the caller's deadline.
-func (s *Server) recordOutcome(ctx context.Context, key string, attempt uint64, result ownerrpc.SubResult) (controlstate.Booking, error) {
-	outcome := controlstate.BookingOutcome{Key: key, Attempt: attempt, State: controlstate.BookingUnknown}
-	switch {
-	case result.Fault == nil:
-		outcome.State = controlstate.BookingDone
-		outcome.Response = result.Items[0]
-	case result.Fault.Code == fault.NotRun:
-		outcome.State = controlstate.BookingNotRun
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), outcomeTimeout)
-	defer cancel()
-	recorded, err := s.control.Propose(ctx, controlstate.Command{BookingOutcome: &outcome})
+	return &bookingRun{
+		bookings: b, id: b.nextID, requestID: requestID, caller: caller, request: request, deadline: deadline,
+		sender: b.session.instanceID(), answers: make(chan booking.Answer, 1), flow: booking.NewFlow(),
+	}
+}
+
+// wait returns the answer of the run, or what is known at the deadline.
+func (r *bookingRun) wait(ctx context.Context) (BookingResponse, error) {
+	select {
+	case answer := <-r.answers:
+		return r.respond(answer)
+	case <-ctx.Done():
+		r.step(booking.FlowEvent{Kind: booking.FlowDeadline})
+		return r.respond(<-r.answers)
+	}
+}
+
+func (r *bookingRun) respond(answer booking.Answer) (BookingResponse, error) {
+	if answer.Code != "" {
+		return BookingResponse{}, fault.New(answer.Code, "book", "%s", answer.Reason)
+	}
+	return BookingResponse{
+		Status: StatusAnswered, RequestID: r.requestID, Key: r.request.Key, Attempt: answer.Attempt,
+		Result: jsonResult(answer.Response),
+	}, nil
+}
+
+// jsonResult passes JSON on and quotes any other response, which must not turn a booking that is done into an error.
+func jsonResult(response []byte) json.RawMessage {
+	if len(response) == 0 || json.Valid(response) {
+		return response
+	}
+	quoted, err := json.Marshal(string(response))
 	if err != nil {
-		return controlstate.Booking{}, err
+		return nil
+	}
+	return quoted
+}
+
+// step applies one event. The flow answers exactly once, at the latest when it finishes.
+func (r *bookingRun) step(event booking.FlowEvent) booking.Action {
+	r.stepMu.Lock()
+	defer r.stepMu.Unlock()
+	if r.finished {
+		return booking.Action{Kind: booking.ActFinish}
+	}
+	event.Roll = rand.Uint64()
+	event.ResponseDigest = digestOf(event.Response)
+	action := r.flow.Step(event)
+	r.recorder.Record(trace.MachineFlow, r.id, event, action)
+	r.finished = action.Kind == booking.ActFinish
+	if action.Answer != nil {
+		r.answers <- *action.Answer
+	}
+	return action
+}
+
+func (r *bookingRun) loop(ctx context.Context, current *served) {
+	action := r.step(booking.FlowEvent{
+		Kind: booking.FlowStart, Candidates: r.candidates(current, r.request.Service),
+		Self: booking.Candidate{OwnerID: r.session.member.ID, OwnerInstance: r.sender},
+	})
+	for action.Kind != booking.ActFinish {
+		var event booking.FlowEvent
+		switch action.Kind {
+		case booking.ActIntent:
+			event = r.intent(ctx, action)
+		case booking.ActSend:
+			event = r.send(ctx, action)
+		case booking.ActResolve:
+			event = r.resolve(ctx, action)
+		case booking.ActRecord:
+			event = r.record(ctx, action)
+		default:
+			return
+		}
+		action = r.step(event)
+	}
+}
+
+func (r *bookingRun) intent(ctx context.Context, action booking.Action) booking.FlowEvent {
+	intent := controlstate.BookingIntent{
+		Key:            r.request.Key,
+		Digest:         bookingDigest(r.request),
+		Service:        r.request.Service,
+		Upstream:       action.Upstream,
+		OwnerID:        action.OwnerID,
+		OwnerInstance:  action.OwnerInstance,
+		SenderID:       r.session.member.ID,
+		SenderInstance: r.sender,
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	event := booking.FlowEvent{Kind: booking.FlowIntent}
+	result, err := r.control.Propose(ctx, controlstate.Command{BookingIntent: &intent})
+	if err != nil || result.Booking == nil {
+		event.Code = fault.CodeOf(err)
+		return event
+	}
+	event.Record = recordOf(*result.Booking)
+	event.Granted = result.Granted
+	return event
+}
+
+func bookingDigest(request BookingRequest) string {
+	digest := sha256.Sum256(append([]byte(request.Service+"\x00"), request.Payload...))
+	return hex.EncodeToString(digest[:])
+}
+
+func digestOf(data []byte) string {
+	if data == nil {
+		return ""
+	}
+	digest := sha256.Sum256(data)
+	return hex.EncodeToString(digest[:16])
+}
+
+func recordOf(record controlstate.Booking) *booking.Record {
+	return &booking.Record{
+		Attempt: record.Attempt, State: record.State, Upstream: record.Intent.Upstream,
+		OwnerID: record.Intent.OwnerID, OwnerInstance: record.Intent.OwnerInstance,
+		Response: record.Response, ResponseDigest: digestOf(record.Response),
+	}
+}
+
+// send sends the one copy of the attempt to its owner. A copy whose fate is unknown is resolved, never repeated.
+func (r *bookingRun) send(ctx context.Context, action booking.Action) booking.FlowEvent {
+	event := booking.FlowEvent{Kind: booking.FlowOutcome, Outcome: booking.OutcomeNotRun}
+	current, instance, err := r.session.held()
+	if err != nil || instance != r.sender {
+		return event
+	}
+	left := time.Until(r.deadline)
+	owner, ok := current.members[action.OwnerID]
+	if left <= 0 || !ok || owner.Instance != action.OwnerInstance {
+		return event
 	}
-	return *recorded.Booking, nil
+	args := ownerrpc.BookArgs{
+		RequestID: r.requestID, Caller: r.caller, Key: r.request.Key, Attempt: action.Attempt,
+		Service: r.request.Service, Upstream: action.Upstream,
+		OwnerInstance: action.OwnerInstance, SenderID: r.session.member.ID, SenderInstance: r.sender,
+		Timeout: left, Payload: r.request.Payload,
+	}
+	r.noteSending(action.Upstream, 1)
+	defer r.noteSending(action.Upstream, -1)
+	if owner.ID == r.session.member.ID {
+		return outcomeEvent(r.owner.book(args))
+	}
+	ctx, cancel := context.WithTimeout(ctx, left+outcomeWait+replySlack)
+	defer cancel()
+	var reply ownerrpc.AttemptReply
+	if err := r.links.call(ctx, owner.RPCAddress, "Book", args, &reply); err != nil {
+		return lostEvent(err)
+	}
+	r.noteLoads(reply.Loads)
+	return outcomeEvent(reply)
+}
+
+func outcomeEvent(reply ownerrpc.AttemptReply) booking.FlowEvent {
+	return booking.FlowEvent{Kind: booking.FlowOutcome, Outcome: reply.Outcome, Response: reply.Response}
+}
+
+func lostEvent(err error) booking.FlowEvent {
+	if fault.Is(err, fault.NotRun) {
+		return booking.FlowEvent{Kind: booking.FlowOutcome, Outcome: booking.OutcomeNotRun}
+	}
+	return booking.FlowEvent{Kind: booking.FlowOutcome, Outcome: booking.OutcomeUnreachable}
+}
+
+// resolve asks the owner instance of the intent what became of the attempt.
+func (r *bookingRun) resolve(ctx context.Context, action booking.Action) booking.FlowEvent {
+	current := r.session.view()
+	if current.isFenced(action.OwnerID, action.OwnerInstance) {
+		return booking.FlowEvent{Kind: booking.FlowOutcome, Outcome: booking.OutcomeGone}
+	}
+	args := ownerrpc.ResolveArgs{
+		Key: r.request.Key, Attempt: action.Attempt, OwnerInstance: action.OwnerInstance,
+		Wait: max(min(time.Until(r.deadline), maxResolveWait), 0),
+	}
+	if action.OwnerID == r.session.member.ID {
+		return r.paced(outcomeEvent(r.owner.resolve(args)))
+	}
+	owner, ok := current.members[action.OwnerID]
+	if !ok {
+		r.session.refresh()
+		return r.paced(booking.FlowEvent{Kind: booking.FlowOutcome, Outcome: booking.OutcomeUnreachable})
+	}
+	ctx, cancel := context.WithTimeout(ctx, args.Wait+replySlack)
+	defer cancel()
+	var reply ownerrpc.AttemptReply
+	if err := r.links.call(ctx, owner.RPCAddress, "Resolve", args, &reply); err != nil {
+		r.session.refresh()
+		return r.paced(booking.FlowEvent{Kind: booking.FlowOutcome, Outcome: booking.OutcomeUnreachable})
+	}
+	return r.paced(outcomeEvent(reply))
+}
+
+// paced keeps an owner that does not answer from being asked in a tight loop.
+func (r *bookingRun) paced(event booking.FlowEvent) booking.FlowEvent {
+	if event.Outcome == booking.OutcomeUnreachable {
+		time.Sleep(resolvePause)
+	}
+	return event
 }
 
-func recordedOutcome(requestID string, record controlstate.Booking) (BookingResponse, error) {
-	switch record.State {
-	case controlstate.BookingDone:
-		return BookingResponse{
-			Status: StatusAnswered, RequestID: requestID, Key: record.Intent.Key, Attempt: record.Attempt, Result: record.Response,
-		}, nil
-	case controlstate.BookingNotRun:
-		return BookingResponse{}, fault.New(fault.NotRun, "book", "attempt %d was refused before it started", record.Attempt)
-	default:
-		return BookingResponse{}, fault.New(fault.OutcomeUnknown, "book", "attempt %d may have run", record.Attempt)
+// record makes the outcome durable. It goes on after the caller's deadline until control has answered or the lease is
+// lost; the intent then stays open and is resolved by a resend.
+func (r *bookingRun) record(ctx context.Context, action booking.Action) booking.FlowEvent {
+	outcome := controlstate.BookingOutcome{
+		Key: r.request.Key, Attempt: action.Attempt, State: action.State, Response: action.Response,
 	}
+	event := booking.FlowEvent{Kind: booking.FlowRecorded}
+	for {
+		result, err := r.propose(ctx, controlstate.Command{BookingOutcome: &outcome})
+		if err == nil && result.Booking != nil {
+			event.Record = recordOf(*result.Booking)
+			return event
+		}
+		event.Code = fault.CodeOf(err)
+		if _, instance, lost := r.session.held(); lost != nil || instance != r.sender || !fault.Is(err, fault.Unavailable) {
+			return event
+		}
+		time.Sleep(recordPause)
+	}
+}
+
+func (r *bookingRun) propose(ctx context.Context, command controlstate.Command) (controlstate.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	return r.control.Propose(ctx, command)
 }
--- /dev/null
+++ b/internal/entry/bookowner.go
@@ -0,0 +1,293 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/booking"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
+	"github.com/wisteriamux/wisteriamux/internal/trace"
+	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
+)
+
+const (
+	// outcomeWait is how long the owner waits for an upstream's answer after the caller's deadline. Ending the exchange
+	// at the deadline would turn a late outcome into an unknown one.
+	outcomeWait = 5 * time.Second
+	// resolveGrace is how long a resolve waits for a copy that is still on its way, before it refuses that copy.
+	resolveGrace = 50 * time.Millisecond
+	// maxQueuedBookings bounds the attempts that wait for a slot of one upstream.
+	maxQueuedBookings = 256
+)
+
+// bookingLane holds the slots of one upstream for bookings. Upstreams of booking services take bookings only, so that
+// these slots are not shared with searches.
+type bookingLane struct {
+	address string
+	slots   chan struct{}
+	client  *upstreamapi.Client
+}
+
+// bookingOwner sends booking attempts to the upstreams of this entry VM, each at most once.
+type bookingOwner struct {
+	session  *session
+	guard    *crashGuard
+	recorder *trace.Recorder
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	table *booking.Table
+	// changed is closed and replaced when an attempt is received or ends.
+	changed chan struct{}
+	lanes   map[string]*bookingLane
+	// accepted counts the attempts of each upstream between their receipt and their end; total is their sum.
+	accepted map[string]int
+	total    int
+}
+
+func newBookingOwner(session *session, guard *crashGuard, recorder *trace.Recorder) *bookingOwner {
+	return &bookingOwner{
+		session: session, guard: guard, recorder: recorder,
+		table: booking.NewTable(booking.DefaultLimits()), changed: make(chan struct{}),
+		lanes: map[string]*bookingLane{}, accepted: map[string]int{},
+	}
+}
+
+// book runs one copy of an attempt. It returns only when the outcome of the attempt is known or lost.
+func (o *bookingOwner) book(args ownerrpc.BookArgs) ownerrpc.AttemptReply {
+	ctx, cancel := context.WithTimeout(context.Background(), args.Timeout)
+	defer cancel()
+	// A refusal before the table leaves no record; a resolve then refuses the attempt for good.
+	if _, err := o.session.leased(); err != nil {
+		return o.reply(args.Service, booking.TableResult{Outcome: booking.OutcomeNotRun, Reason: err.Error()})
+	}
+	received := o.receive(args)
+	if !received.Send {
+		return o.reply(args.Service, received)
+	}
+	response, err := o.run(ctx, args)
+	event := booking.TableEvent{Kind: booking.TableFinish, Key: args.Key, Attempt: args.Attempt}
+	event.Outcome, event.Response = outcomeOf(response, err)
+	event.ResponseDigest = digestOf(event.Response)
+	ended := o.finish(args.Upstream, event)
+	if err != nil {
+		ended.Reason = err.Error()
+	}
+	return o.reply(args.Service, ended)
+}
+
+func outcomeOf(response []byte, err error) (booking.Outcome, []byte) {
+	switch fault.CodeOf(err) {
+	case fault.NotRun, fault.Quarantined:
+		return booking.OutcomeNotRun, nil
+	}
+	if err != nil {
+		return booking.OutcomeUnknown, nil
+	}
+	return booking.OutcomeDone, response
+}
+
+func (o *bookingOwner) receive(args ownerrpc.BookArgs) booking.TableResult {
+	event := booking.TableEvent{
+		Kind: booking.TableReceive, Key: args.Key, Attempt: args.Attempt,
+		Instance: args.OwnerInstance, Current: o.session.instanceID(),
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	result := o.step(event)
+	if result.Send {
+		o.accepted[args.Upstream]++
+		o.total++
+	}
+	o.signal()
+	return result
+}
+
+func (o *bookingOwner) finish(upstream string, event booking.TableEvent) booking.TableResult {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	result := o.step(event)
+	o.total--
+	o.accepted[upstream]--
+	if o.accepted[upstream] == 0 {
+		delete(o.accepted, upstream)
+	}
+	o.signal()
+	return result
+}
+
+// step applies an event. The caller holds mu.
+func (o *bookingOwner) step(event booking.TableEvent) booking.TableResult {
+	event.NowNanos = int64(o.session.clock.mono())
+	result := o.table.Step(event)
+	o.recorder.Record(trace.MachineTable, 0, event, result)
+	return result
+}
+
+// signal wakes resolves. The caller holds mu.
+func (o *bookingOwner) signal() {
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// run sends the attempt once a slot is free. An error with the code NotRun or Quarantined means that no byte was sent
+// or that the upstream refused the attempt before it started.
+func (o *bookingOwner) run(ctx context.Context, args ownerrpc.BookArgs) ([]byte, error) {
+	upstream, err := o.admit(args)
+	if err != nil {
+		return nil, err
+	}
+	lane, err := o.lane(upstream)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case lane.slots <- struct{}{}:
+		defer func() { <-lane.slots }()
+	case <-ctx.Done():
+		return nil, fault.New(fault.NotRun, "bookowner.run", "no slot on %s in time", args.Upstream)
+	}
+	ticket, err := o.guard.beforeSend(ctx, guardedRequest{
+		upstream: args.Upstream, group: args.Service,
+		fingerprint: Fingerprint(args.Service, OperationBooking, args.Payload),
+	})
+	if err != nil {
+		return nil, err
+	}
+	response, err := o.send(ctx, lane, args)
+	ticket.afterResult(err)
+	return response, err
+}
+
+// send checks lease, instance, sender and upstream once more, because the attempt may have waited since.
+func (o *bookingOwner) send(ctx context.Context, lane *bookingLane, args ownerrpc.BookArgs) ([]byte, error) {
+	if _, err := o.admit(args); err != nil {
+		return nil, err
+	}
+	deadline, _ := ctx.Deadline()
+	left := time.Until(deadline)
+	if left <= 0 {
+		return nil, fault.New(fault.NotRun, "bookowner.send", "the deadline passed before the attempt was sent")
+	}
+	exchange, cancel := context.WithTimeout(context.WithoutCancel(ctx), left+outcomeWait)
+	defer cancel()
+	call := upstreamapi.Call{RequestID: args.RequestID, Timeout: left}
+	return lane.client.Book(exchange, call, args.Key, args.Attempt, args.Payload)
+}
+
+// admit accepts an attempt only for the instance that its intent names, and only from a sender that is still a member.
+// A sender that was frozen longer than the retention of the attempt table is no member any more, so that its late copy
+// cannot pass for a new one.
+func (o *bookingOwner) admit(args ownerrpc.BookArgs) (model.Upstream, error) {
+	const op = "bookowner.admit"
+	current, instance, err := o.session.held()
+	if err != nil {
+		return model.Upstream{}, err
+	}
+	if instance != args.OwnerInstance {
+		return model.Upstream{}, fault.New(fault.NotRun, op, "the intent names instance %d, this is %d", args.OwnerInstance, instance)
+	}
+	if current.isFenced(args.SenderID, args.SenderInstance) {
+		return model.Upstream{}, fault.New(fault.NotRun, op, "instance %d of sender %s has ended", args.SenderInstance, args.SenderID)
+	}
+	upstream, ok := current.upstreams[args.Upstream]
+	if !ok || upstream.Service != args.Service || upstream.State != model.UpstreamReady {
+		return model.Upstream{}, fault.New(fault.NotRun, op, "upstream %s takes no bookings of %s", args.Upstream, args.Service)
+	}
+	return upstream, nil
+}
+
+func (o *bookingOwner) lane(upstream model.Upstream) (*bookingLane, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.accepted[upstream.Name] > maxQueuedBookings {
+		return nil, fault.New(fault.NotRun, "bookowner.lane", "%d bookings wait for %s", o.accepted[upstream.Name], upstream.Name)
+	}
+	current, ok := o.lanes[upstream.Name]
+	if ok && current.address == upstream.Address && cap(current.slots) == upstream.Slots {
+		return current, nil
+	}
+	created := &bookingLane{
+		address: upstream.Address,
+		slots:   make(chan struct{}, upstream.Slots),
+		client:  upstreamapi.NewClient(upstream.Address, upstream.Connections),
+	}
+	o.lanes[upstream.Name] = created
+	return created, nil
+}
+
+// resolve tells what became of an attempt. It waits for a running one until the time given.
+func (o *bookingOwner) resolve(args ownerrpc.ResolveArgs) ownerrpc.AttemptReply {
+	grace := time.After(min(resolveGrace, args.Wait))
+	end := time.After(args.Wait)
+	kind := booking.TablePeek
+	for {
+		result, changed := o.ask(kind, args)
+		ended := result.Found && result.Outcome != booking.OutcomeRunning
+		if ended || (kind == booking.TableResolve && !result.Found) {
+			return o.reply("", result)
+		}
+		select {
+		case <-changed:
+		case <-grace:
+			kind = booking.TableResolve
+		case <-end:
+			result, _ = o.ask(booking.TableResolve, args)
+			return o.reply("", result)
+		}
+	}
+}
+
+func (o *bookingOwner) ask(kind booking.TableKind, args ownerrpc.ResolveArgs) (booking.TableResult, <-chan struct{}) {
+	event := booking.TableEvent{
+		Kind: kind, Key: args.Key, Attempt: args.Attempt, Instance: args.OwnerInstance, Current: o.session.instanceID(),
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	result := o.step(event)
+	return result, o.changed
+}
+
+func (o *bookingOwner) reply(service string, result booking.TableResult) ownerrpc.AttemptReply {
+	reply := ownerrpc.AttemptReply{Outcome: result.Outcome, Response: result.Response, Reason: result.Reason}
+	if service != "" {
+		reply.Loads = o.loads(service)
+	}
+	return reply
+}
+
+// loads reports the work of this owner for its upstreams of the service.
+func (o *bookingOwner) loads(service string) []ownerrpc.UpstreamLoad {
+	current := o.session.view()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var loads []ownerrpc.UpstreamLoad
+	for _, upstream := range current.view.Upstreams {
+		if upstream.Service == service && current.owners[upstream.Name].ID == o.session.member.ID {
+			loads = append(loads, ownerrpc.UpstreamLoad{Upstream: upstream.Name, Permille: o.permille(upstream)})
+		}
+	}
+	return loads
+}
+
+// permille is the load of an upstream. The caller holds mu.
+func (o *bookingOwner) permille(upstream model.Upstream) int {
+	return o.accepted[upstream.Name] * 1000 / max(upstream.Slots, 1)
+}
+
+// inFlight counts the accepted attempts of one upstream.
+func (o *bookingOwner) inFlight(upstream string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.accepted[upstream]
+}
+
+// totalInFlight counts the accepted attempts of all upstreams.
+func (o *bookingOwner) totalInFlight() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.total
+}
--- /dev/null
+++ b/internal/entry/crashguard.go
@@ -0,0 +1,189 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlstate"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/suspect"
+	"github.com/wisteriamux/wisteriamux/internal/trace"
+	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
+)
+
+// Operations of a fingerprint.
+const (
+	OperationSearch  = "search"
+	OperationBooking = "booking"
+)
+
+const quarantineRetry = 500 * time.Millisecond
+
+// Fingerprint identifies requests that make an upstream do the same work.
+func Fingerprint(service, operation string, body []byte) string {
+	hash := sha256.New()
+	hash.Write([]byte(service + "\x00" + operation + "\x00"))
+	hash.Write(body)
+	return hex.EncodeToString(hash.Sum(nil)[:16])
+}
+
+// guardedRequest describes a request that is about to be sent to an upstream.
+type guardedRequest struct {
+	upstream string
+	// group is the part of the service that does the same work for the request: its shard.
+	group       string
+	fingerprint string
+	idempotent  bool
+	// retry marks the one retry of a request that was in flight at a crash.
+	retry bool
+}
+
+// crashGuard keeps requests that crash upstreams away from them. It adapts suspect.Table to concurrent requests.
+type crashGuard struct {
+	session  *session
+	control  Control
+	recorder *trace.Recorder
+	log      *slog.Logger
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	table *suspect.Table
+	next  uint64
+	// changed is closed and replaced when a held request may have become free.
+	changed chan struct{}
+}
+
+func newCrashGuard(session *session, control Control, recorder *trace.Recorder, log *slog.Logger) *crashGuard {
+	return &crashGuard{
+		session: session, control: control, recorder: recorder, log: log,
+		table: suspect.NewTable(), changed: make(chan struct{}),
+	}
+}
+
+// IsQuarantined returns an error with the code Quarantined if the fingerprint is refused everywhere or at this owner.
+func (g *crashGuard) IsQuarantined(fingerprint string) error {
+	refused := fault.New(fault.Quarantined, "crashguard", "requests of fingerprint %s crash upstreams", fingerprint)
+	now := g.session.clock.read()
+	for _, quarantine := range g.session.view().view.Quarantines {
+		if quarantine.Fingerprint == fingerprint && now.wall.Before(quarantine.Until) {
+			return refused
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.table.Quarantined(fingerprint, int64(now.mono)) {
+		return refused
+	}
+	return nil
+}
+
+// sendTicket is the permission to send one request. afterResult must be called exactly once.
+type sendTicket struct {
+	guard *crashGuard
+	event suspect.Event
+	// alone tells that the request is a suspect and has the upstream for itself. It needs a fresh connection, since a
+	// stale idle one would look like a crash.
+	alone bool
+}
+
+// beforeSend waits until the request may be sent. It fails with Quarantined, or with NotRun when the context ends.
+func (g *crashGuard) beforeSend(ctx context.Context, request guardedRequest) (*sendTicket, error) {
+	event := suspect.Event{
+		Kind: suspect.Before, Upstream: request.upstream, Group: request.group, Fingerprint: request.fingerprint,
+		Idempotent: request.idempotent, Retry: request.retry,
+	}
+	for {
+		if err := g.IsQuarantined(request.fingerprint); err != nil {
+			g.abandon(event)
+			return nil, err
+		}
+		verdict, changed := g.ask(&event)
+		switch verdict {
+		case suspect.Send, suspect.SendAlone:
+			return &sendTicket{guard: g, event: event, alone: verdict == suspect.SendAlone}, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			g.abandon(event)
+			return nil, fault.New(fault.NotRun, "crashguard", "held behind a suspect at %s: %w", request.upstream, ctx.Err())
+		}
+	}
+}
+
+func (g *crashGuard) ask(event *suspect.Event) (suspect.Verdict, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if event.Ticket == 0 {
+		g.next++
+		event.Ticket = g.next
+	}
+	return g.step(*event).Verdict, g.changed
+}
+
+func (g *crashGuard) abandon(event suspect.Event) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	event.Kind = suspect.Abandon
+	g.step(event)
+	g.signal()
+}
+
+// step applies an event. The caller holds mu.
+func (g *crashGuard) step(event suspect.Event) suspect.Outcome {
+	event.NowNanos = int64(g.session.clock.mono())
+	outcome := g.table.Step(event)
+	g.recorder.Record(trace.MachineSuspect, 0, event, outcome)
+	return outcome
+}
+
+// signal wakes held requests. The caller holds mu.
+func (g *crashGuard) signal() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// afterResult reports how the request ended and whether it may be sent once more with guardedRequest.retry set.
+func (t *sendTicket) afterResult(err error) bool {
+	event := t.event
+	event.Kind = suspect.After
+	event.Result = suspect.Failed
+	switch {
+	case err == nil:
+		event.Result = suspect.Succeeded
+	case upstreamapi.IsCrash(err):
+		event.Result = suspect.Crashed
+	}
+	t.guard.mu.Lock()
+	outcome := t.guard.step(event)
+	t.guard.signal()
+	t.guard.mu.Unlock()
+	if outcome.Quarantine {
+		go t.guard.quarantine(event.Fingerprint)
+	}
+	return outcome.Retry && !t.event.Retry
+}
+
+// quarantine makes the refusal known to all entry VMs. It gives up when the lease is lost.
+func (g *crashGuard) quarantine(fingerprint string) {
+	g.log.Warn("request quarantined", "fingerprint", fingerprint, "duration", suspect.Quarantine)
+	add := controlstate.AddQuarantine{Fingerprint: fingerprint, DurationMillis: suspect.Quarantine.Milliseconds()}
+	for {
+		if _, _, err := g.session.held(); err != nil {
+			g.log.Warn("quarantine not recorded", "fingerprint", fingerprint, "error", err)
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		_, err := g.control.Propose(ctx, controlstate.Command{AddQuarantine: &add})
+		cancel()
+		if err == nil {
+			g.session.refresh()
+			return
+		}
+		time.Sleep(quarantineRetry)
+	}
+}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -1,11 +1,8 @@
 package entry
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"encoding/json"
-	"errors"
-	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 
@@ -22,6 +19,8 @@
 	MaxTimeoutMillis     = 60_000
 	DefaultTimeoutMillis = 1_000
 	MaxKeyBytes          = 128
+	MaxServices          = 512
+	MaxQueryBytes        = 16 << 10
 	retryAfterSeconds    = 1
 )
 
@@ -37,48 +36,87 @@
 	Coverage  *model.Coverage `json:"coverage,omitempty"`
 }
 
+type route struct {
+	path    string
+	method  string
+	handler http.HandlerFunc
+	// level is that of the log line of each request.
+	level slog.Level
+}
+
 func (s *Server) routes() http.Handler {
-	router := mux.NewRouter()
-	router.HandleFunc("/v1/search", s.handleSearch).Methods(http.MethodPost)
-	router.HandleFunc("/v1/bookings", s.handleBooking).Methods(http.MethodPost)
-	router.HandleFunc(upstreamapi.PathAnnounce, s.handleAnnounce).Methods(http.MethodPost)
-	router.HandleFunc("/healthz", s.handleHealth).Methods(http.MethodGet)
+	router := mux.NewRouter().SkipClean(true)
+	for _, route := range []route{
+		{"/v1/search", http.MethodPost, s.handleSearch, slog.LevelInfo},
+		{"/v1/bookings", http.MethodPost, s.handleBooking, slog.LevelInfo},
+		{upstreamapi.PathAnnounce, http.MethodPost, s.handleAnnounce, slog.LevelDebug},
+		{"/healthz", http.MethodGet, s.handleHealth, slog.LevelDebug},
+	} {
+		router.Handle(route.path, s.observed(route.level, route.handler)).Methods(route.method)
+		router.Handle(route.path, s.observed(slog.LevelInfo, methodNotAllowed(route.method)))
+	}
+	router.NotFoundHandler = s.observed(slog.LevelInfo, notFound)
 	return router
 }
 
+func notFound(w http.ResponseWriter, r *http.Request) {
+	writeError(w, fault.New(fault.NotFound, "http", "no such path: %.100q", r.URL.Path), nil)
+}
+
+func methodNotAllowed(allowed string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Allow", allowed)
+		writeError(w, fault.New(fault.MethodNotAllowed, "http", "method %.20q is not allowed, use %s", r.Method, allowed), nil)
+	}
+}
+
 func (s *Server) handleSearch(w http.ResponseWriter, r *http.Request) {
-	requestID := requestIDOf(r)
 	var request SearchRequest
-	if err := decode(w, r, &request); err != nil {
-		writeError(w, requestID, err, nil)
+	if err := decode(w, r, MaxRequestBytes, s.config.BodyTimeout, &request); err != nil {
+		writeError(w, err, nil)
 		return
 	}
-	if err := checkTimeout(&request.TimeoutMillis); err != nil {
-		writeError(w, requestID, err, nil)
+	if err := checkSearch(&request); err != nil {
+		writeError(w, err, nil)
 		return
 	}
-	response, err := s.search(r.Context(), requestID, r.Header.Get(HeaderCaller), request)
+	response, err := s.search(r.Context(), requestIDOf(w), callerOf(r), request)
+	noteMissing(w, len(response.Coverage.Missing))
 	if err != nil {
-		writeError(w, requestID, err, &response.Coverage)
+		writeError(w, err, &response.Coverage)
 		return
 	}
 	writeJSON(w, searchStatus(response), response)
 }
 
+func checkSearch(request *SearchRequest) error {
+	if len(request.Services) == 0 || len(request.Services) > MaxServices {
+		return fault.New(fault.BadRequest, "search", "services must have 1 to %d entries", MaxServices)
+	}
+	for _, service := range request.Services {
+		if service == "" || len(service) > MaxKeyBytes {
+			return fault.New(fault.BadRequest, "search", "a service name must have 1 to %d bytes", MaxKeyBytes)
+		}
+	}
+	if len(request.Query) > MaxQueryBytes {
+		return fault.New(fault.BadRequest, "search", "query exceeds %d bytes", MaxQueryBytes)
+	}
+	return checkTimeout(&request.TimeoutMillis)
+}
+
 func (s *Server) handleBooking(w http.ResponseWriter, r *http.Request) {
-	requestID := requestIDOf(r)
 	var request BookingRequest
-	if err := decode(w, r, &request); err != nil {
-		writeError(w, requestID, err, nil)
+	if err := decode(w, r, MaxRequestBytes, s.config.BodyTimeout, &request); err != nil {
+		writeError(w, err, nil)
 		return
 	}
 	if err := checkBooking(&request); err != nil {
-		writeError(w, requestID, err, nil)
+		writeError(w, err, nil)
 		return
 	}
-	response, err := s.book(r.Context(), requestID, r.Header.Get(HeaderCaller), request)
+	response, err := s.bookings.book(r.Context(), requestIDOf(w), callerOf(r), request)
 	if err != nil {
-		writeError(w, requestID, err, nil)
+		writeError(w, err, nil)
 		return
 	}
 	writeJSON(w, http.StatusOK, response)
@@ -88,6 +126,9 @@
 	if request.Key == "" || len(request.Key) > MaxKeyBytes {
 		return fault.New(fault.BadRequest, "book", "key must have 1 to %d bytes", MaxKeyBytes)
 	}
+	if len(request.Payload) == 0 {
+		return fault.New(fault.BadRequest, "book", "payload is missing")
+	}
 	return checkTimeout(&request.TimeoutMillis)
 }
 
@@ -103,73 +144,66 @@
 
 func (s *Server) handleHealth(w http.ResponseWriter, _ *http.Request) {
 	if s.draining.Load() {
-		http.Error(w, "draining", http.StatusServiceUnavailable)
+		writeError(w, fault.New(fault.NotRun, "health", "this entry VM is stopping"), nil)
 		return
 	}
 	if _, err := s.session.leased(); err != nil {
-		http.Error(w, "no lease", http.StatusServiceUnavailable)
+		writeError(w, err, nil)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
-func requestIDOf(r *http.Request) string {
-	if id := r.Header.Get(upstreamapi.HeaderRequestID); id != "" && len(id) <= MaxKeyBytes {
-		return id
-	}
-	var random [8]byte
-	_, _ = rand.Read(random[:])
-	return hex.EncodeToString(random[:])
-}
+// Statuses of a failed request besides those of an answer.
+const (
+	statusBadRequest = "bad_request"
+	statusFailed     = "failed"
+)
 
-func decode(w http.ResponseWriter, r *http.Request, into any) error {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxRequestBytes))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return fault.New(fault.TooLarge, "decode", "request body exceeds %d bytes", MaxRequestBytes)
-		}
-		return fault.New(fault.BadRequest, "decode", "request body: %w", err)
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return fault.New(fault.BadRequest, "decode", "request body has data after the JSON value")
-	}
-	return nil
+// failure is how a code is reported to the caller.
+type failure struct {
+	http   int
+	status string
 }
 
-// httpStatus maps codes to HTTP statuses; a code that is not listed is an internal error.
-var httpStatus = map[fault.Code]int{
-	fault.NotRun:         http.StatusServiceUnavailable,
-	fault.OverShare:      http.StatusTooManyRequests,
-	fault.OutcomeUnknown: http.StatusGatewayTimeout,
-	fault.Incomplete:     http.StatusGatewayTimeout,
-	fault.Conflict:       http.StatusConflict,
-	fault.Quarantined:    http.StatusUnprocessableEntity,
-	fault.BadRequest:     http.StatusBadRequest,
-	fault.TooLarge:       http.StatusRequestEntityTooLarge,
-	fault.RequestTimeout: http.StatusRequestTimeout,
-	fault.NotFound:       http.StatusNotFound,
-	fault.Forbidden:      http.StatusForbidden,
+// failures maps codes to HTTP statuses; a code that is not listed is an internal error.
+var failures = map[fault.Code]failure{
+	fault.NotRun:           {http.StatusServiceUnavailable, "not_run"},
+	fault.LeaseLost:        {http.StatusServiceUnavailable, "not_run"},
+	fault.OverShare:        {http.StatusTooManyRequests, "not_run"},
+	fault.OutcomeUnknown:   {http.StatusGatewayTimeout, "outcome_unknown"},
+	fault.Incomplete:       {http.StatusGatewayTimeout, "incomplete"},
+	fault.Conflict:         {http.StatusConflict, "conflict"},
+	fault.Quarantined:      {http.StatusUnprocessableEntity, "quarantined"},
+	fault.BadRequest:       {http.StatusBadRequest, statusBadRequest},
+	fault.TooLarge:         {http.StatusRequestEntityTooLarge, statusBadRequest},
+	fault.RequestTimeout:   {http.StatusRequestTimeout, statusBadRequest},
+	fault.UnsupportedMedia: {http.StatusUnsupportedMediaType, statusBadRequest},
+	fault.MethodNotAllowed: {http.StatusMethodNotAllowed, statusBadRequest},
+	fault.NotFound:         {http.StatusNotFound, statusBadRequest},
+	fault.Forbidden:        {http.StatusForbidden, statusBadRequest},
+	fault.Unavailable:      {http.StatusBadGateway, statusFailed},
 }
 
-func writeError(w http.ResponseWriter, requestID string, err error, coverage *model.Coverage) {
+func writeError(w http.ResponseWriter, err error, coverage *model.Coverage) {
 	code := fault.CodeOf(err)
-	status, ok := httpStatus[code]
+	reported, ok := failures[code]
 	if !ok {
-		status = http.StatusInternalServerError
+		reported = failure{http.StatusInternalServerError, statusFailed}
 	}
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+	if reported.http == http.StatusServiceUnavailable || reported.http == http.StatusTooManyRequests {
 		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
 	}
-	writeJSON(w, status, ErrorResponse{Status: string(code), Code: code, RequestID: requestID, Message: err.Error(), Coverage: coverage})
+	noteCode(w, code)
+	body := ErrorResponse{Status: reported.status, Code: code, RequestID: requestIDOf(w), Message: err.Error(), Coverage: coverage}
+	writeJSON(w, reported.http, body)
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
-		http.Error(w, "encode response", http.StatusInternalServerError)
-		return
+		status = http.StatusInternalServerError
+		data = []byte(`{"status":"failed","code":"internal","request_id":"` + requestIDOf(w) + `","message":"encode response"}`)
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- /dev/null
+++ b/internal/entry/observe.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
+)
+
+// observedResponse notes what the log line of a request needs.
+type observedResponse struct {
+	http.ResponseWriter
+	status  int
+	code    fault.Code
+	missing int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (o *observedResponse) WriteHeader(status int) {
+	if o.status == 0 {
+		o.status = status
+	}
+	o.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (o *observedResponse) Unwrap() http.ResponseWriter { return o.ResponseWriter }
+
+func noteCode(w http.ResponseWriter, code fault.Code) {
+	if observed, ok := w.(*observedResponse); ok {
+		observed.code = code
+	}
+}
+
+func noteMissing(w http.ResponseWriter, missing int) {
+	if observed, ok := w.(*observedResponse); ok {
+		observed.missing = missing
+	}
+}
+
+// observed gives a request its identifier and one log line, and turns a panic of the handler into a response.
+func (s *Server) observed(level slog.Level, next http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		started := time.Now()
+		requestID := acceptRequestID(r)
+		w.Header().Set(upstreamapi.HeaderRequestID, requestID)
+		response := &observedResponse{ResponseWriter: w}
+		defer func() {
+			if cause := recover(); cause != nil {
+				s.answerPanic(response, requestID, cause)
+			}
+			s.log.Log(r.Context(), level, "request",
+				"request_id", requestID, "path", r.URL.Path, "caller", callerOf(r), "status", response.status,
+				"code", response.code, "latency_ms", time.Since(started).Milliseconds(), "missing", response.missing)
+		}()
+		next(response, r)
+	})
+}
+
+func (s *Server) answerPanic(response *observedResponse, requestID string, cause any) {
+	s.log.Error("handler panicked", "request_id", requestID, "cause", cause, "stack", string(debug.Stack()))
+	if response.status == 0 {
+		writeError(response, fault.New(fault.Internal, "http", "the request failed"), nil)
+	}
+}
+
+func requestIDOf(w http.ResponseWriter) string { return w.Header().Get(upstreamapi.HeaderRequestID) }
+
+// callerOf names the caller for fairness and logs.
+func callerOf(r *http.Request) string {
+	caller := r.Header.Get(HeaderCaller)
+	if len(caller) > MaxKeyBytes {
+		return caller[:MaxKeyBytes]
+	}
+	return caller
+}
+
+// acceptRequestID takes the caller's identifier if it is safe to repeat in headers, bodies and logs.
+func acceptRequestID(r *http.Request) string {
+	if id := r.Header.Get(upstreamapi.HeaderRequestID); isIdentifier(id) {
+		return id
+	}
+	var random [8]byte
+	_, _ = rand.Read(random[:])
+	return hex.EncodeToString(random[:])
+}
+
+func isIdentifier(id string) bool {
+	if id == "" || len(id) > MaxKeyBytes {
+		return false
+	}
+	for _, letter := range []byte(id) {
+		alphanumeric := letter >= 'a' && letter <= 'z' || letter >= 'A' && letter <= 'Z' || letter >= '0' && letter <= '9'
+		if !alphanumeric && letter != '-' && letter != '_' && letter != '.' && letter != ':' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/entry/renewals.go
@@ -0,0 +1,256 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlstate"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
+)
+
+const (
+	renewalBatchInterval = 200 * time.Millisecond
+	watchInterval        = time.Second
+	// lostAfter is the time without renewal after which an upstream whose connections fail is lost.
+	lostAfter = 10 * time.Second
+	// renewingWithin is three renewal intervals: a process that renewed within it counts as alive.
+	renewingWithin = 3 * announceRenewMillis * time.Millisecond
+	// drainSettle is the longest time that another entry VM may serve from an older view and send to a draining
+	// upstream: the length of a lease and the time for which control extends the lease of a VM that is behind.
+	drainSettle  = 6 * time.Second
+	probeTimeout = 500 * time.Millisecond
+	// maxProbes bounds the connections that are tried at the same time, when a whole failure domain is silent.
+	maxProbes = 32
+)
+
+// watched is what the owner knows of one upstream.
+type watched struct {
+	address string
+	state   model.UpstreamState
+	// since is when this VM first saw the upstream as its own in that state and at that address.
+	since time.Duration
+	// renewed is the last renewal, or the start of the ownership.
+	renewed time.Duration
+	busy    bool
+}
+
+// renewals keeps the last renewals of the upstreams of this entry VM, forwards those of others, and proposes what
+// follows from silence and from drains.
+type renewals struct {
+	session *session
+	control Control
+	links   *links
+	log     *slog.Logger
+	// inFlight counts the requests of this owner at an upstream.
+	inFlight func(upstream string) int
+	probe    func(ctx context.Context, address string) error
+	probes   chan struct{}
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	own     map[string]*watched
+	pending map[string]map[string]ownerrpc.Renewal
+}
+
+func newRenewals(session *session, control Control, links *links, inFlight func(string) int, log *slog.Logger) *renewals {
+	return &renewals{
+		session: session, control: control, links: links, log: log, inFlight: inFlight,
+		probe: probeAddress, probes: make(chan struct{}, maxProbes),
+		own: map[string]*watched{}, pending: map[string]map[string]ownerrpc.Renewal{},
+	}
+}
+
+func probeAddress(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return fault.New(fault.Unavailable, "renewals.probe", "%w", err)
+	}
+	_ = conn.Close()
+	return nil
+}
+
+// note takes a renewal that arrived at this entry VM.
+func (r *renewals) note(current *served, renewal ownerrpc.Renewal) {
+	owner, ok := current.owners[renewal.Name]
+	if !ok {
+		return
+	}
+	if owner.ID == r.session.member.ID {
+		r.accept([]ownerrpc.Renewal{renewal})
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	batch, ok := r.pending[owner.RPCAddress]
+	if !ok {
+		batch = map[string]ownerrpc.Renewal{}
+		r.pending[owner.RPCAddress] = batch
+	}
+	batch[renewal.Name] = renewal
+}
+
+// accept notes renewals at their owner.
+func (r *renewals) accept(batch []ownerrpc.Renewal) {
+	now := r.session.clock.mono()
+	current := r.session.view()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, renewal := range batch {
+		upstream, ok := current.upstreams[renewal.Name]
+		if !ok || upstream.Address != renewal.Address || current.owners[renewal.Name].ID != r.session.member.ID {
+			continue
+		}
+		r.watch(upstream, now).renewed = now
+	}
+}
+
+// watch returns the entry of an own upstream. The caller holds mu.
+func (r *renewals) watch(upstream model.Upstream, now time.Duration) *watched {
+	entry, ok := r.own[upstream.Name]
+	if !ok || entry.address != upstream.Address {
+		entry = &watched{address: upstream.Address, state: upstream.State, since: now, renewed: now}
+		r.own[upstream.Name] = entry
+	}
+	if entry.state != upstream.State {
+		entry.state = upstream.State
+		entry.since = now
+	}
+	return entry
+}
+
+// isRenewing reports whether the process at the address renewed recently. An upstream that has just come to this owner
+// counts as renewing, because its renewals may have reached the earlier owner.
+func (r *renewals) isRenewing(args ownerrpc.IdentityArgs) bool {
+	now := r.session.clock.mono()
+	upstream, ok := r.session.view().upstreams[args.Name]
+	if !ok || upstream.Address != args.Address {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now-r.watch(upstream, now).renewed < renewingWithin
+}
+
+// run forwards and watches until the context ends.
+func (r *renewals) run(ctx context.Context) {
+	forward := time.NewTicker(renewalBatchInterval)
+	defer forward.Stop()
+	watch := time.NewTicker(watchInterval)
+	defer watch.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-forward.C:
+			r.forward(ctx)
+		case <-watch.C:
+			r.watchOwn(ctx)
+		}
+	}
+}
+
+// forward sends the pending renewals to their owners. A lost batch is made up for by the next renewal.
+func (r *renewals) forward(ctx context.Context) {
+	r.mu.Lock()
+	pending := r.pending
+	r.pending = map[string]map[string]ownerrpc.Renewal{}
+	r.mu.Unlock()
+	for address, batch := range pending {
+		args := ownerrpc.RenewalsArgs{}
+		for _, renewal := range batch {
+			args.Renewals = append(args.Renewals, renewal)
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			if err := r.links.call(ctx, address, "Renewals", args, &ownerrpc.RenewalsReply{}); err != nil {
+				r.log.Debug("renewals not forwarded", "address", address, "count", len(args.Renewals), "error", err)
+			}
+		}()
+	}
+}
+
+// watchOwn proposes lost for silent upstreams whose connections fail, and drained for draining ones without work.
+func (r *renewals) watchOwn(ctx context.Context) {
+	current, _, err := r.session.held()
+	if err != nil {
+		return
+	}
+	now := r.session.clock.mono()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name := range r.own {
+		if current.owners[name].ID != r.session.member.ID {
+			delete(r.own, name)
+		}
+	}
+	for _, upstream := range current.view.Upstreams {
+		if current.owners[upstream.Name].ID != r.session.member.ID {
+			continue
+		}
+		entry := r.watch(upstream, now)
+		if entry.busy {
+			continue
+		}
+		r.watchOne(ctx, upstream, entry, now)
+	}
+}
+
+// watchOne starts what is due for one upstream. The caller holds mu.
+func (r *renewals) watchOne(ctx context.Context, upstream model.Upstream, entry *watched, now time.Duration) {
+	active := upstream.State == model.UpstreamReady || upstream.State == model.UpstreamDraining
+	switch {
+	case upstream.State == model.UpstreamDraining && now-entry.since >= drainSettle && r.inFlight(upstream.Name) == 0:
+		entry.busy = true
+		go r.settle(entry, func() { r.propose(ctx, upstream, model.UpstreamDrained) })
+	case active && now-entry.renewed >= lostAfter:
+		entry.busy = true
+		go r.settle(entry, func() { r.checkLost(ctx, upstream, entry) })
+	}
+}
+
+func (r *renewals) settle(entry *watched, action func()) {
+	action()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entry.busy = false
+}
+
+// checkLost tries the address twice, so that one lost packet is no proof.
+func (r *renewals) checkLost(ctx context.Context, upstream model.Upstream, entry *watched) {
+	r.probes <- struct{}{}
+	defer func() { <-r.probes }()
+	for range 2 {
+		if r.probe(ctx, upstream.Address) == nil {
+			return
+		}
+	}
+	r.mu.Lock()
+	silent := r.session.clock.mono()-entry.renewed >= lostAfter
+	r.mu.Unlock()
+	if silent {
+		r.propose(ctx, upstream, model.UpstreamLost)
+	}
+}
+
+func (r *renewals) propose(ctx context.Context, upstream model.Upstream, state model.UpstreamState) {
+	if _, _, err := r.session.held(); err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	set := controlstate.SetUpstreamState{Name: upstream.Name, State: state}
+	if _, err := r.control.Propose(ctx, controlstate.Command{SetUpstreamState: &set}); err != nil {
+		r.log.Warn("upstream state not recorded", "upstream", upstream.Name, "state", state, "error", err)
+		return
+	}
+	r.log.Info("upstream state recorded", "upstream", upstream.Name, "state", state)
+	r.session.refresh()
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/rpc"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,11 +17,17 @@
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
+	"github.com/wisteriamux/wisteriamux/internal/trace"
 )
 
 const (
-	readHeaderTimeout = 2 * time.Second
-	readTimeout       = 10 * time.Second
+	readHeaderTimeout  = 2 * time.Second
+	defaultBodyTimeout = 5 * time.Second
+	keepAliveTimeout   = 2 * time.Minute
+	// maxHeaderBytes bounds the header; net/http answers a larger one with 431.
+	maxHeaderBytes = 16 << 10
+	drainPoll      = 10 * time.Millisecond
+	leaveTimeout   = 2 * time.Second
 )
 
 // Config holds the settings of an entry daemon.
@@ -31,47 +38,105 @@
 	LameDuck time.Duration
 	// DrainTimeout bounds the wait for requests in flight.
 	DrainTimeout time.Duration
+	// BodyTimeout bounds the time to read a request's body; 0 stands for the default.
+	BodyTimeout time.Duration
+	// Recorder records the events of the decision packages; nil records nothing.
+	Recorder *trace.Recorder
 }
 
 // Server is one entry daemon.
 type Server struct {
-	config  Config
-	control Control
-	session *session
-	owner   *owner
-	peers   *peers
-	log     *slog.Logger
+	config   Config
+	control  Control
+	session  *session
+	owner    *owner
+	peers    *peers
+	guard    *crashGuard
+	links    *links
+	bookings *bookings
+	renewals *renewals
+	log      *slog.Logger
 
 	http     *http.Server
 	nextID   atomic.Uint64
 	draining atomic.Bool
+
+	// peerMu guards peerConns and peersClosed.
+	peerMu      sync.Mutex
+	peerConns   map[net.Conn]struct{}
+	peersClosed bool
 }
 
 // New returns an entry daemon that announces rpcAddress to its peers.
 func New(config Config, control Control, rpcAddress string, dial controlrpc.Dialer, log *slog.Logger) *Server {
+	return newServer(config, control, rpcAddress, dial, systemClock(), log)
+}
+
+func newServer(config Config, control Control, rpcAddress string, dial controlrpc.Dialer, clock clock, log *slog.Logger) *Server {
+	if config.BodyTimeout == 0 {
+		config.BodyTimeout = defaultBodyTimeout
+	}
 	member := model.Member{ID: config.ID, RPCAddress: rpcAddress, FailureDomain: config.FailureDomain}
-	session := newSession(control, member, time.Now, log)
+	session := newSession(control, member, clock, log)
 	owner := newOwner(session)
 	server := &Server{
-		config:  config,
-		control: control,
-		session: session,
-		owner:   owner,
-		peers:   newPeers(config.ID, owner, dial),
-		log:     log,
+		config:    config,
+		control:   control,
+		session:   session,
+		owner:     owner,
+		peers:     newPeers(config.ID, owner, dial),
+		guard:     newCrashGuard(session, control, config.Recorder, log),
+		links:     newLinks(dial),
+		log:       log,
+		peerConns: map[net.Conn]struct{}{},
+	}
+	bookingOwner := newBookingOwner(session, server.guard, config.Recorder)
+	server.bookings = newBookings(session, control, bookingOwner, server.guard, server.links, config.Recorder)
+	server.renewals = newRenewals(session, control, server.links, server.inFlightAt, log)
+	server.http = &http.Server{
+		Handler: server.routes(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: keepAliveTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
-	server.http = &http.Server{Handler: server.routes(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout}
 	return server
 }
 
+// inFlightAt counts the requests of this owner at one upstream.
+func (s *Server) inFlightAt(upstream string) int {
+	return s.bookings.owner.inFlight(upstream) + s.searchesAt(upstream)
+}
+
+// searchesAt counts the sub-requests of searches that hold a slot of the upstream.
+func (s *Server) searchesAt(upstream string) int {
+	s.owner.mu.Lock()
+	defer s.owner.mu.Unlock()
+	if pool, ok := s.owner.pools[upstream]; ok {
+		return len(pool.slots)
+	}
+	return 0
+}
+
+// searchesInFlight counts the sub-requests of searches that hold a slot of any upstream.
+func (s *Server) searchesInFlight() int {
+	s.owner.mu.Lock()
+	defer s.owner.mu.Unlock()
+	total := 0
+	for _, pool := range s.owner.pools {
+		total += len(pool.slots)
+	}
+	return total
+}
+
 // Run serves until the context ends, then drains: the health check fails first, and requests in flight finish.
 func (s *Server) Run(ctx context.Context, callers, peers net.Listener) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	defer s.links.close()
 	go s.session.run(background)
+	go s.renewals.run(background)
 	if err := s.servePeers(peers); err != nil {
 		return err
 	}
+	defer s.closePeers(peers)
 	failed := make(chan error, 1)
 	go func() { failed <- s.http.Serve(callers) }()
 	select {
@@ -79,12 +144,16 @@
 		return fault.New(fault.Internal, "entry.serve", "%w", err)
 	case <-ctx.Done():
 	}
-	return s.drain(peers)
+	return s.drain()
 }
 
 func (s *Server) servePeers(listener net.Listener) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(ownerrpc.ServiceName, &OwnerService{owner: s.owner}); err != nil {
+	face := &ownerRPC{
+		OwnerService:   &OwnerService{owner: s.owner},
+		BookingService: &BookingService{owner: s.bookings.owner, renewals: s.renewals},
+	}
+	if err := server.RegisterName(ownerrpc.ServiceName, face); err != nil {
 		return fault.New(fault.Internal, "entry.register", "%w", err)
 	}
 	go func() {
@@ -93,23 +162,84 @@
 			if err != nil {
 				return
 			}
-			go server.ServeConn(conn)
+			go s.servePeer(server, conn)
 		}
 	}()
 	return nil
 }
 
-func (s *Server) drain(peers net.Listener) error {
+func (s *Server) servePeer(server *rpc.Server, conn net.Conn) {
+	s.peerMu.Lock()
+	if s.peersClosed {
+		s.peerMu.Unlock()
+		_ = conn.Close()
+		return
+	}
+	s.peerConns[conn] = struct{}{}
+	s.peerMu.Unlock()
+	server.ServeConn(conn)
+	s.peerMu.Lock()
+	defer s.peerMu.Unlock()
+	delete(s.peerConns, conn)
+}
+
+// closePeers ends the owner service. Work that peers sent must have ended before.
+func (s *Server) closePeers(listener net.Listener) {
+	_ = listener.Close()
+	s.peerMu.Lock()
+	defer s.peerMu.Unlock()
+	s.peersClosed = true
+	for conn := range s.peerConns {
+		_ = conn.Close()
+	}
+}
+
+// drain stops in an order that interrupts nothing: the balancer moves callers away, their requests finish, work of
+// peers at this owner finishes while new work is refused as not run, and then ownership moves at once.
+func (s *Server) drain() error {
 	s.draining.Store(true)
 	s.log.Info("draining", "lame_duck", s.config.LameDuck, "drain_timeout", s.config.DrainTimeout)
 	time.Sleep(s.config.LameDuck)
 	ctx, cancel := context.WithTimeout(context.Background(), s.config.DrainTimeout)
 	defer cancel()
 	err := s.http.Shutdown(ctx)
-	_ = peers.Close()
-	if errors.Is(err, context.DeadlineExceeded) {
-		return fault.New(fault.Internal, "entry.drain", "requests still in flight after %s", s.config.DrainTimeout)
+	s.session.refuseNew()
+	err = errors.Join(err, s.finishWork(ctx))
+	s.leave()
+	if err != nil {
+		return fault.New(fault.Internal, "entry.drain", "requests still in flight after %s: %w", s.config.DrainTimeout, err)
 	}
 	s.log.Info("stopped")
 	return nil
 }
+
+// finishWork waits for the outcomes of bookings and for the work of peers. Work that a peer sent before it saw the
+// refusal is refused, so that the count falls to zero.
+func (s *Server) finishWork(ctx context.Context) error {
+	recorded := make(chan struct{})
+	go func() {
+		s.bookings.runs.Wait()
+		close(recorded)
+	}()
+	select {
+	case <-recorded:
+	case <-ctx.Done():
+		return fault.New(fault.Internal, "entry.finish", "booking outcomes are not recorded: %w", ctx.Err())
+	}
+	for s.bookings.owner.totalInFlight()+s.searchesInFlight() > 0 {
+		select {
+		case <-time.After(drainPoll):
+		case <-ctx.Done():
+			return fault.New(fault.Internal, "entry.finish", "sub-requests of peers are in flight: %w", ctx.Err())
+		}
+	}
+	return nil
+}
+
+func (s *Server) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := s.session.leave(ctx); err != nil {
+		s.log.Warn("membership not ended, ownership moves at the end of the lease", "error", err)
+	}
+}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -26,17 +26,57 @@
 	Propose(ctx context.Context, command controlstate.Command) (controlstate.Result, error)
 }
 
+// clock reads the monotonic and the wall clock. The monotonic clock of a VM does not advance while the whole VM is
+// paused, and the wall clock can be set back, so that a lease is judged by both.
+type clock struct {
+	mono func() time.Duration
+	wall func() time.Time
+}
+
+func systemClock() clock {
+	start := time.Now()
+	return clock{
+		mono: func() time.Duration { return time.Since(start) },
+		wall: func() time.Time { return time.Now().Round(0) },
+	}
+}
+
+// instant is one reading of a clock.
+type instant struct {
+	mono time.Duration
+	wall time.Time
+}
+
+func (c clock) read() instant { return instant{mono: c.mono(), wall: c.wall()} }
+
+func (i instant) add(length time.Duration) instant {
+	return instant{mono: i.mono + length, wall: i.wall.Add(length)}
+}
+
+// reached reports whether either clock has reached the deadline.
+func (i instant) reached(deadline instant) bool {
+	return i.mono >= deadline.mono || !i.wall.Before(deadline.wall)
+}
+
 // served is a view with what is derived from it.
 type served struct {
 	view      model.View
 	owners    map[string]model.Member
 	upstreams map[string]model.Upstream
+	members   map[string]model.Member
+}
+
+// isFenced reports whether the view shows that the instance of the member has ended. An instance above the revision
+// joined after the view and is not fenced.
+func (s *served) isFenced(id string, instance uint64) bool {
+	return instance <= s.view.Revision && s.members[id].Instance != instance
 }
 
 // session keeps the lease and the view of one entry VM.
 type session struct {
 	control Control
 	member  model.Member
+	clock   clock
 	now     func() time.Time
 	log     *slog.Logger
 	wake    chan struct{}
@@ -44,12 +84,19 @@
 	// mu guards the fields below.
 	mu       sync.RWMutex
 	instance uint64
-	expires  time.Time
+	expires  instant
 	current  *served
+	// closing refuses new work while accepted work may still be sent.
+	closing bool
+	// left is set once this VM has left the membership for good.
+	left bool
 }
 
-func newSession(control Control, member model.Member, now func() time.Time, log *slog.Logger) *session {
-	return &session{control: control, member: member, now: now, log: log, wake: make(chan struct{}, 1), current: &served{}}
+func newSession(control Control, member model.Member, clock clock, log *slog.Logger) *session {
+	return &session{
+		control: control, member: member, clock: clock, now: time.Now, log: log, wake: make(chan struct{}, 1),
+		current: &served{},
+	}
 }
 
 // run keeps the lease until the context ends.
@@ -77,10 +124,14 @@
 	}
 }
 
-// step joins if needed, renews the lease, and applies a newer view.
+// step joins if needed, applies a newer view, and renews the lease. A fenced instance joins again at the next step,
+// one tick later, so that two processes with the same identity do not fence each other in a tight loop.
 func (s *session) step(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	if s.hasLeft() {
+		return nil
+	}
 	if s.instanceID() == 0 {
 		if err := s.join(ctx); err != nil {
 			return err
@@ -111,55 +162,106 @@
 	if err := s.fetch(ctx); err != nil {
 		return err
 	}
+	if revision := s.revision(); revision < instance {
+		return fault.New(fault.Unavailable, "session.join", "view of revision %d is older than the join at %d", revision, instance)
+	}
 	s.mu.Lock()
 	s.instance = instance
+	s.expires = instant{}
 	s.mu.Unlock()
 	s.log.Info("joined", "instance", instance, "revision", s.revision())
 	return nil
 }
 
-// renew counts the lease from before the request is sent, so that it ends here no later than at the leader.
+// renew counts the lease from before the request is sent, so that it ends here no later than at the leader. Control
+// decides how long a VM that serves from an older view keeps its lease.
 func (s *session) renew(ctx context.Context) (controlrpc.RenewReply, error) {
-	sent := s.now()
-	args := controlrpc.RenewArgs{ID: s.member.ID, Instance: s.instanceID(), Applied: s.revision()}
+	sent := s.clock.read()
+	args := s.renewArgs()
 	reply, err := s.control.Renew(ctx, args)
 	if err != nil {
 		return reply, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.expires = sent.Add(time.Duration(reply.LeaseMillis) * time.Millisecond)
+	if s.instance == args.Instance {
+		s.expires = sent.add(time.Duration(reply.LeaseMillis) * time.Millisecond)
+	}
 	return reply, nil
 }
 
+func (s *session) renewArgs() controlrpc.RenewArgs {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return controlrpc.RenewArgs{ID: s.member.ID, Instance: s.instance, Applied: s.current.view.Revision}
+}
+
 func (s *session) fetch(ctx context.Context) error {
 	view, unchanged, err := s.control.View(ctx, s.revision())
 	if err != nil || unchanged {
 		return err
 	}
-	s.apply(view)
-	return nil
+	return s.apply(view)
 }
 
 // apply publishes the view unless it is older than the served one.
-func (s *session) apply(view model.View) {
-	next := &served{view: view, owners: ownership.Assign(view), upstreams: make(map[string]model.Upstream, len(view.Upstreams))}
+func (s *session) apply(view model.View) error {
+	next := &served{
+		view: view, owners: ownership.Assign(view),
+		upstreams: make(map[string]model.Upstream, len(view.Upstreams)),
+		members:   make(map[string]model.Member, len(view.Members)),
+	}
 	for _, upstream := range view.Upstreams {
 		next.upstreams[upstream.Name] = upstream
 	}
+	for _, member := range view.Members {
+		next.members[member.ID] = member
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if view.Revision < s.current.view.Revision {
-		return
+		return fault.New(fault.Unavailable, "session.apply", "view of revision %d is older than the served revision %d",
+			view.Revision, s.current.view.Revision)
 	}
 	s.current = next
+	return nil
 }
 
 func (s *session) reset() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.instance = 0
-	s.expires = time.Time{}
+	s.expires = instant{}
+}
+
+// refuseNew refuses new work from now on.
+func (s *session) refuseNew() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+}
+
+// leave ends the membership at once, so that ownership moves without waiting for the lease to end.
+func (s *session) leave(ctx context.Context) error {
+	s.mu.Lock()
+	instance := s.instance
+	s.instance = 0
+	s.expires = instant{}
+	s.closing = true
+	s.left = true
+	s.mu.Unlock()
+	if instance == 0 {
+		return nil
+	}
+	expire := controlstate.ExpireMember{ID: s.member.ID, Instance: instance}
+	_, err := s.control.Propose(ctx, controlstate.Command{ExpireMember: &expire})
+	return err
+}
+
+func (s *session) hasLeft() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.left
 }
 
 func (s *session) instanceID() uint64 {
@@ -174,12 +276,35 @@
 	return s.current.view.Revision
 }
 
-// leased returns the served view while the lease holds.
+// view returns the latest view, which may no longer be under a lease.
+func (s *session) view() *served {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.current
+}
+
+// leased returns the served view while the lease holds and new work is accepted.
 func (s *session) leased() (*served, error) {
+	current, _, err := s.held()
+	if err != nil {
+		return nil, err
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.closing {
+		return nil, fault.New(fault.NotRun, "session.leased", "this entry VM is stopping")
+	}
+	return current, nil
+}
+
+// held returns the served view and the instance while the lease holds. Work that was accepted is checked against it
+// again directly before it is sent.
+func (s *session) held() (*served, uint64, error) {
+	now := s.clock.read()
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	if s.instance == 0 || !s.now().Before(s.expires) {
-		return nil, fault.New(fault.NotRun, "session.leased", "this entry VM holds no lease")
+	if s.instance == 0 || now.reached(s.expires) {
+		return nil, 0, fault.New(fault.NotRun, "session.held", "this entry VM holds no lease")
 	}
-	return s.current, nil
+	return s.current, s.instance, nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,8 @@
 	ControlAddresses []string `toml:"control_addresses"`
 	LameDuckMillis   int      `toml:"lame_duck_ms"`
 	DrainMillis      int      `toml:"drain_ms"`
+	// TraceFile records the events of the decision packages for wmux-replay; empty records nothing.
+	TraceFile string `toml:"trace_file"`
 }
 
 // Control holds the settings of wmux-control.
