--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -70,7 +70,7 @@
 	if err := s.session.fetch(ctx); err != nil {
 		s.log.Debug("view not read after an announcement", "upstream", announcement.Name, "error", err)
 	}
-	if known, ok := s.session.view().upstreams[announcement.Name]; ok && known.Announcement == announcement {
+	if known, ok := s.session.latest().upstreams[announcement.Name]; ok && known.Announcement == announcement {
 		return known.State
 	}
 	if announcement.Draining {
--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -387,7 +387,7 @@
 
 // resolve asks the owner instance of the intent what became of the attempt.
 func (r *bookingRun) resolve(ctx context.Context, action booking.Action) booking.FlowEvent {
-	current := r.session.view()
+	current := r.session.latest()
 	if current.isFenced(action.OwnerID, action.OwnerInstance) {
 		return booking.FlowEvent{Kind: booking.FlowOutcome, Outcome: booking.OutcomeGone}
 	}
--- a/internal/entry/bookowner.go
+++ b/internal/entry/bookowner.go
@@ -261,7 +261,7 @@
 
 // loads reports the work of this owner for its upstreams of the service.
 func (o *bookingOwner) loads(service string) []ownerrpc.UpstreamLoad {
-	current := o.session.view()
+	current := o.session.latest()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var loads []ownerrpc.UpstreamLoad
--- a/internal/entry/crashguard.go
+++ b/internal/entry/crashguard.go
@@ -68,7 +68,7 @@
 func (g *crashGuard) IsQuarantined(fingerprint string) error {
 	refused := fault.New(fault.Quarantined, "crashguard", "requests of fingerprint %s crash upstreams", fingerprint)
 	now := g.session.clock.read()
-	for _, quarantine := range g.session.view().view.Quarantines {
+	for _, quarantine := range g.session.latest().view.Quarantines {
 		if quarantine.Fingerprint == fingerprint && now.wall.Before(quarantine.Until) {
 			return refused
 		}
--- a/internal/entry/renewals.go
+++ b/internal/entry/renewals.go
@@ -99,7 +99,7 @@
 // accept notes renewals at their owner.
 func (r *renewals) accept(batch []ownerrpc.Renewal) {
 	now := r.session.clock.mono()
-	current := r.session.view()
+	current := r.session.latest()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, renewal := range batch {
@@ -129,7 +129,7 @@
 // counts as renewing, because its renewals may have reached the earlier owner.
 func (r *renewals) isRenewing(args ownerrpc.IdentityArgs) bool {
 	now := r.session.clock.mono()
-	upstream, ok := r.session.view().upstreams[args.Name]
+	upstream, ok := r.session.latest().upstreams[args.Name]
 	if !ok || upstream.Address != args.Address {
 		return false
 	}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -276,8 +276,8 @@
 	return s.current.view.Revision
 }
 
-// view returns the latest view, which may no longer be under a lease.
-func (s *session) view() *served {
+// latest returns the newest view, which may no longer be under a lease.
+func (s *session) latest() *served {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	return s.current
