--- a/internal/entry/ownerservice.go
+++ b/internal/entry/ownerservice.go
@@ -39,12 +39,6 @@
 	early   map[uint64]bool
 }
 
-// Execute runs one sub-request and returns its result.
-func (s *OwnerService) Execute(args ownerrpc.ExecuteArgs, reply *ownerrpc.ExecuteReply) error {
-	reply.Result = s.owner.execute(context.Background(), args.SubRequest)
-	return nil
-}
-
 // Submit accepts a batch of searches.
 func (s *OwnerService) Submit(args ownerrpc.SubmitArgs, _ *ownerrpc.SubmitReply) error {
 	in := s.session(args.Session)
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -141,8 +141,10 @@
 		Timeout:    send.Timeout,
 		Version:    send.Version,
 		Generation: send.Generation,
+		Service:    send.Shard.Service,
 		Query:      q.text,
 		Shard:      send.Shard.Shard,
+		AfterCrash: send.AfterCrash,
 	}
 }
 
