Give the stand-in upstream the faults of a real one

The experiment needs upstreams that drain, slow down, shed, retire versions, repartition, crash on a marker and report a lagging load. The thin stand-in only held a slot for a constant time.

Connections beyond the bound wait in the backlog: closing them instead would read as a crash of the upstream at the owner. The cost to connect delays the first read of each connection, not the accept loop, so that connections opened together pay it once in time. The stand-in ends when it is told that it is drained, when no entry VM is reachable, or after the drain limit with nothing in flight; the second case keeps the demo's exit short.

The one-way delay is the same for every peer: the stand-in does not know which failure domain a request comes from.

--- a/cmd/wmux-upstream/main.go
+++ b/cmd/wmux-upstream/main.go
@@ -54,9 +54,47 @@
 	flags.Uint64Var(&announcement.MaxVersion, "max-version", 1, "newest index version served")
 	flags.IntVar(&announcement.Slots, "slots", 2, "requests that run at the same time")
 	flags.IntVar(&announcement.Connections, "connections", 25, "connections accepted")
-	flags.DurationVar(&config.ServiceTime, "service-time", 5*time.Millisecond, "time that a request holds a slot")
+	flags.DurationVar(&config.ServiceTime, "service-time", 5*time.Millisecond, "median time that a request holds a slot")
+	flags.StringVar((*string)(&config.Distribution), "distribution", string(standin.Constant), "constant, log-normal or exponential")
+	flags.Float64Var(&config.Sigma, "sigma", 0.5, "standard deviation of the logarithm of a log-normal service time")
+	flags.DurationVar(&config.ConnectCost, "connect-cost", 0, "delay of the first read on a new connection")
+	flags.DurationVar(&config.OneWay, "one-way", 0, "network delay before reading and before answering")
+	flags.IntVar(&config.QueueBound, "queue-bound", 0, "requests that may wait for a slot; 0 means no bound")
+	flags.Float64Var(&config.Slow.Factor, "slow-factor", 10, "how much longer requests take in a slow period")
+	flags.DurationVar(&config.Slow.Length, "slow-length", time.Second, "length of a slow period")
+	flags.DurationVar(&config.Slow.Every, "slow-every", 0, "mean time between slow periods; 0 means none")
+	flags.Float64Var(&config.Cold.Factor, "cold-factor", 1, "how much longer requests take after the start")
+	flags.DurationVar(&config.Cold.Length, "cold-length", 0, "how long the stand-in is cold")
+	flags.DurationVar(&config.LoadReport.Age, "load-age", 0, "age of the load report")
+	flags.Float64Var(&config.LoadReport.Factor, "load-factor", 1, "factor by which the load report misleads")
+	flags.DurationVar(&config.Versions.Every, "version-every", 0, "time between two index versions; 0 means a fixed range")
+	flags.Uint64Var(&config.Versions.Keep, "version-keep", 2, "index versions served at the same time")
+	flags.DurationVar(&config.Grace, "grace", standin.DefaultGrace, "how long a leaving stand-in accepts work")
+	flags.DurationVar(&config.DrainLimit, "drain-limit", standin.DefaultDrainLimit, "how long to wait to be told that it is drained")
+	flags.StringVar(&config.CrashMarker, "crash-marker", "", "end the process on a request that contains this text; empty means never")
+	flags.Uint64Var(&config.Seed, "seed", 1, "seed of service times and slow periods")
 	flags.StringSliceVar(&config.EntryURLs, "entry", []string{"http://127.0.0.1:8001"}, "URLs of entry VMs")
 	_ = command.MarkFlagRequired("name")
 	_ = command.MarkFlagRequired("service")
+	command.AddCommand(fleetCommand())
+	return command
+}
+
+func fleetCommand() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:     "fleet",
+		Short:   "Run many stand-ins in one process",
+		Example: "  wmux-upstream fleet --file fleet.toml",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			file, err := standin.LoadFleet(path)
+			if err != nil {
+				return err
+			}
+			log := telemetry.NewLogger(os.Stderr, "wmux-upstream", path)
+			return standin.NewFleet(file, log).Serve(cmd.Context())
+		},
+	}
+	command.Flags().StringVar(&path, "file", "fleet.toml", "fleet file")
 	return command
 }
--- /dev/null
+++ b/internal/standin/admin.go
@@ -0,0 +1,135 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// SlowRequest starts a slow period.
+type SlowRequest struct {
+	Factor         float64 `json:"factor"`
+	DurationMillis int64   `json:"duration_ms"`
+}
+
+// ShardMapRequest changes the shard map of one stand-in.
+type ShardMapRequest struct {
+	Generation uint64 `json:"generation"`
+	Shard      int    `json:"shard"`
+	ShardCount int    `json:"shard_count"`
+}
+
+// VersionsRequest changes the range of index versions.
+type VersionsRequest struct {
+	Min uint64 `json:"min"`
+	Max uint64 `json:"max"`
+}
+
+// LoadResponse answers GET /load.
+type LoadResponse struct {
+	InFlight float64 `json:"in_flight"`
+	Queued   float64 `json:"queued"`
+	Slots    int     `json:"slots"`
+}
+
+type loadSample struct {
+	at       time.Time
+	inFlight int
+	queued   int
+}
+
+func (u *Upstream) adminRoutes(router *mux.Router) {
+	router.HandleFunc("/stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, u.Stats()) }).Methods(http.MethodGet)
+	router.HandleFunc("/bookings", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, u.Bookings()) }).Methods(http.MethodGet)
+	router.HandleFunc("/drain", func(w http.ResponseWriter, _ *http.Request) { u.Leave() }).Methods(http.MethodPost)
+	router.HandleFunc("/slow", adminPost(u.slow)).Methods(http.MethodPost)
+	router.HandleFunc("/shardmap", adminPost(u.setShardMap)).Methods(http.MethodPost)
+	router.HandleFunc("/versions", adminPost(u.setVersions)).Methods(http.MethodPost)
+}
+
+// adminPost decodes the body of a control request and applies it.
+func adminPost[R any](apply func(R)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var request R
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		if err == nil {
+			err = json.Unmarshal(data, &request)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		apply(request)
+	}
+}
+
+func (u *Upstream) slow(request SlowRequest) {
+	u.pacer.slow(request.Factor, time.Now().Add(time.Duration(request.DurationMillis)*time.Millisecond))
+}
+
+func (u *Upstream) setShardMap(request ShardMapRequest) {
+	u.mu.Lock()
+	u.announcement.Generation = request.Generation
+	u.announcement.Shard = request.Shard
+	u.announcement.ShardCount = request.ShardCount
+	u.mu.Unlock()
+	u.wake()
+}
+
+func (u *Upstream) setVersions(request VersionsRequest) {
+	u.mu.Lock()
+	u.announcement.MinVersion = request.Min
+	u.announcement.MaxVersion = request.Max
+	u.mu.Unlock()
+	u.wake()
+}
+
+// sampleLoad records the load for reports that lag behind.
+func (u *Upstream) sampleLoad(ctx context.Context) {
+	if u.config.LoadReport.Age <= 0 {
+		return
+	}
+	ticker := time.NewTicker(loadSamplePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			u.recordLoad(now)
+		}
+	}
+}
+
+func (u *Upstream) recordLoad(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.samples = append(u.samples, loadSample{at: now, inFlight: u.stats.InFlight, queued: u.stats.Queued})
+	// The newest sample that is old enough is kept as the first one; older ones are never reported again.
+	for len(u.samples) > 1 && now.Sub(u.samples[1].at) >= u.config.LoadReport.Age {
+		u.samples = u.samples[1:]
+	}
+}
+
+// handleLoad reports the load as it was at the configured age, multiplied by the configured factor.
+func (u *Upstream) handleLoad(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	sample := loadSample{inFlight: u.stats.InFlight, queued: u.stats.Queued}
+	if u.config.LoadReport.Age > 0 {
+		sample = loadSample{}
+		if len(u.samples) > 0 && time.Since(u.samples[0].at) >= u.config.LoadReport.Age {
+			sample = u.samples[0]
+		}
+	}
+	u.mu.Unlock()
+	factor := u.config.LoadReport.Factor
+	writeJSON(w, LoadResponse{
+		InFlight: float64(sample.inFlight) * factor,
+		Queued:   float64(sample.queued) * factor,
+		Slots:    cap(u.slots),
+	})
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -1,14 +1,12 @@
-// Package standin is a small upstream for demos, tests and load experiments.
 package standin
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
-	"strconv"
+	"os"
 	"sync"
 	"time"
 
@@ -19,123 +17,249 @@
 	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
 )
 
-const readHeaderTimeout = 2 * time.Second
-
-// Config describes a stand-in.
-type Config struct {
-	Announcement model.Announcement
-	// EntryURLs are the entry VMs that the stand-in announces itself to, in turn.
-	EntryURLs []string
-	// ServiceTime is how long each request holds a slot.
-	ServiceTime time.Duration
-}
+const (
+	readHeaderTimeout = 2 * time.Second
+	announceTimeout   = time.Second
+	announceRetry     = 200 * time.Millisecond
+	drainPoll         = 250 * time.Millisecond
+	loadSamplePeriod  = 50 * time.Millisecond
+	// crashStatus is the exit status after a request with the crash marker.
+	crashStatus = 3
+)
 
 // Upstream is a stand-in upstream.
 type Upstream struct {
-	config Config
-	log    *slog.Logger
-	slots  chan struct{}
+	config   Config
+	log      *slog.Logger
+	slots    chan struct{}
+	pacer    *pacer
+	listener *boundedListener
+	router   *mux.Router
+
+	// leave is closed once the stand-in asks to leave.
+	leave     chan struct{}
+	leaveOnce sync.Once
+	// changed wakes the announcement loop.
+	changed chan struct{}
 
-	// mu guards bookings.
-	mu       sync.Mutex
-	bookings map[string]int
+	// mu guards the fields below.
+	mu           sync.Mutex
+	announcement model.Announcement
+	state        string
+	graceEnds    time.Time
+	stats        Stats
+	bookings     map[string]int
+	samples      []loadSample
 }
 
 // New returns a stand-in.
 func New(config Config, log *slog.Logger) *Upstream {
-	return &Upstream{config: config, log: log, slots: make(chan struct{}, config.Announcement.Slots), bookings: map[string]int{}}
+	config = config.withDefaults()
+	if config.Crash == nil {
+		config.Crash = func() { os.Exit(crashStatus) }
+	}
+	u := &Upstream{
+		config:       config,
+		log:          log,
+		slots:        make(chan struct{}, config.Announcement.Slots),
+		pacer:        newPacer(config, time.Now()),
+		leave:        make(chan struct{}),
+		changed:      make(chan struct{}, 1),
+		announcement: config.Announcement,
+		state:        StateServing,
+		bookings:     map[string]int{},
+	}
+	u.router = mux.NewRouter()
+	u.router.HandleFunc(upstreamapi.PathSearch, u.handleSearch).Methods(http.MethodPost)
+	u.router.HandleFunc(upstreamapi.PathBook, u.handleBook).Methods(http.MethodPost)
+	u.router.HandleFunc("/load", u.handleLoad).Methods(http.MethodGet)
+	u.adminRoutes(u.router.PathPrefix("/admin").Subrouter())
+	return u
 }
 
-// Run serves and announces until the context ends, then finishes the requests in flight.
+// Run serves and announces. When the context ends, the stand-in leaves: it finishes the requests in flight and returns
+// once it is drained.
 func (u *Upstream) Run(ctx context.Context, listener net.Listener) error {
-	router := mux.NewRouter()
-	router.HandleFunc(upstreamapi.PathSearch, u.handleSearch).Methods(http.MethodPost)
-	router.HandleFunc(upstreamapi.PathBook, u.handleBook).Methods(http.MethodPost)
-	server := &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}
-	go u.announceLoop(ctx)
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	u.bind(listener)
+	server := &http.Server{Handler: u.router, ReadHeaderTimeout: readHeaderTimeout}
+	go u.sampleLoad(background)
+	go u.advanceVersions(background)
+	drained := make(chan struct{})
 	go func() {
-		<-ctx.Done()
-		_ = server.Shutdown(context.Background())
+		defer close(drained)
+		u.announceLoop(background)
 	}()
-	if err := server.Serve(listener); err != http.ErrServerClosed {
+	go func() {
+		select {
+		case <-ctx.Done():
+			u.Leave()
+		case <-background.Done():
+		}
+	}()
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(u.listener) }()
+	select {
+	case err := <-failed:
 		return fault.New(fault.Internal, "standin.serve", "%w", err)
+	case <-drained:
+	}
+	err := server.Shutdown(background)
+	u.setState(StateEnded)
+	return err
+}
+
+func (u *Upstream) bind(listener net.Listener) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.announcement.Address = listener.Addr().String()
+	u.listener = newBoundedListener(listener, u.config.Announcement.Connections, u.config.ConnectCost)
+}
+
+// Leave makes the stand-in announce that it is draining. It still accepts work for the grace.
+func (u *Upstream) Leave() {
+	u.leaveOnce.Do(func() {
+		u.mu.Lock()
+		u.announcement.Draining = true
+		u.state = StateLeaving
+		u.graceEnds = time.Now().Add(u.config.Grace)
+		u.mu.Unlock()
+		close(u.leave)
+		u.wake()
+	})
+}
+
+func (u *Upstream) wake() {
+	select {
+	case u.changed <- struct{}{}:
+	default:
 	}
-	return nil
 }
 
+func (u *Upstream) setState(state string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.state = state
+}
+
+func (u *Upstream) announced() model.Announcement {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.announcement
+}
+
+// announceLoop announces until the stand-in is drained or the context ends.
 func (u *Upstream) announceLoop(ctx context.Context) {
-	client := &http.Client{Timeout: time.Second}
+	client := &http.Client{Timeout: announceTimeout}
+	defer client.CloseIdleConnections()
+	var limit <-chan time.Time
+	leave := u.leave
+	unreachable := 0
 	for turn := 0; ; turn++ {
-		wait := time.Duration(200) * time.Millisecond
-		url := u.config.EntryURLs[turn%len(u.config.EntryURLs)]
-		response, err := upstreamapi.Announce(ctx, client, url, u.config.Announcement)
-		if err == nil {
-			wait = time.Duration(response.RenewMillis) * time.Millisecond
+		wait, told, err := u.announceOnce(ctx, client, turn)
+		if err != nil {
+			unreachable++
 		} else {
-			u.log.Debug("announcement failed", "entry", url, "error", err)
+			unreachable = 0
+		}
+		if leave == nil && u.mayEnd(told, unreachable) {
+			return
 		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-limit:
+			u.log.Warn("not told that the upstream is drained", "limit", u.config.DrainLimit)
+			u.waitIdle(ctx)
+			return
+		case <-leave:
+			leave = nil
+			limit = time.After(u.config.DrainLimit)
+		case <-u.changed:
 		case <-time.After(wait):
 		}
 	}
 }
 
-func (u *Upstream) handleSearch(w http.ResponseWriter, r *http.Request) {
-	var request upstreamapi.SearchRequest
-	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+func (u *Upstream) announceOnce(ctx context.Context, client *http.Client, turn int) (wait time.Duration, told bool, err error) {
+	announcement := u.announced()
+	url := u.config.EntryURLs[turn%len(u.config.EntryURLs)]
+	response, err := upstreamapi.Announce(ctx, client, url, announcement)
+	if err != nil {
+		u.log.Debug("announcement failed", "entry", url, "error", err)
+		return announceRetry, false, err
 	}
-	version, _ := strconv.ParseUint(r.Header.Get(upstreamapi.HeaderIndexVersion), 10, 64)
-	generation, _ := strconv.ParseUint(r.Header.Get(upstreamapi.HeaderShardGeneration), 10, 64)
-	own := u.config.Announcement
-	if version < own.MinVersion || version > own.MaxVersion || generation != own.Generation {
-		http.Error(w, "snapshot not served", http.StatusGone)
-		return
+	wait = time.Duration(response.RenewMillis) * time.Millisecond
+	if announcement.Draining {
+		wait = min(wait, drainPoll)
 	}
-	if !u.work(r.Context()) {
-		return
+	told = announcement.Draining && response.State == string(model.UpstreamDrained)
+	if told {
+		u.setState(StateDrained)
 	}
-	item, _ := json.Marshal(fmt.Sprintf("%s/%d: %s", own.Service, own.Shard, request.Query))
-	reply(w, upstreamapi.SearchResponse{Version: version, Generation: generation, Items: []json.RawMessage{item}})
+	return wait, told, nil
 }
 
-func (u *Upstream) handleBook(w http.ResponseWriter, r *http.Request) {
-	key := r.Header.Get(upstreamapi.HeaderBookingKey)
+// mayEnd reports whether a leaving stand-in may end: it was told that it is drained, or no entry VM is reachable
+// anymore, and nothing is in flight.
+func (u *Upstream) mayEnd(told bool, unreachable int) bool {
+	if !told && unreachable < len(u.config.EntryURLs) {
+		return false
+	}
+	return u.idle()
+}
+
+func (u *Upstream) idle() bool {
 	u.mu.Lock()
-	u.bookings[key]++
-	runs := u.bookings[key]
-	u.mu.Unlock()
-	if !u.work(context.WithoutCancel(r.Context())) {
-		return
+	defer u.mu.Unlock()
+	return u.stats.InFlight == 0 && u.stats.Queued == 0
+}
+
+func (u *Upstream) waitIdle(ctx context.Context) {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for !u.idle() && ctx.Err() == nil {
+		<-ticker.C
 	}
-	reply(w, map[string]any{"upstream": u.config.Announcement.Name, "key": key, "runs": runs})
 }
 
-// work holds a slot for the service time; false means that the request was cancelled.
-func (u *Upstream) work(ctx context.Context) bool {
-	select {
-	case u.slots <- struct{}{}:
-		defer func() { <-u.slots }()
-	case <-ctx.Done():
-		return false
+// advanceVersions serves a new index version on schedule and retires the oldest one.
+func (u *Upstream) advanceVersions(ctx context.Context) {
+	if u.config.Versions.Every <= 0 {
+		return
 	}
-	select {
-	case <-time.After(u.config.ServiceTime):
-		return true
-	case <-ctx.Done():
-		return false
+	ticker := time.NewTicker(u.config.Versions.Every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			u.advanceVersion()
+		}
 	}
 }
 
-func reply(w http.ResponseWriter, body any) {
-	data, err := json.Marshal(body)
+func (u *Upstream) advanceVersion() {
+	u.mu.Lock()
+	u.announcement.MaxVersion++
+	keep := max(u.config.Versions.Keep, 1)
+	if u.announcement.MaxVersion >= u.announcement.MinVersion+keep {
+		u.announcement.MinVersion = u.announcement.MaxVersion - keep + 1
+	}
+	u.mu.Unlock()
+	u.wake()
+}
+
+// Serve runs a stand-in on its announced address until the context ends and it is drained.
+func (u *Upstream) Serve(ctx context.Context) error {
+	listener, err := net.Listen("tcp", u.config.Announcement.Address)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
+		return fault.New(fault.Settings, "standin.listen", "%w", err)
+	}
+	if err := u.Run(ctx, listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return err
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(data)
+	return nil
 }
--- /dev/null
+++ b/internal/standin/stats.go
@@ -0,0 +1,79 @@
+package standin
+
+// Stats are the counters of one stand-in.
+type Stats struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Shard   int    `json:"shard"`
+	State   string `json:"state"`
+
+	Received        uint64 `json:"received"`
+	SearchesStarted uint64 `json:"searches_started"`
+	BookingsStarted uint64 `json:"bookings_started"`
+	Finished        uint64 `json:"finished"`
+	// Cancelled counts requests whose stream closed before they finished.
+	Cancelled uint64 `json:"cancelled"`
+	// Refused is the sum of the refusals below, each of them before the request started.
+	Refused         uint64 `json:"refused"`
+	RefusedShed     uint64 `json:"refused_shed"`
+	RefusedExpired  uint64 `json:"refused_expired"`
+	RefusedLeaving  uint64 `json:"refused_leaving"`
+	RefusedSnapshot uint64 `json:"refused_snapshot"`
+	// ReceivedAfterGrace counts requests that arrived although the stand-in had asked to leave for longer than its grace.
+	ReceivedAfterGrace uint64 `json:"received_after_grace"`
+	// ReceivedAfterDrained counts requests that arrived after the stand-in was told that it is drained.
+	ReceivedAfterDrained uint64 `json:"received_after_drained"`
+
+	InFlight    int `json:"in_flight"`
+	MaxInFlight int `json:"max_in_flight"`
+	Queued      int `json:"queued"`
+	MaxQueued   int `json:"max_queued"`
+
+	ConnectionsAccepted uint64 `json:"connections_accepted"`
+	ConnectionsOpen     int    `json:"connections_open"`
+	MaxConnections      int    `json:"max_connections"`
+
+	// DoubledBookings holds the keys that ran more than once with their runs.
+	DoubledBookings map[string]int `json:"doubled_bookings"`
+}
+
+// States of a stand-in in its Stats.
+const (
+	StateServing = "serving"
+	StateLeaving = "leaving"
+	StateDrained = "drained"
+	StateEnded   = "ended"
+)
+
+// Stats returns the current counters.
+func (u *Upstream) Stats() Stats {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	stats := u.stats
+	stats.Name = u.announcement.Name
+	stats.Service = u.announcement.Service
+	stats.Shard = u.announcement.Shard
+	stats.State = u.state
+	stats.Refused = stats.RefusedShed + stats.RefusedExpired + stats.RefusedLeaving + stats.RefusedSnapshot
+	stats.DoubledBookings = map[string]int{}
+	for key, runs := range u.bookings {
+		if runs > 1 {
+			stats.DoubledBookings[key] = runs
+		}
+	}
+	if u.listener != nil {
+		stats.ConnectionsAccepted, stats.ConnectionsOpen, stats.MaxConnections = u.listener.counts()
+	}
+	return stats
+}
+
+// Bookings returns how often each booking key ran.
+func (u *Upstream) Bookings() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	runs := make(map[string]int, len(u.bookings))
+	for key, count := range u.bookings {
+		runs[key] = count
+	}
+	return runs
+}
--- /dev/null
+++ b/internal/standin/work.go
@@ -0,0 +1,273 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
+)
+
+const maxBodyBytes = 1 << 20
+
+// Item is what a stand-in returns for a search. It names what was really searched, so that a report can check the
+// coverage that a response claims.
+type Item struct {
+	Service    string `json:"service"`
+	Shard      int    `json:"shard"`
+	Version    uint64 `json:"version"`
+	Generation uint64 `json:"generation"`
+	Upstream   string `json:"upstream"`
+	Query      string `json:"query"`
+}
+
+// BookingReply is what a stand-in returns for a booking.
+type BookingReply struct {
+	Upstream string `json:"upstream"`
+	Key      string `json:"key"`
+	Runs     int    `json:"runs"`
+}
+
+// refusal is a request that was refused before it started.
+type refusal struct {
+	status  int
+	notRun  bool
+	reason  string
+	counter func(*Stats) *uint64
+}
+
+var (
+	refusedLeaving = refusal{http.StatusServiceUnavailable, true, "leaving", func(s *Stats) *uint64 { return &s.RefusedLeaving }}
+	refusedShed    = refusal{http.StatusServiceUnavailable, true, "queue is full", func(s *Stats) *uint64 { return &s.RefusedShed }}
+	refusedExpired = refusal{http.StatusServiceUnavailable, true, "timeout passed before the start", func(s *Stats) *uint64 { return &s.RefusedExpired }}
+	// refusedSnapshot carries no not-run header: the status 410 alone tells the tier to choose another snapshot.
+	refusedSnapshot = refusal{http.StatusGone, false, "snapshot not served", func(s *Stats) *uint64 { return &s.RefusedSnapshot }}
+)
+
+// errCancelled reports that the caller closed the stream.
+var errCancelled = errors.New("stream closed")
+
+func (r refusal) Error() string { return r.reason }
+
+func (u *Upstream) handleSearch(w http.ResponseWriter, r *http.Request) {
+	body, deadline, ok := u.receive(w, r)
+	if !ok {
+		return
+	}
+	var request upstreamapi.SearchRequest
+	if err := json.Unmarshal(body, &request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	item, err := u.snapshotItem(r.Header, request)
+	if err == nil {
+		err = u.runSearch(r.Context(), deadline)
+	}
+	if err != nil {
+		u.fail(w, err)
+		return
+	}
+	encoded, err := json.Marshal(item)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	reply := upstreamapi.SearchResponse{Version: item.Version, Generation: item.Generation, Items: []json.RawMessage{encoded}}
+	u.answer(r.Context(), w, reply)
+}
+
+func (u *Upstream) handleBook(w http.ResponseWriter, r *http.Request) {
+	_, deadline, ok := u.receive(w, r)
+	if !ok {
+		return
+	}
+	key := r.Header.Get(upstreamapi.HeaderBookingKey)
+	runs, err := u.runBooking(r.Context(), deadline, key)
+	if err != nil {
+		u.fail(w, err)
+		return
+	}
+	u.answer(r.Context(), w, BookingReply{Upstream: u.config.Announcement.Name, Key: key, Runs: runs})
+}
+
+// receive waits for the network delay and reads the body. Reading to its end lets the server watch the connection, so
+// that a closed stream cancels the request's context.
+func (u *Upstream) receive(w http.ResponseWriter, r *http.Request) (body []byte, deadline time.Time, ok bool) {
+	if !pause(r.Context(), u.config.OneWay) {
+		return nil, deadline, false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return nil, deadline, false
+	}
+	if u.config.CrashMarker != "" && strings.Contains(string(body), u.config.CrashMarker) {
+		u.config.Crash()
+		return nil, deadline, false
+	}
+	u.countReceived(time.Now())
+	if millis, err := strconv.ParseInt(r.Header.Get(upstreamapi.HeaderTimeoutMillis), 10, 64); err == nil {
+		deadline = time.Now().Add(time.Duration(millis) * time.Millisecond)
+	}
+	return body, deadline, true
+}
+
+func (u *Upstream) countReceived(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.stats.Received++
+	if u.graceOver(now) {
+		u.stats.ReceivedAfterGrace++
+	}
+	if u.state == StateDrained {
+		u.stats.ReceivedAfterDrained++
+	}
+}
+
+// graceOver requires mu.
+func (u *Upstream) graceOver(now time.Time) bool {
+	return !u.graceEnds.IsZero() && now.After(u.graceEnds)
+}
+
+// snapshotItem returns the item of the request if the stand-in serves the request's snapshot.
+func (u *Upstream) snapshotItem(header http.Header, request upstreamapi.SearchRequest) (Item, error) {
+	version, _ := strconv.ParseUint(header.Get(upstreamapi.HeaderIndexVersion), 10, 64)
+	generation, _ := strconv.ParseUint(header.Get(upstreamapi.HeaderShardGeneration), 10, 64)
+	own := u.announced()
+	if version < own.MinVersion || version > own.MaxVersion || generation != own.Generation || request.Shard != own.Shard {
+		return Item{}, refusedSnapshot
+	}
+	return Item{
+		Service: own.Service, Shard: own.Shard, Version: version, Generation: generation, Upstream: own.Name, Query: request.Query,
+	}, nil
+}
+
+func (u *Upstream) runSearch(ctx context.Context, deadline time.Time) error {
+	if err := u.takeSlot(ctx, deadline); err != nil {
+		return err
+	}
+	defer u.freeSlot()
+	u.update(func(s *Stats) { s.SearchesStarted++ })
+	if !pause(ctx, u.pacer.draw(time.Now())) {
+		return errCancelled
+	}
+	u.update(func(s *Stats) { s.Finished++ })
+	return nil
+}
+
+// runBooking runs a booking to its end once it has started, even if the stream closes.
+func (u *Upstream) runBooking(ctx context.Context, deadline time.Time, key string) (int, error) {
+	if err := u.takeSlot(ctx, deadline); err != nil {
+		return 0, err
+	}
+	defer u.freeSlot()
+	u.mu.Lock()
+	u.bookings[key]++
+	runs := u.bookings[key]
+	u.stats.BookingsStarted++
+	u.mu.Unlock()
+	time.Sleep(u.pacer.draw(time.Now()))
+	u.update(func(s *Stats) { s.Finished++ })
+	return runs, nil
+}
+
+// takeSlot waits for a slot in order of arrival.
+func (u *Upstream) takeSlot(ctx context.Context, deadline time.Time) error {
+	if err := u.enqueue(time.Now()); err != nil {
+		return err
+	}
+	select {
+	case u.slots <- struct{}{}:
+	case <-ctx.Done():
+		u.update(func(s *Stats) { s.Queued-- })
+		return errCancelled
+	}
+	if !deadline.IsZero() && time.Now().After(deadline) {
+		<-u.slots
+		u.update(func(s *Stats) { s.Queued-- })
+		return refusedExpired
+	}
+	u.update(func(s *Stats) {
+		s.Queued--
+		s.InFlight++
+		s.MaxInFlight = max(s.MaxInFlight, s.InFlight)
+	})
+	return nil
+}
+
+func (u *Upstream) enqueue(now time.Time) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.graceOver(now) {
+		return refusedLeaving
+	}
+	waiting := u.stats.InFlight + u.stats.Queued - cap(u.slots)
+	if u.config.QueueBound > 0 && waiting >= u.config.QueueBound {
+		return refusedShed
+	}
+	u.stats.Queued++
+	u.stats.MaxQueued = max(u.stats.MaxQueued, waiting+1)
+	return nil
+}
+
+func (u *Upstream) freeSlot() {
+	u.update(func(s *Stats) { s.InFlight-- })
+	<-u.slots
+}
+
+func (u *Upstream) update(change func(*Stats)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	change(&u.stats)
+}
+
+func (u *Upstream) fail(w http.ResponseWriter, err error) {
+	var refused refusal
+	if !errors.As(err, &refused) {
+		u.update(func(s *Stats) { s.Cancelled++ })
+		return
+	}
+	u.update(func(s *Stats) { *refused.counter(s)++ })
+	if refused.notRun {
+		w.Header().Set(upstreamapi.HeaderNotRun, "true")
+	}
+	time.Sleep(u.config.OneWay)
+	http.Error(w, refused.reason, refused.status)
+}
+
+func (u *Upstream) answer(ctx context.Context, w http.ResponseWriter, body any) {
+	if !pause(ctx, u.config.OneWay) {
+		return
+	}
+	writeJSON(w, body)
+}
+
+func writeJSON(w http.ResponseWriter, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
+}
+
+// pause waits for the duration; false means that the context ended first.
+func pause(ctx context.Context, duration time.Duration) bool {
+	if duration <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
