Generate open-loop load and run the scenarios against a user's shape

Goodput is compared with what the slots can complete class by class; the plain capacity of the busiest shard would count work of classes that are not limited. Latency counts from the scheduled arrival and includes both client delays.

--- a/cmd/wmux-load/main.go
+++ b/cmd/wmux-load/main.go
@@ -1,4 +1,4 @@
-// Command wmux-load generates load on entry VMs and reports what callers saw.
+// Command wmux-load generates load on entry VMs, runs the load experiment and measures capacity slopes.
 package main
 
 import (
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"sort"
 	"syscall"
 	"time"
 
@@ -25,41 +24,48 @@
 
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "wmux-load", Short: "Generate load and report latency and coverage", SilenceUsage: true}
-	root.AddCommand(searchCommand())
+	root.AddCommand(searchCommand(), shapeCommand(), experimentCommand(), compareCommand())
 	return root
 }
 
 func searchCommand() *cobra.Command {
 	var config load.Config
+	var services []string
+	var rate float64
+	var duration time.Duration
+	var caller string
 	command := &cobra.Command{
 		Use:     "search",
 		Short:   "Send searches at a fixed rate, independent of the answers",
 		Example: "  wmux-load search --target http://127.0.0.1:8001 --services 'clerk-*' --rate 100 --duration 5s",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			printReport(load.Run(cmd.Context(), config))
+			config.Profile = load.Steady(rate, duration)
+			config.Mix = load.Mix{{Name: "search", Share: 1, Services: services, Callers: []string{caller}}}
+			config.RunID = "load"
+			samples := load.Run(cmd.Context(), config)
+			printReport(load.Summarize(samples, load.Window{To: duration}, config.Timeout))
 			return nil
 		},
 	}
 	flags := command.Flags()
 	flags.StringSliceVar(&config.Targets, "target", []string{"http://127.0.0.1:8001"}, "URLs of entry VMs")
-	flags.StringSliceVar(&config.Services, "services", []string{"*"}, "service names or patterns")
-	flags.Float64Var(&config.Rate, "rate", 50, "searches per second")
-	flags.DurationVar(&config.Duration, "duration", 3*time.Second, "length of the run")
+	flags.StringSliceVar(&services, "services", []string{"*"}, "service names or patterns")
+	flags.Float64Var(&rate, "rate", 50, "searches per second")
+	flags.DurationVar(&duration, "duration", 3*time.Second, "length of the run")
 	flags.DurationVar(&config.Timeout, "timeout", 500*time.Millisecond, "deadline of each search")
+	flags.BoolVar(&config.Even, "even", true, "space the searches evenly instead of at random")
+	flags.Uint64Var(&config.Seed, "seed", 1, "seed of the arrivals")
+	flags.StringVar(&caller, "caller", "", "name of the caller")
 	return command
 }
 
 func printReport(report *load.Report) {
-	statuses := make([]int, 0, len(report.Statuses))
-	for status := range report.Statuses {
-		statuses = append(statuses, status)
-	}
-	sort.Ints(statuses)
-	for _, status := range statuses {
-		fmt.Printf("status %d: %d\n", status, report.Statuses[status])
-	}
-	fmt.Printf("shards included %d, missing %d\n", report.Included, report.Missing)
-	for _, quantile := range []float64{50, 99, 99.9} {
-		fmt.Printf("p%g %.2f ms\n", quantile, float64(report.Latency.ValueAtQuantile(quantile))/1e3)
+	fmt.Printf("offered %d, accepted %d: %d answered, %d partial, %d failed; %d cut\n",
+		report.Offered, report.Accepted, report.Answered, report.Partial, report.Failed, report.Cut)
+	for status, count := range report.Refusals {
+		fmt.Printf("refused with %s: %d\n", status, count)
 	}
+	fmt.Printf("shards needed %d, missing %d, responses with false coverage %d\n", report.Needed, report.ShardsMissing, report.FalseCoverage)
+	fmt.Printf("p50 %.2f ms, p99 %.2f ms, p99.9 %.2f ms, within the deadline %.2f%%\n",
+		report.P50Millis, report.P99Millis, report.P999Millis, 100*report.WithinShare)
 }
--- /dev/null
+++ b/internal/load/experiment.go
@@ -0,0 +1,340 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/model"
+)
+
+// Scenarios of the experiment, in the order in which they run. Shrink is last because upstreams do not come back.
+var Scenarios = []string{"rest", "slow", "spike", "shrink"}
+
+// ExperimentConfig describes the runs of one variant.
+type ExperimentConfig struct {
+	Cluster   Cluster
+	Shape     Shape
+	Scenarios []string
+	// BaseShare is the base rate as a share of the rate at which the busiest shard's slots are full.
+	BaseShare float64
+	// SpikeFactor is the peak rate as a multiple of the base rate.
+	SpikeFactor float64
+	// Hold is the length of the steady part of each scenario.
+	Hold     time.Duration
+	Deadline time.Duration
+	Resend   float64
+	Seed     uint64
+}
+
+const (
+	warmUp    = 4 * time.Second
+	beforeHit = 2 * time.Second
+	ramp      = 500 * time.Millisecond
+	afterHit  = 2 * time.Second
+	// settle lets requests that callers gave up on end before the stand-ins' counters are read.
+	settle = time.Second
+	// slowLength is how long each choice of slow upstreams lasts. With one in ten chosen at any moment, a run of 10 s
+	// slows each upstream about once.
+	slowLength   = time.Second
+	slowFactor   = 10
+	slowShare    = 0.1
+	readyTimeout = 20 * time.Second
+	readyPoll    = 100 * time.Millisecond
+)
+
+// RunExperiment runs the scenarios one after the other.
+func RunExperiment(ctx context.Context, config ExperimentConfig, log *slog.Logger) ([]*Report, error) {
+	if err := awaitReady(ctx, config.Cluster); err != nil {
+		return nil, err
+	}
+	fleets := NewFleets(config.Cluster.Fleets)
+	base := config.Shape.Capacity() * config.BaseShare
+	Run(ctx, config.load("warm-up", Steady(base, warmUp)))
+	var reports []*Report
+	for _, scenario := range Scenarios {
+		if !contains(config.Scenarios, scenario) {
+			continue
+		}
+		log.Info("scenario starts", "scenario", scenario, "variant", config.Cluster.Variant, "base_rate", fmt.Sprintf("%.0f", base))
+		report, err := config.run(ctx, fleets, scenario, base)
+		if err != nil {
+			return reports, err
+		}
+		reports = append(reports, report)
+	}
+	return reports, nil
+}
+
+func contains(names []string, name string) bool {
+	for _, one := range names {
+		if one == name {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitReady waits until each upstream is ready in the view that is in force.
+func awaitReady(ctx context.Context, cluster Cluster) error {
+	control := controlrpc.NewClient(cluster.Control, controlrpc.PlainDialer)
+	defer control.Close()
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	ready := 0
+	for ctx.Err() == nil {
+		view, _, err := control.View(ctx, 0)
+		if err == nil {
+			ready = readyUpstreams(view)
+			status, err := control.Status(ctx)
+			if err == nil && ready == cluster.Upstream && status.InForce == view.Revision && len(view.Members) == len(cluster.Entries) {
+				return nil
+			}
+		}
+		pauseFor(ctx, readyPoll)
+	}
+	return fault.New(fault.Unavailable, "experiment.ready", "%d of %d upstreams are ready", ready, cluster.Upstream)
+}
+
+func readyUpstreams(view model.View) int {
+	ready := 0
+	for _, upstream := range view.Upstreams {
+		if upstream.State == model.UpstreamReady {
+			ready++
+		}
+	}
+	return ready
+}
+
+func pauseFor(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (c ExperimentConfig) load(scenario string, profile Profile) Config {
+	return Config{
+		Targets:      c.Cluster.Entries,
+		Mix:          c.Shape.Mix,
+		Profile:      profile,
+		Seed:         c.Seed,
+		Timeout:      c.Deadline,
+		ClientOneWay: c.Shape.ClientOneWay,
+		Resend:       c.Resend,
+		Shards:       c.Shape.Shards(),
+		RunID:        c.Cluster.Variant + "-" + scenario,
+	}
+}
+
+// scenarioPlan is the arrivals of a scenario, the window that is reported and what happens to the stand-ins.
+type scenarioPlan struct {
+	profile    Profile
+	window     Window
+	slotsShare float64
+	disturb    func(context.Context)
+}
+
+func (c ExperimentConfig) plan(fleets *Fleets, scenario string, base float64, log func(error)) scenarioPlan {
+	steady := scenarioPlan{profile: Steady(base, c.Hold), window: Window{To: c.Hold}, slotsShare: 1}
+	hit := scenarioPlan{
+		profile:    Spike(base, c.SpikeFactor, beforeHit, ramp, c.Hold, afterHit),
+		window:     Window{From: beforeHit + ramp, To: beforeHit + ramp + c.Hold},
+		slotsShare: 1,
+	}
+	switch scenario {
+	case "slow":
+		steady.disturb = func(ctx context.Context) { log(c.slowInTurn(ctx, fleets)) }
+		return steady
+	case "spike":
+		return hit
+	case "shrink":
+		hit.slotsShare = 0.5
+		hit.disturb = func(ctx context.Context) {
+			pauseFor(ctx, beforeHit+ramp)
+			log(drainHalf(ctx, fleets))
+		}
+		return hit
+	default:
+		return steady
+	}
+}
+
+func (c ExperimentConfig) run(ctx context.Context, fleets *Fleets, scenario string, base float64) (*Report, error) {
+	before, err := fleets.Work(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var disturbed error
+	plan := c.plan(fleets, scenario, base, func(err error) { disturbed = err })
+	running, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if plan.disturb != nil {
+			plan.disturb(running)
+		}
+	}()
+	samples := Run(ctx, c.load(scenario, plan.profile))
+	stop()
+	<-done
+	if disturbed != nil {
+		return nil, disturbed
+	}
+	pauseFor(ctx, settle)
+	report := Summarize(samples, plan.window, c.Deadline)
+	report.User, report.Variant, report.Scenario = c.Shape.User, c.Cluster.Variant, scenario
+	report.BoundRate = min(report.OfferedRate, c.Shape.Bound(report.OfferedRate, plan.slotsShare))
+	return report, addStandinFigures(ctx, fleets, report, samples, before)
+}
+
+func addStandinFigures(ctx context.Context, fleets *Fleets, report *Report, samples []Sample, before Work) error {
+	after, err := fleets.Work(ctx)
+	if err != nil {
+		return err
+	}
+	report.AddWork(before, after)
+	runs, err := fleets.Bookings(ctx)
+	if err != nil {
+		return err
+	}
+	report.AddBookings(samples, runs)
+	return nil
+}
+
+// slowInTurn keeps one upstream in ten slow, choosing anew after each slow period.
+func (c ExperimentConfig) slowInTurn(ctx context.Context, fleets *Fleets) error {
+	random := rand.New(rand.NewPCG(c.Seed, 2))
+	var names []string
+	for _, config := range c.Shape.Upstreams() {
+		names = append(names, config.Announcement.Name)
+	}
+	count := max(1, int(float64(len(names))*slowShare))
+	for ctx.Err() == nil {
+		random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+		for _, name := range names[:count] {
+			if err := fleets.Slow(ctx, name, slowFactor, slowLength); err != nil && ctx.Err() == nil {
+				return err
+			}
+		}
+		pauseFor(ctx, slowLength)
+	}
+	return nil
+}
+
+// drainHalf makes half of the replicas of each shard leave, and never all of them.
+func drainHalf(ctx context.Context, fleets *Fleets) error {
+	stats, err := fleets.Stats(ctx)
+	if err != nil {
+		return err
+	}
+	replicas := map[model.ShardID][]string{}
+	for _, one := range stats {
+		shard := model.ShardID{Service: one.Service, Shard: one.Shard}
+		replicas[shard] = append(replicas[shard], one.Name)
+	}
+	for _, names := range replicas {
+		sort.Strings(names)
+		for _, name := range names[:len(names)/2] {
+			if err := fleets.Drain(ctx, name); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Target is one target of the experiment with what was measured.
+type Target struct {
+	Name     string
+	Limit    string
+	Measured string
+	Met      bool
+	// Miss is by how much the target was missed; empty when it was met.
+	Miss string
+}
+
+// Targets of design section 1.2.
+const (
+	targetSlowP99     = 1.3
+	targetExtraLoad   = 0.05
+	targetGoodput     = 0.9
+	targetWithinShare = 0.99
+)
+
+// CheckTargets compares the reports of one user and variant with the targets. A target whose scenario did not run is
+// left out.
+func CheckTargets(reports []*Report) []Target {
+	byScenario := map[string]*Report{}
+	for _, report := range reports {
+		byScenario[report.Scenario] = report
+	}
+	var targets []Target
+	if rest, slow := byScenario["rest"], byScenario["slow"]; rest != nil && slow != nil && rest.P99Millis > 0 {
+		targets = append(targets, atMost("p99 slow / p99 rest", slow.P99Millis/rest.P99Millis, targetSlowP99))
+	}
+	if slow := byScenario["slow"]; slow != nil {
+		targets = append(targets, atMost("extra load, slow", slow.ExtraLoad, targetExtraLoad))
+	}
+	if spike := byScenario["spike"]; spike != nil && spike.BoundRate > 0 {
+		targets = append(targets,
+			atLeast("goodput / slot bound, spike", spike.GoodputRate/spike.BoundRate, targetGoodput),
+			atLeast("accepted within deadline, spike", spike.WithinShare, targetWithinShare))
+	}
+	if shrink := byScenario["shrink"]; shrink != nil {
+		targets = append(targets,
+			none("requests cut, shrink", shrink.Cut),
+			none("false coverage, shrink", shrink.FalseCoverage),
+			none("work after the grace, shrink", shrink.AfterGrace))
+	}
+	return append(targets, bookingTargets(reports)...)
+}
+
+func bookingTargets(reports []*Report) []Target {
+	var doubled, lost, untrue int
+	for _, report := range reports {
+		doubled += report.BookingsDoubled
+		lost += report.BookingsLost
+		untrue += report.BookingsFalse
+	}
+	return []Target{none("bookings doubled, all", doubled), none("bookings lost, all", lost), none("false not run, all", untrue)}
+}
+
+func atMost(name string, measured, limit float64) Target {
+	target := Target{Name: name, Limit: fmt.Sprintf("<= %.3g", limit), Measured: fmt.Sprintf("%.3f", measured), Met: measured <= limit}
+	if !target.Met {
+		target.Miss = fmt.Sprintf("+%.3f", measured-limit)
+	}
+	return target
+}
+
+func atLeast(name string, measured, limit float64) Target {
+	target := Target{Name: name, Limit: fmt.Sprintf(">= %.3g", limit), Measured: fmt.Sprintf("%.3f", measured), Met: measured >= limit}
+	if !target.Met {
+		target.Miss = fmt.Sprintf("-%.3f", limit-measured)
+	}
+	return target
+}
+
+func none(name string, measured int) Target {
+	target := Target{Name: name, Limit: "0", Measured: fmt.Sprint(measured), Met: measured == 0}
+	if !target.Met {
+		target.Miss = fmt.Sprintf("+%d", measured)
+	}
+	return target
+}
+
+func (t Target) verdict() string {
+	if t.Met {
+		return t.Measured + " met"
+	}
+	return t.Measured + " MISSED by " + strings.TrimLeft(t.Miss, "+-")
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,220 @@
+package load
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	maxLatencyMicros   = 120_000_000
+	significantFigures = 3
+)
+
+// Window bounds the scheduled arrivals over which rates and latencies are reported.
+type Window struct {
+	From time.Duration `json:"from"`
+	To   time.Duration `json:"to"`
+}
+
+func (w Window) holds(at time.Duration) bool { return at >= w.From && at < w.To }
+
+// Report is the outcome of one run. Latency, goodput and shares cover the window; counts of errors, coverage and work
+// cover the whole run.
+type Report struct {
+	User     string `json:"user"`
+	Variant  string `json:"variant"`
+	Scenario string `json:"scenario"`
+
+	Offered       int     `json:"offered"`
+	Accepted      int     `json:"accepted"`
+	OfferedRate   float64 `json:"offered_per_s"`
+	GoodputRate   float64 `json:"goodput_per_s"`
+	BoundRate     float64 `json:"bound_per_s"`
+	P50Millis     float64 `json:"p50_ms"`
+	P99Millis     float64 `json:"p99_ms"`
+	P999Millis    float64 `json:"p999_ms"`
+	WithinShare   float64 `json:"within_deadline"`
+	WithinInWhole float64 `json:"within_deadline_whole_run"`
+
+	Answered      int            `json:"answered"`
+	Partial       int            `json:"partial"`
+	Failed        int            `json:"failed_after_acceptance"`
+	ShardsMissing int            `json:"shards_missing"`
+	Reasons       map[string]int `json:"missing_reasons"`
+	Cut           int            `json:"cut"`
+	Refusals      map[string]int `json:"refusals"`
+	FalseCoverage int            `json:"false_coverage"`
+	Contradiction map[string]int `json:"contradictions"`
+
+	Needed    int     `json:"sub_requests_needed"`
+	Started   int     `json:"sub_requests_started"`
+	Cancelled int     `json:"sub_requests_cancelled"`
+	ExtraLoad float64 `json:"extra_load"`
+
+	Bookings        int `json:"bookings"`
+	BookingsDone    int `json:"bookings_answered"`
+	BookingsDoubled int `json:"bookings_doubled"`
+	BookingsLost    int `json:"bookings_lost"`
+	// BookingsFalse counts keys of which every response said not run although a stand-in ran them.
+	BookingsFalse int `json:"bookings_false_not_run"`
+	// AfterGrace counts requests that reached a stand-in after its grace to leave.
+	AfterGrace int `json:"received_after_grace"`
+
+	// Latencies holds quantiles of the accepted requests in the window for the plots, in milliseconds.
+	Latencies []float64 `json:"latency_quantiles_ms"`
+}
+
+// accepted reports whether the request was admitted: it was answered, or it failed after its admission.
+func (s Sample) accepted() bool { return s.Status != 0 && !refusedStatus(s.Status) }
+
+// good reports whether the request was answered.
+func (s Sample) good() bool {
+	return s.Status == http.StatusOK || s.Status == http.StatusPartialContent
+}
+
+func refusedStatus(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnprocessableEntity,
+		http.StatusBadRequest, http.StatusConflict, http.StatusNotFound:
+		return true
+	}
+	return false
+}
+
+// Summarize computes the report of the samples. Deadline is the callers' deadline.
+func Summarize(samples []Sample, window Window, deadline time.Duration) *Report {
+	report := &Report{Refusals: map[string]int{}, Reasons: map[string]int{}, Contradiction: map[string]int{}}
+	latency := hdrhistogram.New(1, maxLatencyMicros, significantFigures)
+	var inWindow, acceptedInWindow, goodInWindow, goodInWhole int
+	for _, sample := range samples {
+		report.count(sample)
+		good := sample.good() && sample.Latency <= deadline
+		if good {
+			goodInWhole++
+		}
+		if !window.holds(sample.At) {
+			continue
+		}
+		inWindow++
+		if good {
+			goodInWindow++
+		}
+		if sample.accepted() {
+			acceptedInWindow++
+			_ = latency.RecordValue(min(sample.Latency.Microseconds(), maxLatencyMicros))
+		}
+	}
+	length := (window.To - window.From).Seconds()
+	report.OfferedRate = float64(inWindow) / length
+	report.GoodputRate = float64(goodInWindow) / length
+	report.WithinShare = ratio(goodInWindow, acceptedInWindow)
+	report.WithinInWhole = ratio(goodInWhole, report.Accepted)
+	report.P50Millis = millis(latency, 50)
+	report.P99Millis = millis(latency, 99)
+	report.P999Millis = millis(latency, 99.9)
+	for quantile := 1; quantile <= 100; quantile++ {
+		report.Latencies = append(report.Latencies, millis(latency, float64(quantile)))
+	}
+	return report
+}
+
+func (r *Report) count(sample Sample) {
+	r.Offered++
+	if sample.Fault != "" {
+		r.FalseCoverage++
+		r.Contradiction[sample.Fault]++
+	}
+	r.Needed += sample.Needed
+	switch {
+	case sample.Status == 0:
+		r.Cut++
+		return
+	case !sample.accepted():
+		r.Refusals[fmt.Sprintf("%d %s", sample.Status, sample.Code)]++
+		return
+	}
+	r.Accepted++
+	r.ShardsMissing += sample.Missing
+	for reason, count := range sample.Reasons {
+		r.Reasons[reason] += count
+	}
+	switch sample.Status {
+	case http.StatusOK:
+		r.Answered++
+	case http.StatusPartialContent:
+		r.Partial++
+	default:
+		r.Failed++
+	}
+}
+
+// AddWork adds what the stand-ins did during the run.
+func (r *Report) AddWork(before, after Work) {
+	r.Started = int(after.Searches - before.Searches)
+	r.Cancelled = int(after.Cancelled - before.Cancelled)
+	r.AfterGrace = int(after.AfterGrace - before.AfterGrace)
+	if r.Needed > 0 {
+		r.ExtraLoad = float64(r.Started)/float64(r.Needed) - 1
+	}
+}
+
+// AddBookings compares the answers of bookings with the runs at the stand-ins.
+func (r *Report) AddBookings(samples []Sample, runs map[string]int) {
+	answered := map[string]bool{}
+	notRun := map[string]bool{}
+	for _, sample := range samples {
+		if sample.Key == "" {
+			continue
+		}
+		known, ok := notRun[sample.Key]
+		notRun[sample.Key] = refusedStatus(sample.Status) && (known || !ok)
+		answered[sample.Key] = answered[sample.Key] || sample.Status == http.StatusOK
+	}
+	r.Bookings = len(notRun)
+	for key, done := range answered {
+		if done {
+			r.BookingsDone++
+		}
+		if done && runs[key] == 0 {
+			r.BookingsLost++
+		}
+		if runs[key] > 1 {
+			r.BookingsDoubled++
+		}
+		if notRun[key] && runs[key] > 0 {
+			r.BookingsFalse++
+		}
+	}
+}
+
+func ratio(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+func millis(latency *hdrhistogram.Histogram, quantile float64) float64 {
+	return float64(latency.ValueAtQuantile(quantile)) / 1e3
+}
+
+// sortedCounts renders counts in a fixed order.
+func sortedCounts(counts map[string]int) string {
+	names := make([]string, 0, len(counts))
+	for name := range counts {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	text := ""
+	for n, name := range names {
+		if n > 0 {
+			text += ", "
+		}
+		text += fmt.Sprintf("%s: %d", name, counts[name])
+	}
+	return text
+}
--- /dev/null
+++ b/internal/load/send.go
@@ -0,0 +1,130 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/entry"
+	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/standin"
+)
+
+// Sample is the outcome of one request.
+type Sample struct {
+	// At is the scheduled arrival since the start of the run.
+	At      time.Duration
+	Latency time.Duration
+	Class   string
+	// Status is the HTTP status; 0 means that the exchange was cut.
+	Status int
+	// Code is the status field of the response's body.
+	Code string
+	// Included, Missing and Needed count shards of a search.
+	Included int
+	Missing  int
+	Needed   int
+	// Reasons counts the stated reasons of missing shards.
+	Reasons map[string]int
+	// Fault is the first contradiction between the response and its items; empty means none.
+	Fault string
+	// Key is the booking key.
+	Key string
+}
+
+func (s *sender) search(ctx context.Context, p planned) Sample {
+	request := entry.SearchRequest{Services: p.pick.Services, Query: p.id, TimeoutMillis: s.timeoutMillis()}
+	status, body := s.exchange(ctx, p, "/v1/search", request)
+	sample := Sample{Status: status}
+	var response entry.SearchResponse
+	if status == 0 || json.Unmarshal(body, &response) != nil {
+		return sample
+	}
+	sample.Code = response.Status
+	sample.Included = len(response.Coverage.Included)
+	sample.Missing = len(response.Coverage.Missing)
+	sample.Reasons = reasons(response.Coverage.Missing)
+	if !refusedStatus(status) {
+		sample.Needed = neededShards(p.pick.Services, s.config.Shards, response.Coverage)
+	}
+	if status == http.StatusOK || status == http.StatusPartialContent {
+		sample.Fault = checkResponse(response, p.id, p.pick.Services, s.config.Shards)
+	}
+	return sample
+}
+
+func (s *sender) book(ctx context.Context, p planned) Sample {
+	request := entry.BookingRequest{
+		Service: p.pick.Class.Booking, Key: p.id, Payload: json.RawMessage(`{"lot":17}`), TimeoutMillis: s.timeoutMillis(),
+	}
+	status, body := s.exchange(ctx, p, "/v1/bookings", request)
+	sample := Sample{Status: status, Key: p.id}
+	var response entry.BookingResponse
+	if status == 0 || json.Unmarshal(body, &response) != nil {
+		return sample
+	}
+	sample.Code = response.Status
+	if status == http.StatusOK {
+		sample.Fault = checkBooking(response, p.id)
+	}
+	return sample
+}
+
+// timeoutMillis is what remains of the caller's deadline without both ways to the entry VM.
+func (s *sender) timeoutMillis() int64 {
+	return (s.config.Timeout - 2*s.config.ClientOneWay).Milliseconds()
+}
+
+// exchange waits for the way to the entry VM and returns status 0 when no whole response came back. The way back is
+// added to the latency.
+func (s *sender) exchange(ctx context.Context, p planned, path string, body any) (int, []byte) {
+	time.Sleep(s.config.ClientOneWay)
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, nil
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, s.config.Targets[p.target]+path, bytes.NewReader(data))
+	if err != nil {
+		return 0, nil
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if p.pick.Caller != "" {
+		request.Header.Set(entry.HeaderCaller, p.pick.Caller)
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	received, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, received
+}
+
+func reasons(missing []model.MissingShard) map[string]int {
+	if len(missing) == 0 {
+		return nil
+	}
+	counts := map[string]int{}
+	for _, shard := range missing {
+		counts[shard.Reason]++
+	}
+	return counts
+}
+
+// checkBooking returns how the response of a booking contradicts the request.
+func checkBooking(response entry.BookingResponse, key string) string {
+	var reply standin.BookingReply
+	if err := json.Unmarshal(response.Result, &reply); err != nil {
+		return "booking result is no reply of a stand-in"
+	}
+	if response.Key != key || reply.Key != key {
+		return "booking answer is for another key"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/load/shape.go
@@ -0,0 +1,253 @@
+package load
+
+import (
+	"fmt"
+	"math"
+	"path"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/standin"
+)
+
+// ServiceShape describes a group of equal services.
+type ServiceShape struct {
+	// Prefix is the name of the service, or the prefix of the names when Count is above 1.
+	Prefix      string
+	Count       int
+	Kind        model.ServiceKind
+	Shards      int
+	Replicas    int
+	Slots       int
+	Connections int
+	ConnectCost time.Duration
+}
+
+// Shape is one user's installation of design section 1.5.
+type Shape struct {
+	User          string
+	Region        string
+	Domains       []string
+	BetweenOneWay time.Duration
+	ClientOneWay  time.Duration
+	Services      []ServiceShape
+	Rules         []model.Rule
+	Mix           Mix
+}
+
+// Service times of the experiment. A median of 20 ms keeps the work of one machine far below its processors at the
+// full number of upstreams; the sigma makes the slowest of 20 shards about four times the median.
+const (
+	serviceMedian = 20 * time.Millisecond
+	serviceSigma  = 0.4
+)
+
+// names returns the names of the group's services.
+func (s ServiceShape) names() []string {
+	if s.Count == 1 {
+		return []string{s.Prefix}
+	}
+	names := make([]string, s.Count)
+	for n := range names {
+		names[n] = fmt.Sprintf("%s-%02d", s.Prefix, n+1)
+	}
+	return names
+}
+
+// ShapeOf returns the shape of a user.
+func ShapeOf(user string) (Shape, error) {
+	switch user {
+	case "blumenwagen":
+		return blumenwagen(), nil
+	case "safari":
+		return safari(), nil
+	}
+	return Shape{}, fault.New(fault.Settings, "load.shape", "unknown user %q", user)
+}
+
+func blumenwagen() Shape {
+	services := []ServiceShape{
+		{"clerk", 20, model.ServiceSearch, 1, 2, 2, 25, 6 * time.Millisecond},
+		{"grower", 30, model.ServiceSearch, 1, 2, 2, 25, 6 * time.Millisecond},
+		{"driver", 1, model.ServiceSearch, 5, 2, 3, 100, time.Millisecond},
+		{"settlement", 1, model.ServiceBooking, 1, 5, 3, 100, time.Millisecond},
+	}
+	return Shape{
+		User: "blumenwagen", Region: "at-ost", Domains: []string{"halle-a", "halle-b", "kuehlhaus"},
+		BetweenOneWay: time.Millisecond, ClientOneWay: 3 * time.Millisecond,
+		Services: services,
+		Rules:    []model.Rule{{Service: "*", NeverLoseCoverage: true, MaxShrink: 0.5, PartialAllowed: true, WaitShare: 0.9}},
+		Mix: Mix{
+			{Name: "all clerk boards", Share: 0.35, Services: []string{"clerk-*"}, Callers: callers("clerk", 8)},
+			{Name: "one grower portal", Share: 0.30, Services: services[1].names(), Any: true, Callers: callers("grower", 30)},
+			{Name: "all grower portals", Share: 0.05, Services: []string{"grower-*"}, Callers: callers("auction", 2)},
+			{Name: "driver app", Share: 0.25, Services: []string{"driver"}, Callers: callers("driver", 40)},
+			{Name: "settlement", Share: 0.05, Booking: "settlement", Callers: callers("driver", 40)},
+		},
+	}
+}
+
+func safari() Shape {
+	services := []ServiceShape{
+		{"desk", 20, model.ServiceSearch, 1, 2, 2, 25, 6 * time.Millisecond},
+		{"fare", 30, model.ServiceSearch, 1, 2, 2, 25, 6 * time.Millisecond},
+		{"slate", 1, model.ServiceSearch, 2, 2, 6, 50, time.Millisecond},
+		{"alert", 1, model.ServiceBooking, 1, 3, 6, 50, time.Millisecond},
+	}
+	return Shape{
+		User: "safari", Region: "tz-north", Domains: []string{"arusha-depot", "moshi-depot", "karatu-depot"},
+		BetweenOneWay: 500 * time.Microsecond, ClientOneWay: time.Millisecond,
+		Services: services,
+		Rules:    []model.Rule{{Service: "*", NeverLoseCoverage: true, MaxShrink: 0.5, WaitShare: 1}},
+		Mix: Mix{
+			{Name: "all counter desks", Share: 0.35, Services: []string{"desk-*"}, Callers: callers("agent", 12)},
+			{Name: "one fare board", Share: 0.20, Services: services[1].names(), Any: true, Callers: callers("agent", 12)},
+			{Name: "all fare boards", Share: 0.10, Services: []string{"fare-*"}, Callers: callers("office", 3)},
+			{Name: "conductor slates", Share: 0.25, Services: []string{"slate"}, Callers: callers("conductor", 20)},
+			{Name: "text alerts", Share: 0.10, Booking: "alert", Callers: callers("office", 3)},
+		},
+	}
+}
+
+// Shards returns the number of shards of each search service.
+func (s Shape) Shards() map[string]int {
+	shards := map[string]int{}
+	for _, group := range s.Services {
+		for _, name := range group.names() {
+			if group.Kind == model.ServiceSearch {
+				shards[name] = group.Shards
+			}
+		}
+	}
+	return shards
+}
+
+// Inventory returns the operators' inventory.
+func (s Shape) Inventory() model.Inventory {
+	inventory := model.Inventory{Regions: []model.Region{{Name: s.Region}}}
+	for _, domain := range s.Domains {
+		inventory.FailureDomains = append(inventory.FailureDomains, model.FailureDomain{Name: domain, Region: s.Region})
+	}
+	for _, group := range s.Services {
+		for _, name := range group.names() {
+			inventory.Services = append(inventory.Services, model.Service{Name: name, Kind: group.Kind})
+		}
+	}
+	for _, config := range s.Upstreams() {
+		own := config.Announcement
+		inventory.Upstreams = append(inventory.Upstreams,
+			model.InventoryUpstream{Name: own.Name, Service: own.Service, FailureDomain: own.FailureDomain})
+	}
+	return inventory
+}
+
+// Upstreams returns the stand-ins of the shape, without addresses. The replicas of a shard are in different failure
+// domains.
+func (s Shape) Upstreams() []standin.Config {
+	var all []standin.Config
+	for _, group := range s.Services {
+		for number, name := range group.names() {
+			for shard := range group.Shards {
+				for replica := range group.Replicas {
+					domain := s.Domains[(number+shard+replica)%len(s.Domains)]
+					all = append(all, s.upstream(group, name, shard, replica, domain))
+				}
+			}
+		}
+	}
+	return all
+}
+
+func (s Shape) upstream(group ServiceShape, service string, shard, replica int, domain string) standin.Config {
+	return standin.Config{
+		Announcement: model.Announcement{
+			Name:          fmt.Sprintf("%s-s%d-r%d", service, shard, replica),
+			Service:       service,
+			FailureDomain: domain,
+			Shard:         shard,
+			ShardCount:    group.Shards,
+			Generation:    1,
+			MinVersion:    1,
+			MaxVersion:    1,
+			Slots:         group.Slots,
+			Connections:   group.Connections,
+		},
+		ServiceTime:  serviceMedian,
+		Distribution: standin.LogNormal,
+		Sigma:        serviceSigma,
+		ConnectCost:  group.ConnectCost,
+		OneWay:       s.BetweenOneWay,
+		LoadReport:   standin.LoadReport{Age: 500 * time.Millisecond, Factor: 1},
+		Seed:         1,
+	}
+}
+
+// MeanService returns the mean service time of the stand-ins.
+func (s Shape) MeanService() time.Duration {
+	return time.Duration(float64(serviceMedian) * math.Exp(serviceSigma*serviceSigma/2))
+}
+
+// shardLoad is the load on one shard of a service when one query a second arrives.
+type shardLoad struct {
+	demand   float64
+	capacity float64
+}
+
+func (s Shape) shardLoads() map[string]shardLoad {
+	loads := map[string]shardLoad{}
+	for _, group := range s.Services {
+		for _, name := range group.names() {
+			load := shardLoad{capacity: float64(group.Slots*group.Replicas) / s.MeanService().Seconds()}
+			for _, class := range s.Mix {
+				load.demand += class.demand(name)
+			}
+			loads[name] = load
+		}
+	}
+	return loads
+}
+
+// demand returns the class's share of all queries that ask for the service.
+func (c Class) demand(service string) float64 {
+	if c.Booking == service {
+		return c.Share
+	}
+	for _, pattern := range c.Services {
+		if matched, err := path.Match(pattern, service); err == nil && matched {
+			if c.Any {
+				return c.Share / float64(len(c.Services))
+			}
+			return c.Share
+		}
+	}
+	return 0
+}
+
+// Capacity returns the queries per second at which the busiest shard's slots are full.
+func (s Shape) Capacity() float64 {
+	capacity := math.Inf(1)
+	for _, load := range s.shardLoads() {
+		if load.demand > 0 {
+			capacity = min(capacity, load.capacity/load.demand)
+		}
+	}
+	return capacity
+}
+
+// Bound returns the queries per second that the slots can complete when queries arrive at the rate: each class is
+// limited by its busiest shard. The replicas share scales the slots, for a run in which upstreams left.
+func (s Shape) Bound(rate, slotsShare float64) float64 {
+	loads := s.shardLoads()
+	bound := 0.0
+	for _, class := range s.Mix {
+		served := 1.0
+		for name, load := range loads {
+			if class.demand(name) > 0 {
+				served = min(served, load.capacity*slotsShare/(load.demand*rate))
+			}
+		}
+		bound += rate * class.Share * served
+	}
+	return bound
+}
--- /dev/null
+++ b/internal/load/standins.go
@@ -0,0 +1,136 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/standin"
+)
+
+const adminTimeout = 5 * time.Second
+
+// Work is what all stand-ins did since they started.
+type Work struct {
+	Searches   uint64
+	Cancelled  uint64
+	AfterGrace uint64
+}
+
+// Fleets reads and controls the stand-ins of several fleet processes.
+type Fleets struct {
+	urls   []string
+	client *http.Client
+	// home maps each stand-in to the URL of its fleet.
+	home map[string]string
+}
+
+// NewFleets returns the fleets at the admin URLs.
+func NewFleets(urls []string) *Fleets {
+	return &Fleets{urls: urls, client: &http.Client{Timeout: adminTimeout}, home: map[string]string{}}
+}
+
+// Stats returns the counters of all stand-ins.
+func (f *Fleets) Stats(ctx context.Context) ([]standin.Stats, error) {
+	var all []standin.Stats
+	for _, url := range f.urls {
+		var stats []standin.Stats
+		if err := f.get(ctx, url+"/admin/stats", &stats); err != nil {
+			return nil, err
+		}
+		for _, one := range stats {
+			f.home[one.Name] = url
+		}
+		all = append(all, stats...)
+	}
+	return all, nil
+}
+
+// Work returns the sum of the stand-ins' counters.
+func (f *Fleets) Work(ctx context.Context) (Work, error) {
+	stats, err := f.Stats(ctx)
+	if err != nil {
+		return Work{}, err
+	}
+	var work Work
+	for _, one := range stats {
+		work.Searches += one.SearchesStarted
+		work.Cancelled += one.Cancelled
+		work.AfterGrace += one.ReceivedAfterGrace
+	}
+	return work, nil
+}
+
+// Bookings returns the runs of each key over all stand-ins.
+func (f *Fleets) Bookings(ctx context.Context) (map[string]int, error) {
+	all := map[string]int{}
+	for _, url := range f.urls {
+		runs := map[string]int{}
+		if err := f.get(ctx, url+"/admin/bookings", &runs); err != nil {
+			return nil, err
+		}
+		for key, count := range runs {
+			all[key] += count
+		}
+	}
+	return all, nil
+}
+
+// Slow starts a slow period at one stand-in.
+func (f *Fleets) Slow(ctx context.Context, name string, factor float64, length time.Duration) error {
+	request := standin.SlowRequest{Factor: factor, DurationMillis: length.Milliseconds()}
+	return f.post(ctx, f.home[name]+"/upstreams/"+name+"/admin/slow", request)
+}
+
+// Drain makes one stand-in leave.
+func (f *Fleets) Drain(ctx context.Context, name string) error {
+	return f.post(ctx, f.home[name]+"/upstreams/"+name+"/admin/drain", struct{}{})
+}
+
+func (f *Fleets) get(ctx context.Context, url string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return fault.New(fault.Internal, "fleets.get", "%w", err)
+	}
+	data, err := f.do(request)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fault.New(fault.Unavailable, "fleets.get", "%s: %w", url, err)
+	}
+	return nil
+}
+
+func (f *Fleets) post(ctx context.Context, url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return fault.New(fault.Internal, "fleets.post", "%w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return fault.New(fault.Internal, "fleets.post", "%w", err)
+	}
+	_, err = f.do(request)
+	return err
+}
+
+func (f *Fleets) do(request *http.Request) ([]byte, error) {
+	response, err := f.client.Do(request)
+	if err != nil {
+		return nil, fault.New(fault.Unavailable, "fleets", "%w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, fault.New(fault.Unavailable, "fleets", "%w", err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, fault.New(fault.Unavailable, "fleets", "%s: status %d", request.URL, response.StatusCode)
+	}
+	return data, nil
+}
