Measure capacity slopes and the use of slots

The two-year size does not fit one machine, so it is derived from slopes. Each has at least four sizes and the standard error of the least-squares fit.

The use of the busiest slots within the window tells lost slot time (network, dials, an idle owner) from work that ran in vain when goodput is below its bound.

--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -51,7 +52,7 @@
 
 // RunExperiment runs the scenarios one after the other.
 func RunExperiment(ctx context.Context, config ExperimentConfig, log *slog.Logger) ([]*Report, error) {
-	if err := awaitReady(ctx, config.Cluster); err != nil {
+	if err := AwaitReady(ctx, config.Cluster); err != nil {
 		return nil, err
 	}
 	fleets := NewFleets(config.Cluster.Fleets)
@@ -59,7 +60,7 @@
 	Run(ctx, config.load("warm-up", Steady(base, warmUp)))
 	var reports []*Report
 	for _, scenario := range Scenarios {
-		if !contains(config.Scenarios, scenario) {
+		if !slices.Contains(config.Scenarios, scenario) {
 			continue
 		}
 		log.Info("scenario starts", "scenario", scenario, "variant", config.Cluster.Variant, "base_rate", fmt.Sprintf("%.0f", base))
@@ -72,17 +73,8 @@
 	return reports, nil
 }
 
-func contains(names []string, name string) bool {
-	for _, one := range names {
-		if one == name {
-			return true
-		}
-	}
-	return false
-}
-
-// awaitReady waits until each upstream is ready in the view that is in force.
-func awaitReady(ctx context.Context, cluster Cluster) error {
+// AwaitReady waits until each upstream is ready in the view that is in force.
+func AwaitReady(ctx context.Context, cluster Cluster) error {
 	control := controlrpc.NewClient(cluster.Control, controlrpc.PlainDialer)
 	defer control.Close()
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
@@ -183,7 +175,11 @@
 			plan.disturb(running)
 		}
 	}()
+	edges := make(chan windowEdges, 1)
+	go func() { edges <- readEdges(running, fleets, plan.window) }()
 	samples := Run(ctx, c.load(scenario, plan.profile))
+	// A run may end right at the end of its window, so the edges are awaited before the readers are stopped.
+	edge := <-edges
 	stop()
 	<-done
 	if disturbed != nil {
@@ -193,9 +189,28 @@
 	report := Summarize(samples, plan.window, c.Deadline)
 	report.User, report.Variant, report.Scenario = c.Shape.User, c.Cluster.Variant, scenario
 	report.BoundRate = min(report.OfferedRate, c.Shape.Bound(report.OfferedRate, plan.slotsShare))
+	report.AddSlotUse(c.Shape.Busiest(), edge.from, edge.to, edge.length)
 	return report, addStandinFigures(ctx, fleets, report, samples, before)
 }
 
+// windowEdges are the stand-ins' counters at the edges of a window.
+type windowEdges struct {
+	from, to Work
+	length   time.Duration
+}
+
+// readEdges returns zero counters for a reading that failed; the use of slots is then reported as 0.
+func readEdges(ctx context.Context, fleets *Fleets, window Window) windowEdges {
+	var edges windowEdges
+	pauseFor(ctx, window.From)
+	began := time.Now()
+	edges.from, _ = fleets.Work(ctx)
+	pauseFor(ctx, window.To-window.From)
+	edges.to, _ = fleets.Work(ctx)
+	edges.length = time.Since(began)
+	return edges
+}
+
 func addStandinFigures(ctx context.Context, fleets *Fleets, report *Report, samples []Sample, before Work) error {
 	after, err := fleets.Work(ctx)
 	if err != nil {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -150,6 +150,10 @@
 		Expect(report.P50Millis).To(BeNumerically("~", 200, 1))
 		report.AddWork(load.Work{Searches: 100}, load.Work{Searches: 121})
 		Expect(report.ExtraLoad).To(BeNumerically("~", 0.05, 1e-9))
+		from := load.Work{Slots: map[string]load.SlotUse{"s": {BusyMillis: 100, Slots: 4}}}
+		to := load.Work{Slots: map[string]load.SlotUse{"s": {BusyMillis: 3_300, Slots: 4}, "other": {BusyMillis: 9_000, Slots: 4}}}
+		report.AddSlotUse([]string{"s"}, from, to, time.Second)
+		Expect(report.SlotUse).To(BeNumerically("~", 0.8, 1e-9), "3.2 s of 4 slot seconds")
 	})
 
 	It("finds bookings that were doubled, lost or wrongly called not run", func() {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -55,6 +55,11 @@
 	Cancelled int     `json:"sub_requests_cancelled"`
 	ExtraLoad float64 `json:"extra_load"`
 
+	// SlotUse is the share of the window for which the slots of the busiest services were held.
+	SlotUse float64 `json:"slot_use"`
+	// MaxConnections is the highest number of connections that any stand-in had open so far.
+	MaxConnections int `json:"max_connections"`
+
 	Bookings        int `json:"bookings"`
 	BookingsDone    int `json:"bookings_answered"`
 	BookingsDoubled int `json:"bookings_doubled"`
@@ -156,12 +161,25 @@
 func (r *Report) AddWork(before, after Work) {
 	r.Started = int(after.Searches - before.Searches)
 	r.Cancelled = int(after.Cancelled - before.Cancelled)
+	r.MaxConnections = after.MaxConnections
 	r.AfterGrace = int(after.AfterGrace - before.AfterGrace)
 	if r.Needed > 0 {
 		r.ExtraLoad = float64(r.Started)/float64(r.Needed) - 1
 	}
 }
 
+// AddSlotUse adds how much of the time between two readings the slots of the services were held.
+func (r *Report) AddSlotUse(services []string, from, to Work, length time.Duration) {
+	var busy, available float64
+	for _, service := range services {
+		busy += to.Slots[service].BusyMillis - from.Slots[service].BusyMillis
+		available += float64(to.Slots[service].Slots) * float64(length.Milliseconds())
+	}
+	if available > 0 {
+		r.SlotUse = busy / available
+	}
+}
+
 // AddBookings compares the answers of bookings with the runs at the stand-ins.
 func (r *Report) AddBookings(samples []Sample, runs map[string]int) {
 	answered := map[string]bool{}
--- a/internal/load/shape.go
+++ b/internal/load/shape.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"path"
+	"sort"
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
@@ -235,6 +236,23 @@
 	return capacity
 }
 
+// Busiest returns the services whose slots fill first.
+func (s Shape) Busiest() []string {
+	loads := s.shardLoads()
+	highest := 0.0
+	for _, load := range loads {
+		highest = max(highest, load.demand/load.capacity)
+	}
+	var names []string
+	for name, load := range loads {
+		if load.demand/load.capacity > highest*(1-1e-9) {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
 // Bound returns the queries per second that the slots can complete when queries arrive at the rate: each class is
 // limited by its busiest shard. The replicas share scales the slots, for a run in which upstreams left.
 func (s Shape) Bound(rate, slotsShare float64) float64 {
--- /dev/null
+++ b/internal/load/slopes/inprocess.go
@@ -0,0 +1,228 @@
+package slopes
+
+import (
+	"encoding/gob"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/controlstate"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/ownership"
+)
+
+// Sizes of the in-process measurements.
+var (
+	upstreamSizes = []int{115, 500, 2_000, 5_000, 15_000}
+	memberSizes   = []int{8, 100, 400, 1_000, 2_800}
+	bookingSizes  = []int{10_000, 25_000, 50_000, 75_000, 100_000}
+	logSizes      = []int{1_000, 2_000, 4_000, 8_000}
+)
+
+const (
+	fewMembers      = 8
+	fewUpstreams    = 115
+	repeatedTimings = 9
+	responseBytes   = 64
+)
+
+// InProcess measures the slopes that need no other process.
+func InProcess() ([]Slope, error) {
+	var all []Slope
+	for _, measure := range []func() (Slope, error){
+		viewPerUpstream, viewPerMember, ownershipPerUpstream, ownershipPerMember, bookingMemory, bookingLog,
+	} {
+		slope, err := measure()
+		if err != nil {
+			return all, err
+		}
+		all = append(all, slope)
+	}
+	return all, nil
+}
+
+func syntheticView(members, upstreams int) model.View {
+	view := model.View{Revision: 1_000}
+	for n := range members {
+		view.Members = append(view.Members, syntheticMember(n))
+	}
+	for n := range upstreams {
+		view.Upstreams = append(view.Upstreams, model.Upstream{Announcement: syntheticAnnouncement(n), State: model.UpstreamReady, Since: 900})
+	}
+	return view
+}
+
+func syntheticMember(n int) model.Member {
+	return model.Member{
+		ID: fmt.Sprintf("entry-%04d", n), Instance: uint64(n + 1), FailureDomain: "halle-a",
+		RPCAddress: fmt.Sprintf("10.0.%d.%d:7002", n/250, n%250),
+	}
+}
+
+// syntheticAnnouncement makes two replicas of each shard and 410 shards for each service, the fan-out of the two-year
+// size.
+func syntheticAnnouncement(n int) model.Announcement {
+	const shards = 410
+	shard := n / 2
+	service := fmt.Sprintf("service-%02d", shard/shards)
+	return model.Announcement{
+		Name: fmt.Sprintf("%s-s%03d-r%d", service, shard%shards, n%2), Instance: fmt.Sprintf("%d-%d", 4_000+n, 1_796_000_000+n),
+		Service: service, FailureDomain: "halle-b", Address: fmt.Sprintf("10.1.%d.%d:9001", n/250, n%250),
+		Shard: shard % shards, ShardCount: shards, Generation: 3, MinVersion: 41, MaxVersion: 42, Slots: 2, Connections: 25,
+	}
+}
+
+// countingWriter counts what is written to it.
+type countingWriter struct{ bytes int }
+
+func (w *countingWriter) Write(data []byte) (int, error) {
+	w.bytes += len(data)
+	return len(data), nil
+}
+
+// viewBytes is the size of a view in the encoding of net/rpc, without the type descriptions that a connection sends
+// once.
+func viewBytes(view model.View) (float64, error) {
+	var count countingWriter
+	encoder := gob.NewEncoder(&count)
+	if err := encoder.Encode(controlrpc.ViewReply{}); err != nil {
+		return 0, fault.New(fault.Internal, "slopes.view", "%w", err)
+	}
+	before := count.bytes
+	if err := encoder.Encode(controlrpc.ViewReply{View: view}); err != nil {
+		return 0, fault.New(fault.Internal, "slopes.view", "%w", err)
+	}
+	return float64(count.bytes - before), nil
+}
+
+func viewPerUpstream() (Slope, error) {
+	var points []Point
+	for _, size := range upstreamSizes {
+		bytes, err := viewBytes(syntheticView(fewMembers, size))
+		if err != nil {
+			return Slope{}, err
+		}
+		points = append(points, Point{float64(size), bytes})
+	}
+	return Fit("view bytes by upstreams", "bytes per upstream", "8 members, in process, gob", points), nil
+}
+
+func viewPerMember() (Slope, error) {
+	var points []Point
+	for _, size := range memberSizes {
+		bytes, err := viewBytes(syntheticView(size, fewUpstreams))
+		if err != nil {
+			return Slope{}, err
+		}
+		points = append(points, Point{float64(size), bytes})
+	}
+	return Fit("view bytes by members", "bytes per member", "115 upstreams, in process, gob", points), nil
+}
+
+// fastest returns the shortest of several timings in microseconds; other work on the machine only makes them longer.
+func fastest(work func()) float64 {
+	best := time.Duration(1<<63 - 1)
+	for range repeatedTimings {
+		began := time.Now()
+		work()
+		best = min(best, time.Since(began))
+	}
+	return float64(best.Microseconds())
+}
+
+func ownershipPerUpstream() (Slope, error) {
+	var points []Point
+	for _, size := range upstreamSizes {
+		view := syntheticView(fewMembers, size)
+		points = append(points, Point{float64(size), fastest(func() { ownership.Assign(view) })})
+	}
+	return Fit("ownership time by upstreams", "us per upstream", "8 members, in process, shortest of 9", points), nil
+}
+
+func ownershipPerMember() (Slope, error) {
+	var points []Point
+	for _, size := range memberSizes {
+		view := syntheticView(size, upstreamSizes[len(upstreamSizes)-1])
+		points = append(points, Point{float64(size), fastest(func() { ownership.Assign(view) })})
+	}
+	return Fit("ownership time by members", "us per member", "15,000 upstreams of 19 services, in process, shortest of 9", points), nil
+}
+
+func bookingCommands(n int) (intent, outcome controlstate.Command) {
+	key := fmt.Sprintf("lot-2026-12-04-%08d", n)
+	intent.UnixMillis = 1_796_000_000_000 + int64(n)
+	intent.BookingIntent = &controlstate.BookingIntent{
+		Key: key, Digest: fmt.Sprintf("%064x", n), Service: "settlement", Upstream: "settlement-s0-r1",
+		OwnerID: "entry-0001", OwnerInstance: 17, SenderID: "entry-0002", SenderInstance: 18,
+	}
+	outcome.UnixMillis = intent.UnixMillis
+	outcome.BookingOutcome = &controlstate.BookingOutcome{
+		Key: key, Attempt: 1, State: controlstate.BookingDone, Response: make([]byte, responseBytes),
+	}
+	return intent, outcome
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+// bookingMemory applies commands in their encoded form, so that the state holds no memory shared with the caller.
+func bookingMemory() (Slope, error) {
+	state := controlstate.New()
+	before := heapBytes()
+	var points []Point
+	applied := 0
+	for _, size := range bookingSizes {
+		for ; applied < size; applied++ {
+			if err := applyBooking(state, applied); err != nil {
+				return Slope{}, err
+			}
+		}
+		points = append(points, Point{float64(size) / 1_000, (heapBytes() - before) / 1e6})
+	}
+	runtime.KeepAlive(state)
+	return Fit("control memory by bookings", "MB of heap per 1,000 bookings", "64-byte responses, in process, after GC", points), nil
+}
+
+func applyBooking(state *controlstate.State, n int) error {
+	intent, outcome := bookingCommands(n)
+	for step, command := range []controlstate.Command{intent, outcome} {
+		data, err := command.Encode()
+		if err != nil {
+			return err
+		}
+		decoded, err := controlstate.DecodeCommand(data)
+		if err != nil {
+			return err
+		}
+		if result := state.Apply(uint64(2*n+step+1), decoded); result.Fault != nil {
+			return result.Fault.AsError()
+		}
+	}
+	return nil
+}
+
+func bookingLog() (Slope, error) {
+	var points []Point
+	for _, size := range logSizes {
+		bytes := 0
+		for n := range size {
+			intent, outcome := bookingCommands(n)
+			for _, command := range []controlstate.Command{intent, outcome} {
+				data, err := command.Encode()
+				if err != nil {
+					return Slope{}, err
+				}
+				bytes += len(data)
+			}
+		}
+		points = append(points, Point{float64(size), float64(bytes)})
+	}
+	return Fit("log bytes by bookings", "bytes per booking", "intent and outcome, 64-byte responses, without record headers", points), nil
+}
--- /dev/null
+++ b/internal/load/slopes/slopes_test.go
@@ -0,0 +1,31 @@
+package slopes_test
+
+import (
+	"bytes"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wisteriamux/wisteriamux/internal/load/slopes"
+)
+
+func TestSlopes(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Slopes")
+}
+
+var _ = Describe("Fit", func() {
+	It("states the slope with its standard error, so that no capacity figure looks exact", func() {
+		points := []slopes.Point{{Size: 1, Cost: 2}, {Size: 2, Cost: 4}, {Size: 3, Cost: 5}, {Size: 4, Cost: 4}, {Size: 5, Cost: 5}}
+		slope := slopes.Fit("cost", "us per item", "test", points)
+		Expect(slope.PerUnit).To(BeNumerically("~", 0.6, 1e-9))
+		Expect(slope.Fixed).To(BeNumerically("~", 2.2, 1e-9))
+		// The residual sum is 2.4 over 3 degrees of freedom; the sizes spread by 10 around their mean of 3.
+		Expect(slope.StdErr).To(BeNumerically("~", 0.282843, 1e-6))
+		Expect(slope.FixedErr).To(BeNumerically("~", 0.938083, 1e-6))
+		var table bytes.Buffer
+		Expect(slopes.WriteTable(&table, []slopes.Slope{slope})).To(Succeed())
+		Expect(table.String()).To(ContainSubstring("| cost | 0.6 | 0.28 | 2.2 | 0.94 | us per item | 0.6000 | 1, 2, 3, 4, 5 | test |"))
+	})
+})
--- a/internal/load/standins.go
+++ b/internal/load/standins.go
@@ -19,6 +19,16 @@
 	Searches   uint64
 	Cancelled  uint64
 	AfterGrace uint64
+	// MaxConnections is the highest number of connections that any stand-in had open at a time.
+	MaxConnections int
+	// Slots holds the time for which slots were held and the number of slots of each service.
+	Slots map[string]SlotUse
+}
+
+// SlotUse is the use of the slots of one service.
+type SlotUse struct {
+	BusyMillis float64
+	Slots      int
 }
 
 // Fleets reads and controls the stand-ins of several fleet processes.
@@ -56,11 +66,14 @@
 	if err != nil {
 		return Work{}, err
 	}
-	var work Work
+	work := Work{Slots: map[string]SlotUse{}}
 	for _, one := range stats {
 		work.Searches += one.SearchesStarted
 		work.Cancelled += one.Cancelled
 		work.AfterGrace += one.ReceivedAfterGrace
+		work.MaxConnections = max(work.MaxConnections, one.MaxConnections)
+		use := work.Slots[one.Service]
+		work.Slots[one.Service] = SlotUse{use.BusyMillis + one.BusyMillis, use.Slots + one.Slots}
 	}
 	return work, nil
 }
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -32,6 +32,8 @@
 	{"failed", func(r *Report) string { return strconv.Itoa(r.Failed) }},
 	{"shards missing", func(r *Report) string { return strconv.Itoa(r.ShardsMissing) }},
 	{"extra load %", func(r *Report) string { return fmt.Sprintf("%.2f", 100*r.ExtraLoad) }},
+	{"use of busiest slots %", func(r *Report) string { return fmt.Sprintf("%.1f", 100*r.SlotUse) }},
+	{"most connections of an upstream", func(r *Report) string { return strconv.Itoa(r.MaxConnections) }},
 	{"refused", func(r *Report) string { return sortedCounts(r.Refusals) }},
 	{"cut", func(r *Report) string { return strconv.Itoa(r.Cut) }},
 	{"false coverage", func(r *Report) string { return strconv.Itoa(r.FalseCoverage) }},
--- a/internal/standin/stats.go
+++ b/internal/standin/stats.go
@@ -27,7 +27,10 @@
 	InFlight    int `json:"in_flight"`
 	MaxInFlight int `json:"max_in_flight"`
 	Queued      int `json:"queued"`
-	MaxQueued   int `json:"max_queued"`
+	// BusyMillis is the time for which slots were held, summed over the slots, of requests that have ended.
+	BusyMillis float64 `json:"busy_ms"`
+	Slots      int     `json:"slots"`
+	MaxQueued  int     `json:"max_queued"`
 
 	ConnectionsAccepted uint64 `json:"connections_accepted"`
 	ConnectionsOpen     int    `json:"connections_open"`
@@ -54,6 +57,7 @@
 	stats.Service = u.announcement.Service
 	stats.Shard = u.announcement.Shard
 	stats.State = u.state
+	stats.Slots = cap(u.slots)
 	stats.Refused = stats.RefusedShed + stats.RefusedExpired + stats.RefusedLeaving + stats.RefusedSnapshot
 	stats.DoubledBookings = map[string]int{}
 	for key, runs := range u.bookings {
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -151,7 +151,7 @@
 	if err := u.takeSlot(ctx, deadline); err != nil {
 		return err
 	}
-	defer u.freeSlot()
+	defer u.freeSlot(time.Now())
 	u.update(func(s *Stats) { s.SearchesStarted++ })
 	if !pause(ctx, u.pacer.draw(time.Now())) {
 		return errCancelled
@@ -165,7 +165,7 @@
 	if err := u.takeSlot(ctx, deadline); err != nil {
 		return 0, err
 	}
-	defer u.freeSlot()
+	defer u.freeSlot(time.Now())
 	u.mu.Lock()
 	u.bookings[key]++
 	runs := u.bookings[key]
@@ -215,8 +215,11 @@
 	return nil
 }
 
-func (u *Upstream) freeSlot() {
-	u.update(func(s *Stats) { s.InFlight-- })
+func (u *Upstream) freeSlot(taken time.Time) {
+	u.update(func(s *Stats) {
+		s.InFlight--
+		s.BusyMillis += float64(time.Since(taken).Microseconds()) / 1e3
+	})
 	<-u.slots
 }
 
--- /dev/null
+++ b/scripts/experiment-lib.sh
@@ -0,0 +1,44 @@
+# Starts and ends clusters on loopback for the experiment scripts. To be sourced from the root of the repository after
+# $results is set.
+work=$(mktemp -d)
+names=()
+pids=()
+stop_cluster() {
+  [ "${#pids[@]}" = 0 ] || kill "${pids[@]}" 2>/dev/null || true
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  names=()
+  pids=()
+}
+finish() {
+  stop_cluster
+  rm -rf "$work"
+}
+trap finish EXIT
+go build -o "$work/" ./cmd/...
+mkdir -p "$results"
+: >"$results/processes.log"
+
+start() { # name, command
+  names+=("$1")
+  "${@:2}" 2>>"$results/processes.log" & pids+=($!)
+}
+
+start_cluster() { # directory written by "wmux-load shape"
+  local file name control
+  for file in "$1"/control-*.toml; do
+    start "$(basename "$file" .toml)" "$work/wmux-control" --settings "$file"
+  done
+  for file in "$1"/entry-*.toml; do
+    start "$(basename "$file" .toml)" "$work/wmux-entry" --settings "$file"
+  done
+  control=$(sed -n 's/^control_addresses = \[\(.*\)\]/\1/p' "$1/entry-1.toml" | tr -d '" ')
+  for _ in $(seq 50); do
+    "$work/wmuxctl" --control "$control" apply --file "$1/inventory.toml" --base 0 --change experiment \
+      >>"$results/processes.log" 2>&1 && break
+    sleep 0.2
+  done
+  for file in "$1"/fleet-*.toml; do
+    start "$(basename "$file" .toml)" "$work/wmux-upstream" fleet --file "$file"
+  done
+  for name in "${!names[@]}"; do echo "${names[$name]} ${pids[$name]}"; done >"$1/processes"
+}
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -9,49 +9,19 @@
 users=${1:-blumenwagen,safari}
 variants=${2:-owner,direct,random,least-outstanding,no-hedging}
 scenarios=${3:-rest,slow,spike,shrink}
-port=${WMUX_EXPERIMENT_PORT:-22000}
 results=${WMUX_RESULTS:-results}
-controls=${WMUX_CONTROLS:-1}
-load_flags=${WMUX_LOAD_FLAGS:-}
-work=$(mktemp -d)
-pids=()
-stop_cluster() {
-  [ "${#pids[@]}" = 0 ] || kill "${pids[@]}" 2>/dev/null || true
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  pids=()
-}
-finish() {
-  stop_cluster
-  rm -rf "$work"
-}
-trap finish EXIT
-go build -o "$work/" ./cmd/...
-mkdir -p "$results"
-
-start() { "$@" 2>>"$results/processes.log" & pids+=($!); }
-start_cluster() { # directory
-  local file
-  for file in "$1"/control-*.toml; do start "$work/wmux-control" --settings "$file"; done
-  for file in "$1"/entry-*.toml; do start "$work/wmux-entry" --settings "$file"; done
-  local control
-  control=$(sed -n 's/^control_addresses = \[\(.*\)\]/\1/p' "$1/entry-1.toml" | tr -d '" ')
-  for _ in $(seq 50); do
-    "$work/wmuxctl" --control "$control" apply --file "$1/inventory.toml" --base 0 --change experiment >/dev/null 2>&1 && break
-    sleep 0.2
-  done
-  for file in "$1"/fleet-*.toml; do start "$work/wmux-upstream" fleet --file "$file"; done
-}
+. scripts/experiment-lib.sh
 
 files=()
-: >"$results/processes.log"
 for user in ${users//,/ }; do
   for variant in ${variants//,/ }; do
     dir=$work/$user-$variant
-    "$work/wmux-load" shape --user "$user" --variant "$variant" --port "$port" --control "$controls" --dir "$dir"
+    "$work/wmux-load" shape --user "$user" --variant "$variant" --port "${WMUX_EXPERIMENT_PORT:-22000}" \
+      --control "${WMUX_CONTROLS:-1}" --dir "$dir"
     start_cluster "$dir"
     # shellcheck disable=SC2086
     if "$work/wmux-load" experiment --user "$user" --variant "$variant" --cluster "$dir/cluster.json" \
-      --scenario "$scenarios" --out "$results/$user-$variant.json" $load_flags; then
+      --scenario "$scenarios" --out "$results/$user-$variant.json" ${WMUX_LOAD_FLAGS:-}; then
       files+=("$results/$user-$variant.json")
     else
       echo "no result for $user $variant, see $results/processes.log" >&2
