--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,10 @@
 	ControlAddresses []string `toml:"control_addresses"`
 	LameDuckMillis   int      `toml:"lame_duck_ms"`
 	DrainMillis      int      `toml:"drain_ms"`
+	// Ownership is "owner" or "direct", Balance "observed", "random" or "least-outstanding".
+	Ownership string `toml:"ownership"`
+	Balance   string `toml:"balance"`
+	Hedging   bool   `toml:"hedging"`
 }
 
 // Control holds the settings of wmux-control.
@@ -27,6 +31,8 @@
 	FailureDomain string `toml:"failure_domain"`
 	RPCAddress    string `toml:"rpc_address"`
 	DataDir       string `toml:"data_dir"`
+	// FaultRulesFile names the rules of internal/netcut. It is set only in fault tests.
+	FaultRulesFile string `toml:"fault_rules_file"`
 }
 
 // Operator holds the inventory and the rules that an operator applies.
@@ -37,7 +43,7 @@
 
 // LoadEntry reads the settings of wmux-entry.
 func LoadEntry(path string) (Entry, error) {
-	loaded := Entry{LameDuckMillis: 2_000, DrainMillis: 30_000}
+	loaded := Entry{LameDuckMillis: 2_000, DrainMillis: 30_000, Ownership: "owner", Balance: "observed", Hedging: true}
 	err := load(path, &loaded)
 	return loaded, err
 }
