Check settings as a whole and secure the daemons and the command line

Cause: a wrong value was found one at a time or only at run time, and the TLS package was not wired.

Ruled out: a hand-made range checker; the validator library covers it and only the line lookup is our own. The TLS path of the daemons has no test over processes yet.

--- a/cmd/wmux-control/run.go
+++ b/cmd/wmux-control/run.go
@@ -15,6 +15,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/netcut"
 	"github.com/wisteriamux/wisteriamux/internal/raftnode"
+	"github.com/wisteriamux/wisteriamux/internal/security"
 	"github.com/wisteriamux/wisteriamux/internal/settings"
 	"github.com/wisteriamux/wisteriamux/internal/telemetry"
 )
@@ -34,18 +35,23 @@
 		return err
 	}
 	go rules.Run(ctx)
+	transport, err := security.NewTransport(loaded.TLS)
+	if err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", loaded.RPCAddress)
 	if err != nil {
 		return fault.New(fault.Unavailable, "control.listen", "%w", err)
 	}
 	defer func() { _ = listener.Close() }()
 	machine := control.NewMachine()
-	node, err := openNode(loaded, machine, rules, log)
+	node, err := openNode(loaded, machine, rules, transport, log)
 	if err != nil {
 		return err
 	}
 	service := control.NewService(loaded.ID, machine, node, time.Now).WithGroup(control.NewRaftGroup(node)).WithLog(log)
-	if err := serve(rules.Listener(listener), service, node); err != nil {
+	secured := transport.Listener(rules.Listener(listener), security.RoleControl, security.RoleEntry, security.RoleOperator)
+	if err := serve(secured, service, node); err != nil {
 		return err
 	}
 	go service.Run(ctx)
@@ -59,11 +65,13 @@
 	}
 }
 
-func openNode(loaded settings.Control, machine *control.Machine, rules *netcut.Rules, log *slog.Logger) (*raftnode.Node, error) {
+func openNode(loaded settings.Control, machine *control.Machine, rules *netcut.Rules, transport *security.Transport,
+	log *slog.Logger,
+) (*raftnode.Node, error) {
 	config := nodeConfig(loaded)
 	config.Machine = machine
 	config.Log = log
-	config.Dial = raftnode.Dialer(rules.Dialer(dialFrom(loaded, rules != nil)))
+	config.Dial = transport.Dialer(rules.Dialer(dialFrom(loaded, rules != nil)), security.RoleControl)
 	return raftnode.Open(config)
 }
 
--- a/cmd/wmux-entry/main.go
+++ b/cmd/wmux-entry/main.go
@@ -14,7 +14,8 @@
 	"github.com/wisteriamux/wisteriamux/internal/balance"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/entry"
-	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/netcut"
+	"github.com/wisteriamux/wisteriamux/internal/security"
 	"github.com/wisteriamux/wisteriamux/internal/settings"
 	"github.com/wisteriamux/wisteriamux/internal/telemetry"
 	"github.com/wisteriamux/wisteriamux/internal/trace"
@@ -39,6 +40,7 @@
 		Use:          "wmux-entry",
 		Short:        "Run the entry daemon",
 		Example:      "  wmux-entry --settings entry.toml",
+		Args:         cobra.NoArgs,
 		SilenceUsage: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			loaded, err := settings.LoadEntry(path)
@@ -48,7 +50,24 @@
 			return run(cmd.Context(), loaded)
 		},
 	}
-	command.Flags().StringVar(&path, "settings", "entry.toml", "settings file")
+	command.PersistentFlags().StringVar(&path, "settings", "entry.toml", "settings file")
+	command.AddCommand(&cobra.Command{
+		Use:     "check",
+		Short:   "Check the settings file without starting",
+		Example: "  wmux-entry check --settings entry.toml",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			loaded, err := settings.LoadEntry(path)
+			if err != nil {
+				return err
+			}
+			if _, err := security.NewTransport(loaded.TLS); err != nil {
+				return err
+			}
+			cmd.Printf("settings of %s are valid\n", loaded.ID)
+			return nil
+		},
+	})
 	return command
 }
 
@@ -62,7 +81,17 @@
 	if err != nil {
 		return err
 	}
-	control := controlrpc.NewClient(loaded.ControlAddresses, controlrpc.PlainDialer)
+	transport, err := security.NewTransport(loaded.TLS)
+	if err != nil {
+		return err
+	}
+	rules, err := netcut.Open(loaded.FaultRulesFile, log)
+	if err != nil {
+		return err
+	}
+	go rules.Run(ctx)
+	dial := rules.Dialer(controlrpc.PlainDialer)
+	control := controlrpc.NewClient(loaded.ControlAddresses, transport.Dialer(dial, security.RoleControl))
 	defer control.Close()
 	recorder, err := openTrace(loaded)
 	if err != nil {
@@ -79,12 +108,9 @@
 		Balance:       balance.Policy(loaded.Balance),
 		Hedging:       loaded.Hedging,
 	}
-	if !config.Ownership.Valid() || !config.Balance.Valid() {
-		return fault.New(fault.Settings, "settings", "unknown ownership %q or balance %q", loaded.Ownership, loaded.Balance)
-	}
-	server := entry.New(config, control, loaded.RPCAddress, controlrpc.PlainDialer, log)
+	server := entry.New(config, control, loaded.RPCAddress, transport.Dialer(dial, security.RoleEntry), log)
 	log.Info("started", "caller_address", loaded.CallerAddress, "rpc_address", loaded.RPCAddress)
-	return server.Run(ctx, callers, peers)
+	return server.Run(ctx, callers, transport.Listener(rules.Listener(peers), security.RoleEntry))
 }
 
 func openTrace(loaded settings.Entry) (*trace.Recorder, error) {
--- a/cmd/wmuxctl/main.go
+++ b/cmd/wmuxctl/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/security"
 )
 
 const callTimeout = 10 * time.Second
@@ -47,8 +48,11 @@
 	root.PersistentFlags().StringSliceVar(&shared.control, "control", []string{"127.0.0.1:7001"}, "addresses of the control members")
 	root.PersistentFlags().BoolVar(&shared.json, "json", false, "print JSON")
 	root.PersistentFlags().DurationVar(&shared.timeout, "timeout", callTimeout, "how long to try to reach the control leader")
+	root.PersistentFlags().StringVar(&shared.tls.Certificate, "tls-certificate", "", "certificate of the operator")
+	root.PersistentFlags().StringVar(&shared.tls.Key, "tls-key", "", "key of the operator's certificate")
+	root.PersistentFlags().StringVar(&shared.tls.Authority, "tls-authority", "", "certificate of the authority")
 	root.AddCommand(
-		applyCommand(shared), configCommand(shared),
+		certificateCommand(), applyCommand(shared), configCommand(shared),
 		statusCommand(shared), servicesCommand(shared), membersCommand(shared),
 		upstreamsCommand(shared), drainCommand(shared), undrainCommand(shared),
 		bookingsCommand(shared), quarantineCommand(shared), controlCommand(shared),
@@ -78,7 +82,11 @@
 func (o *options) withControl(cmd *cobra.Command, work func(s session) error) error {
 	ctx, cancel := context.WithTimeout(cmd.Context(), o.timeout)
 	defer cancel()
-	client := controlrpc.NewClient(o.control, controlrpc.PlainDialer)
+	transport, err := security.NewTransport(o.tls)
+	if err != nil {
+		return err
+	}
+	client := controlrpc.NewClient(o.control, transport.Dialer(controlrpc.PlainDialer, security.RoleControl))
 	defer client.Close()
 	return work(session{Client: client, ctx: ctx})
 }
--- a/cmd/wmuxctl/output.go
+++ b/cmd/wmuxctl/output.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/security"
 )
 
 // options are the flags that all commands share.
@@ -17,6 +18,7 @@
 	control []string
 	json    bool
 	timeout time.Duration
+	tls     security.Files
 	out     io.Writer
 }
 
--- a/internal/security/material.go
+++ b/internal/security/material.go
@@ -224,3 +224,6 @@
 		return conn, nil
 	}
 }
+
+// Valid reports whether the role is known.
+func (r Role) Valid() bool { return r == RoleEntry || r == RoleControl || r == RoleOperator }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,37 +2,48 @@
 package settings
 
 import (
+	"errors"
 	"os"
 
 	"github.com/BurntSushi/toml"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/security"
 )
 
 // Entry holds the settings of wmux-entry.
 type Entry struct {
-	ID               string   `toml:"id"`
-	FailureDomain    string   `toml:"failure_domain"`
-	CallerAddress    string   `toml:"caller_address"`
-	RPCAddress       string   `toml:"rpc_address"`
-	ControlAddresses []string `toml:"control_addresses"`
-	LameDuckMillis   int      `toml:"lame_duck_ms"`
-	DrainMillis      int      `toml:"drain_ms"`
-	// Ownership is "owner" or "direct", Balance "observed", "random" or "least-outstanding".
-	Ownership string `toml:"ownership"`
-	Balance   string `toml:"balance"`
+	ID               string   `toml:"id" validate:"required,max=64"`
+	FailureDomain    string   `toml:"failure_domain" validate:"required,max=64"`
+	CallerAddress    string   `toml:"caller_address" validate:"ip_port"`
+	RPCAddress       string   `toml:"rpc_address" validate:"ip_port"`
+	ControlAddresses []string `toml:"control_addresses" validate:"min=1,max=7,dive,ip_port"`
+	// LameDuckMillis is how long the health check fails before the listener closes, in ms.
+	LameDuckMillis int `toml:"lame_duck_ms" validate:"min=0,max=60000"`
+	// DrainMillis bounds the wait for requests in flight at a stop, in ms.
+	DrainMillis int `toml:"drain_ms" validate:"min=100,max=600000"`
+	// Ownership, Balance and Hedging select between the design and its baselines.
+	Ownership string `toml:"ownership" validate:"oneof=owner direct"`
+	Balance   string `toml:"balance" validate:"oneof=observed random least-outstanding"`
 	Hedging   bool   `toml:"hedging"`
 	// TraceFile records the events of the decision packages for wmux-replay; empty records nothing.
 	TraceFile string `toml:"trace_file"`
+	// TLS secures the connections to control members and other entry VMs; absent means none.
+	TLS security.Files `toml:"tls"`
+	// FaultRulesFile names the rules of internal/netcut. It is set only in fault tests.
+	FaultRulesFile string `toml:"fault_rules_file"`
 }
 
 // Control holds the settings of wmux-control.
 type Control struct {
-	ID            string `toml:"id"`
-	FailureDomain string `toml:"failure_domain"`
-	RPCAddress    string `toml:"rpc_address"`
-	DataDir       string `toml:"data_dir"`
+	ID            string `toml:"id" validate:"required,max=64"`
+	FailureDomain string `toml:"failure_domain" validate:"required,max=64"`
+	RPCAddress    string `toml:"rpc_address" validate:"ip_port"`
+	// DataDir holds the member's identity, log and snapshots.
+	DataDir string `toml:"data_dir" validate:"required"`
+	// TLS secures the connections of members, entry VMs and operators; absent means none.
+	TLS security.Files `toml:"tls"`
 	// FaultRulesFile names the rules of internal/netcut. It is set only in fault tests.
 	FaultRulesFile string `toml:"fault_rules_file"`
 }
@@ -71,10 +82,11 @@
 	}
 	meta, err := toml.Decode(string(data), into)
 	if err != nil {
+		var parse toml.ParseError
+		if errors.As(err, &parse) {
+			return fault.New(fault.Settings, "settings.load", "%s:%d: %w", path, parse.Position.Line, err)
+		}
 		return fault.New(fault.Settings, "settings.load", "%s: %w", path, err)
 	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return fault.New(fault.Settings, "settings.load", "%s: unknown key %q", path, unknown[0].String())
-	}
-	return nil
+	return check(path, data, meta, into)
 }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,70 @@
+package settings_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/settings"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Settings")
+}
+
+const valid = `id = "entry-1"
+failure_domain = "halle-a"
+caller_address = "127.0.0.1:8001"
+rpc_address = "127.0.0.1:8101"
+control_addresses = ["127.0.0.1:7001"]
+`
+
+func load(content string) (settings.Entry, error) {
+	path := filepath.Join(GinkgoT().TempDir(), "entry.toml")
+	Expect(os.WriteFile(path, []byte(content), 0o600)).To(Succeed())
+	return settings.LoadEntry(path)
+}
+
+func problems(err error) []settings.Problem {
+	Expect(fault.Is(err, fault.Settings)).To(BeTrue(), "%v", err)
+	var invalid *settings.Invalid
+	Expect(errors.As(err, &invalid)).To(BeTrue(), "%v", err)
+	return invalid.Problems
+}
+
+var _ = Describe("LoadEntry", func() {
+	It("fills defaults", func() {
+		loaded, err := load(valid)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(loaded.Ownership).To(Equal("owner"))
+		Expect(loaded.DrainMillis).To(Equal(30_000))
+	})
+
+	It("reports every problem at once with line, key, value and accepted range", func() {
+		_, err := load(valid + "drain_ms = 5\nbalance = \"fastest\"\nlame_dukc_ms = 3\n")
+		found := problems(err)
+		Expect(found).To(HaveLen(3))
+		Expect(found).To(ContainElement(And(
+			HaveField("Line", 6), HaveField("Key", "drain_ms"), HaveField("Value", "5"),
+			HaveField("Accepted", "at least 100, at most 600000"))))
+		Expect(found).To(ContainElement(And(HaveField("Line", 7), HaveField("Value", `"fastest"`),
+			HaveField("Accepted", "one of observed, random, least-outstanding"))))
+		Expect(found).To(ContainElement(And(HaveField("Line", 8), HaveField("Key", "lame_dukc_ms"))))
+	})
+
+	It("refuses a host name, which a process cannot be reached by", func() {
+		_, err := load(valid[:len(valid)-len("control_addresses = [\"127.0.0.1:7001\"]\n")] + "control_addresses = [\"control-1:7001\"]\n")
+		Expect(problems(err)).To(ConsistOf(And(HaveField("Line", 5), HaveField("Key", "control_addresses[0]"))))
+	})
+
+	It("names the line of a syntax error", func() {
+		_, err := load("id = \"entry-1\"\nfailure_domain = \n")
+		Expect(err).To(MatchError(ContainSubstring("entry.toml:2:")))
+	})
+})
