raft: consensus as a pure state machine, checked over random schedules

Cause: the log has one copy. Found on the way: the removal of an intact voter within one election timeout of the loss of another one's disk leaves too few voters for good. The leader refuses a membership whose voters it does not hear, but it notices silence only after an election timeout; this stays a documented limit of removal.

--- /dev/null
+++ b/internal/raft/raft_test.go
@@ -0,0 +1,175 @@
+package raft
+
+import (
+	"errors"
+	"flag"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+const (
+	stepsPerRun  = 60
+	propertySeed = "20260104"
+	// mutantRuns bounds the schedules that a mutant gets before it counts as unnoticed.
+	mutantRuns = 1000
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// Fixed, so that a failure in CI repeats.
+	_ = flag.Set("rapid.seed", propertySeed)
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func TestRaft(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "Raft")
+}
+
+// step is one operation of a schedule; its random choices follow from the seed.
+type step struct {
+	op   int
+	seed uint64
+}
+
+var schedules = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+	return step{op: rapid.IntRange(0, 19).Draw(t, "op"), seed: rapid.Uint64().Draw(t, "seed")}
+}), stepsPerRun, stepsPerRun)
+
+func (s *sim) step(st step) {
+	s.rng = rand.New(rand.NewPCG(st.seed, 7))
+	n := s.nodes[s.rng.IntN(len(s.nodes))]
+	switch st.op {
+	case 0, 1, 2, 3, 4:
+		s.rounds(1+s.rng.IntN(20), s.rng.IntN(30), s.rng.IntN(20))
+	case 5, 6:
+		s.rounds(1+s.rng.IntN(4), 0, 0)
+	case 7, 8, 9:
+		s.eachLeader(s.propose)
+	case 10:
+		s.freezeLeader()
+	case 11:
+		s.partition()
+	case 12, 13:
+		clear(s.cut)
+	case 14:
+		s.crash(n)
+	case 15:
+		s.crash(n)
+		s.start(n)
+	case 16, 17:
+		s.recover(n)
+	case 18:
+		s.compact(n)
+	case 19:
+		s.disrupt(n)
+	}
+	s.eachLeader(s.read)
+}
+
+// freezeLeader pauses the leader for long enough that another one acts, and then lets it serve a read at once.
+func (s *sim) freezeLeader() {
+	s.eachLeader(func(n *simNode) { n.frozen = true })
+	s.rounds(15, 0, 0)
+	s.eachLeader(s.propose)
+	s.rounds(3, 0, 0)
+	for _, n := range s.nodes {
+		n.frozen = false
+	}
+}
+
+// recover restarts a member and repairs the membership.
+func (s *sim) recover(n *simNode) {
+	if !n.up {
+		s.start(n)
+	}
+	s.eachLeader(s.administer)
+}
+
+func (s *sim) partition() {
+	side := s.rng.IntN(1 << len(s.nodes))
+	for i := range s.nodes {
+		for j := range s.nodes {
+			if side>>i&1 != side>>j&1 {
+				s.cut[[2]int{i, j}] = true
+			}
+		}
+	}
+}
+
+func (s *sim) disrupt(n *simNode) {
+	switch s.rng.IntN(3) {
+	case 0:
+		if s.mayWipe() {
+			s.wipe(n)
+		}
+	case 1:
+		s.eachLeader(func(n *simNode) { _ = n.machine.Transfer(0) })
+	case 2:
+		// Removing an intact voter while a wiped one still counts leaves too few voters for good.
+		if s.mayWipe() {
+			s.eachLeader(func(leader *simNode) { _, _ = leader.machine.Remove(n.id) })
+		}
+	}
+}
+
+func run(schedule []step, f faults, d driverFaults) error {
+	s := newSim(3, 4, f, d)
+	for _, st := range schedule {
+		s.step(st)
+		if s.found != nil {
+			return s.found
+		}
+	}
+	s.finish()
+	if s.found != nil {
+		return s.found
+	}
+	return nil
+}
+
+func TestInvariantsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := run(schedules.Draw(t, "schedule"), faults{}, driverFaults{}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// findViolation reports the first schedule that breaks the invariant.
+func findViolation(invariant string, f faults, d driverFaults) (int, error) {
+	for seed := range uint64(mutantRuns) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		var schedule []step
+		for range stepsPerRun {
+			schedule = append(schedule, step{op: rng.IntN(20), seed: rng.Uint64()})
+		}
+		err := run(schedule, f, d)
+		var found *violation
+		if errors.As(err, &found) && found.invariant == invariant {
+			return int(seed), err
+		}
+	}
+	return mutantRuns, nil
+}
+
+var _ = ginkgo.DescribeTable("a mutant breaks the invariant in some schedule, so that the check is known to notice it",
+	func(invariant string, f faults, d driverFaults) {
+		seed, err := findViolation(invariant, f, d)
+		Expect(err).To(HaveOccurred())
+		ginkgo.GinkgoWriter.Println("schedule", seed, err)
+	},
+	ginkgo.Entry("appends skip the check of the previous entry", logMatching, faults{skipMatchCheck: true}, driverFaults{}),
+	ginkgo.Entry("votes ignore the candidate's log", leaderCompleteness, faults{skipLogCheck: true}, driverFaults{}),
+	ginkgo.Entry("votes ignore the candidate's log", stateMachineSafety, faults{skipLogCheck: true}, driverFaults{}),
+	ginkgo.Entry("entries are acknowledged before sync", acknowledgedLost, faults{}, driverFaults{acknowledgeBeforeSync: true}),
+	ginkgo.Entry("a wiped disk keeps its identity", acknowledgedLost, faults{}, driverFaults{keepIdentity: true}),
+	ginkgo.Entry("reads skip the quorum round", staleRead, faults{readWithoutRound: true}, driverFaults{}),
+	ginkgo.Entry("learners are promoted before sync", promotedUnsynced, faults{promoteEmpty: true}, driverFaults{}),
+)
