--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"sync"
 	"time"
 
@@ -55,6 +56,7 @@
 // owner runs sub-requests on the upstreams that this entry VM owns, or on all of them with direct ownership.
 type owner struct {
 	session *session
+	guard   *crashGuard
 	direct  bool
 
 	// mu guards pools.
@@ -62,8 +64,8 @@
 	pools map[string]*pool
 }
 
-func newOwner(session *session, direct bool) *owner {
-	return &owner{session: session, direct: direct, pools: map[string]*pool{}}
+func newOwner(session *session, guard *crashGuard, direct bool) *owner {
+	return &owner{session: session, guard: guard, direct: direct, pools: map[string]*pool{}}
 }
 
 // run keeps pools of the owned upstreams ready, with connections, and closes those of upstreams that left.
@@ -157,6 +159,28 @@
 	return p.queue.Backlog()
 }
 
+// backlog counts the sub-requests that wait for or run on the upstream.
+func (o *owner) backlog(upstream string) int {
+	o.mu.Lock()
+	p, ok := o.pools[upstream]
+	o.mu.Unlock()
+	if !ok {
+		return 0
+	}
+	return p.backlog()
+}
+
+// totalBacklog counts the sub-requests that wait for or run on any upstream.
+func (o *owner) totalBacklog() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	total := 0
+	for _, p := range o.pools {
+		total += p.backlog()
+	}
+	return total
+}
+
 // submit queues a sub-request. done is called once with its result, unless the job is cancelled while it waits; ctx
 // cancels the job as well once it runs.
 func (o *owner) submit(ctx context.Context, sub ownerrpc.SubRequest, done func(ownerrpc.SubResult)) *job {
@@ -225,12 +249,7 @@
 func (o *owner) serve(p *pool, client *upstreamapi.Client, j *job) {
 	defer j.cancel()
 	result := ownerrpc.SubResult{ID: j.sub.ID}
-	started := o.session.now()
-	_, err := o.admit(j.sub)
-	if err == nil {
-		err = o.send(j, client, &result)
-		result.Service = o.session.now().Sub(started)
-	}
+	err := o.sendGuarded(j, client, &result)
 	result.Fault = fault.ToWire(err)
 	p.mu.Lock()
 	p.queue.Done(learned(p.queue.ServiceTime(), result, err))
@@ -240,6 +259,32 @@
 	j.done(result)
 }
 
+// sendGuarded waits until the request may share the upstream with others, checks again that the upstream takes work,
+// and sends it.
+func (o *owner) sendGuarded(j *job, client *upstreamapi.Client, result *ownerrpc.SubResult) error {
+	ticket, err := o.guard.beforeSend(j.ctx, guardedRequest{
+		upstream:    j.sub.Upstream,
+		group:       j.sub.Service + "/" + strconv.Itoa(j.sub.Shard),
+		fingerprint: searchFingerprint(j.sub.Service, j.sub.Query),
+		idempotent:  true,
+		retry:       j.sub.AfterCrash,
+	})
+	if err != nil {
+		return err
+	}
+	if _, err = o.admit(j.sub); err == nil {
+		started := o.session.now()
+		err = o.send(j, client, ticket.alone, result)
+		result.Service = o.session.now().Sub(started)
+	}
+	ticket.afterResult(err)
+	return err
+}
+
+func searchFingerprint(service, query string) string {
+	return Fingerprint(service, OperationSearch, []byte(query))
+}
+
 // learned returns the service time to learn from a result. A cancelled request only shows that its service time is
 // longer than its age.
 func learned(expected time.Duration, result ownerrpc.SubResult, err error) time.Duration {
@@ -249,22 +294,6 @@
 	return 0
 }
 
-// execute runs a sub-request and waits for its result.
-func (o *owner) execute(ctx context.Context, sub ownerrpc.SubRequest) ownerrpc.SubResult {
-	results := make(chan ownerrpc.SubResult, 1)
-	j := o.submit(ctx, sub, func(result ownerrpc.SubResult) { results <- result })
-	select {
-	case result := <-results:
-		return result
-	case <-j.ctx.Done():
-	}
-	if j.stop() {
-		err := fault.New(fault.NotRun, "owner.execute", "no slot on %s in time", sub.Upstream)
-		return ownerrpc.SubResult{ID: sub.ID, Fault: fault.ToWire(err)}
-	}
-	return <-results
-}
-
 // admit checks the lease, that the upstream still takes new work, and that this VM owns it unless the sender has seen a
 // later view.
 func (o *owner) admit(sub ownerrpc.SubRequest) (model.Upstream, error) {
@@ -282,7 +311,7 @@
 	return upstream, nil
 }
 
-func (o *owner) send(j *job, client *upstreamapi.Client, result *ownerrpc.SubResult) error {
+func (o *owner) send(j *job, client *upstreamapi.Client, fresh bool, result *ownerrpc.SubResult) error {
 	deadline, _ := j.ctx.Deadline()
 	sub := j.sub
 	call := upstreamapi.Call{
@@ -290,11 +319,7 @@
 		Timeout:    time.Until(deadline),
 		Version:    sub.Version,
 		Generation: sub.Generation,
-	}
-	if sub.Booking != nil {
-		answer, err := client.Book(j.ctx, call, sub.Booking.Key, sub.Booking.Attempt, sub.Booking.Payload)
-		result.Items = [][]byte{answer}
-		return err
+		Fresh:      fresh,
 	}
 	response, err := client.Search(j.ctx, call, upstreamapi.SearchRequest{Query: sub.Query, Shard: sub.Shard})
 	result.Items = rawItems(response.Items)
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -48,6 +48,9 @@
 	}
 	rules := make(map[string]model.Rule, len(services))
 	for _, service := range services {
+		if err := s.guard.IsQuarantined(searchFingerprint(service, request.Query)); err != nil {
+			return SearchResponse{}, err
+		}
 		rules[service] = config.RuleFor(service)
 	}
 	policy := snapshot.PolicyOf(rules)
--- a/internal/ownerrpc/messages.go
+++ b/internal/ownerrpc/messages.go
@@ -10,13 +10,6 @@
 // ServiceName is the name under which the owner service is registered with net/rpc.
 const ServiceName = "Owner"
 
-// Booking is the part of a sub-request that carries a booking attempt.
-type Booking struct {
-	Key     string
-	Attempt uint64
-	Payload []byte
-}
-
 // SubRequest is one unit of work for one upstream.
 type SubRequest struct {
 	// ID is unique among the sub-requests of the sending instance.
@@ -29,9 +22,11 @@
 	Timeout    time.Duration
 	Version    uint64
 	Generation uint64
+	Service    string
 	Query      string
 	Shard      int
-	Booking    *Booking
+	// AfterCrash marks a sub-request that was in flight when an upstream crashed.
+	AfterCrash bool
 }
 
 // SubResult is the outcome of one sub-request.
@@ -81,13 +76,3 @@
 
 // CancelReply confirms the cancellation.
 type CancelReply struct{}
-
-// ExecuteArgs carries one sub-request.
-type ExecuteArgs struct {
-	SubRequest SubRequest
-}
-
-// ExecuteReply carries its result.
-type ExecuteReply struct {
-	Result SubResult
-}
