--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -110,6 +110,10 @@
 		term: r.State.Term, vote: r.State.Vote, saved: r.State,
 	}
 	m.becomeFollower(m.term, 0)
+	if m.Membership().IsVoter(m.id) && m.Membership().Quorum() == 1 {
+		// No other member could lead, so that there is no reason to wait.
+		m.elapsed = m.timeout
+	}
 	return m, nil
 }
 
@@ -267,6 +271,12 @@
 	}
 }
 
+// Failure returns why the member must stop, or nil.
+func (m *Machine) Failure() error { return m.failure }
+
+// HardState returns the current hard state.
+func (m *Machine) HardState() HardState { return m.state() }
+
 // Role returns the current role.
 func (m *Machine) Role() Role { return m.role }
 
--- /dev/null
+++ b/internal/raftnode/admin.go
@@ -0,0 +1,187 @@
+package raftnode
+
+import (
+	"context"
+	"net/rpc"
+	"strconv"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/raft"
+)
+
+// adminPause is the wait before a membership change is tried again that was refused for the moment.
+const adminPause = 20 * time.Millisecond
+
+// AddMember asks the address for its identity and adds it as a learner. It becomes a voter by itself once its log is
+// synced. AddMember returns when the change is committed; a member that belongs to the group already is no error. The
+// earlier identity of a wiped member must be removed first.
+func (n *Node) AddMember(ctx context.Context, name, address string) error {
+	identity, err := n.identify(ctx, name, address)
+	if err != nil {
+		return err
+	}
+	learner := raft.Member{ID: identity, Name: name, Address: address}
+	return n.change(ctx, "add", func(l *loop) (raft.Position, bool, error) {
+		for _, member := range l.machine.Membership().Members {
+			if member.ID == identity {
+				return raft.Position{}, true, nil
+			}
+			if member.Name == name {
+				return raft.Position{}, true, fault.New(fault.Conflict, "raftnode.add",
+					"%s is a member with identity %x; remove it first", name, member.ID)
+			}
+		}
+		at, err := l.machine.AddLearner(learner)
+		return at, false, err
+	})
+}
+
+// identify asks the member at the address for its identity and checks its name.
+func (n *Node) identify(ctx context.Context, name, address string) (uint64, error) {
+	conn, err := n.config.Dial(address)
+	if err != nil {
+		return 0, fault.New(fault.Unavailable, "raftnode.add", "%s: %w", address, err)
+	}
+	client := rpc.NewClient(conn)
+	defer func() { _ = client.Close() }()
+	reply := new(IdentifyReply)
+	call := client.Go(ServiceName+".Identify", IdentifyArgs{}, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		return 0, fault.New(fault.Unavailable, "raftnode.add", "%s: %w", address, ctx.Err())
+	case <-call.Done:
+	}
+	if call.Error != nil {
+		return 0, fault.New(fault.Unavailable, "raftnode.add", "%s: %w", address, call.Error)
+	}
+	if reply.Name != name {
+		return 0, fault.New(fault.Conflict, "raftnode.add", "%s is served by %q instead of %q", address, reply.Name, name)
+	}
+	return reply.ID, nil
+}
+
+// RemoveMember removes the member with the identity (in hexadecimal) or the name. It returns when the change is
+// committed. The leader refuses to remove itself, and refuses a change after which it would not hear a quorum. It
+// notices a silent voter only after an election timeout, so that an operator must not remove an intact voter while
+// another one has just failed.
+func (n *Node) RemoveMember(ctx context.Context, idOrName string) error {
+	return n.change(ctx, "remove", func(l *loop) (raft.Position, bool, error) {
+		member, err := find(l.machine.Membership(), idOrName)
+		if err != nil {
+			return raft.Position{}, true, err
+		}
+		if member.ID == n.identity {
+			return raft.Position{}, true, fault.New(fault.Conflict, "raftnode.remove", "transfer leadership first")
+		}
+		at, err := l.machine.Remove(member.ID)
+		return at, false, err
+	})
+}
+
+func find(group raft.Membership, idOrName string) (raft.Member, error) {
+	if id, err := strconv.ParseUint(idOrName, 16, 64); err == nil {
+		if member, ok := group.Find(id); ok {
+			return member, nil
+		}
+	}
+	for _, member := range group.Members {
+		if member.Name == idOrName {
+			return member, nil
+		}
+	}
+	return raft.Member{}, fault.New(fault.NotFound, "raftnode.find", "no member %q", idOrName)
+}
+
+// change runs attempt on the loop until it is settled or its entry is applied. A conflict that attempt does not settle
+// passes by itself, for example while another change is not committed yet.
+func (n *Node) change(ctx context.Context, op string, attempt func(*loop) (raft.Position, bool, error)) error {
+	for {
+		var settled bool
+		done := make(chan outcome, 1)
+		err := n.onLoop(ctx, op, func(l *loop) error {
+			at, final, err := attempt(l)
+			settled = final
+			if err == nil && !final {
+				l.waiters[at.Index] = waiter{term: at.Term, done: done}
+			}
+			return err
+		})
+		switch {
+		case err == nil && settled:
+			return nil
+		case err == nil:
+			_, err = n.await(ctx, op, done)
+			return err
+		case settled || !fault.Is(err, fault.Conflict):
+			return err
+		}
+		if !sleep(ctx, adminPause) {
+			return err
+		}
+	}
+}
+
+// onLoop runs the task on the loop's goroutine of a leader and returns its error.
+func (n *Node) onLoop(ctx context.Context, op string, task func(*loop) error) error {
+	result := make(chan error, 1)
+	run := func() {
+		if n.current().role != RoleLeader {
+			result <- n.notLeader(op)
+			return
+		}
+		result <- task(n.loop)
+	}
+	select {
+	case n.tasks <- run:
+		return <-result
+	case <-n.halted:
+		return n.notLeader(op)
+	case <-ctx.Done():
+		return fault.New(fault.NotRun, "raftnode."+op, "%w", ctx.Err())
+	}
+}
+
+// TransferLeadership hands leadership to the named voter, or to the most advanced one when name is empty. It returns
+// when this member no longer leads, and fault.Unavailable when the transfer did not happen within an election timeout.
+func (n *Node) TransferLeadership(ctx context.Context, name string) error {
+	err := n.onLoop(ctx, "transfer", func(l *loop) error {
+		if name == "" {
+			return l.machine.Transfer(0)
+		}
+		member, err := find(l.machine.Membership(), name)
+		if err != nil {
+			return err
+		}
+		return l.machine.Transfer(member.ID)
+	})
+	if err != nil {
+		return err
+	}
+	deadline := time.Duration(n.config.ElectionTicks+n.config.HeartbeatTicks) * n.config.Tick
+	ctx, cancel := context.WithTimeout(ctx, deadline)
+	defer cancel()
+	for n.current().role == RoleLeader {
+		if !sleep(ctx, adminPause) {
+			return fault.New(fault.Unavailable, "raftnode.transfer", "%s still leads: %w", n.config.Name, ctx.Err())
+		}
+	}
+	return nil
+}
+
+// sleep reports false when the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// snapshotLost is called by the transport.
+func (n *Node) snapshotLost(to uint64) {
+	n.submit(func() { n.loop.machine.SnapshotLost(to) })
+}
--- a/internal/raftnode/config.go
+++ b/internal/raftnode/config.go
@@ -96,6 +96,17 @@
 	return nil
 }
 
+// checkOpen also checks what only a running member needs.
+func (c Config) checkOpen() error {
+	if c.Dial == nil {
+		return fault.New(fault.Settings, "raftnode.config", "dialer is missing")
+	}
+	if c.Machine == nil {
+		return fault.New(fault.Settings, "raftnode.config", "state machine is missing")
+	}
+	return c.check()
+}
+
 func (c Config) logPath() string { return filepath.Join(c.Dir, logDir) }
 
 func (c Config) snapshotPath() string { return filepath.Join(c.Dir, snapshotDir) }
--- a/internal/raftnode/node.go
+++ b/internal/raftnode/node.go
@@ -26,6 +26,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -71,146 +72,211 @@
 	Torn *wal.TornTail
 }
 
+// maxCommand bounds a command, so that an append stays far below the size of a log record.
+const maxCommand = 16 << 20
+
+// view is what other goroutines see of the loop.
+type view struct {
+	group      raft.Membership
+	peers      map[uint64]raft.PeerStatus
+	role       Role
+	leader     uint64
+	leaderName string
+	term       uint64
+	commit     uint64
+	last       uint64
+	applied    uint64
+	snapshot   uint64
+}
+
 // Node is one running control member. It is safe for concurrent use.
 type Node struct {
-	config   Config
-	identity uint64
-	torn     *wal.TornTail
-
-	// mu guards the fields below and serialises machine and log.
-	mu      sync.Mutex
-	log     *wal.Log
-	state   raft.HardState
-	group   raft.Membership
-	entries uint64
-	applied uint64
-	err     error
-	done    chan struct{}
-}
-
-// Open starts the member of the data directory.
+	config    Config
+	identity  uint64
+	torn      *wal.TornTail
+	transport *transport
+	// loop is used by tasks only, which run on its goroutine.
+	loop *loop
+
+	inbox     chan StepArgs
+	proposals chan proposal
+	reads     chan chan outcome
+	// tasks run on the loop's goroutine.
+	tasks chan func()
+
+	closeOnce sync.Once
+	closing   chan struct{}
+	// halted is closed when the loop takes no more input, and done when every resource is released.
+	halted     chan struct{}
+	done       chan struct{}
+	background sync.WaitGroup
+
+	// mu guards view and err.
+	mu   sync.Mutex
+	view view
+	err  error
+}
+
+// Open starts the member of the data directory. A directory without a log gets a fresh identity and waits to be added
+// to a group.
 func Open(config Config) (*Node, error) {
 	config = config.withDefaults()
-	if err := config.check(); err != nil {
+	if err := config.checkOpen(); err != nil {
 		return nil, err
 	}
-	log, recovered, err := openLog(config)
+	disk, err := openStorage(config)
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{config: config, identity: recovered.Identity, torn: recovered.Torn, log: log, done: make(chan struct{})}
-	n.state = recovered.State
-	n.state.Term++
-	n.state.Vote = n.identity
-	for _, entry := range recovered.Entries {
-		if err := n.apply(entry); err != nil {
-			return nil, err
-		}
+	n := newNode(config, disk)
+	l, err := n.newLoop(disk)
+	if err == nil {
+		// A group of one leads from the first tick.
+		l.machine.Tick()
+		err = l.work()
 	}
-	return n, log.Save(n.state, nil)
+	if err != nil {
+		n.transport.close()
+		_ = disk.close()
+		return nil, err
+	}
+	n.loop = l
+	l.publish()
+	go l.run()
+	return n, nil
 }
 
-func (n *Node) apply(entry raft.Entry) error {
-	n.applied = entry.Index
-	n.entries = entry.Index
-	switch entry.Kind {
-	case raft.EntryMembership:
-		group, err := raft.DecodeMembership(entry.Data)
-		n.group = group
-		return err
-	case raft.EntryCommand:
-		n.config.Machine.Apply(entry.Index, entry.Data)
+func newNode(config Config, disk *storage) *Node {
+	n := &Node{
+		config: config, identity: disk.recovered.Identity, torn: disk.recovered.Torn,
+		inbox:     make(chan StepArgs, inboxBatches),
+		proposals: make(chan proposal, proposalQueue),
+		reads:     make(chan chan outcome, readQueue),
+		tasks:     make(chan func()),
+		closing:   make(chan struct{}),
+		halted:    make(chan struct{}),
+		done:      make(chan struct{}),
+	}
+	n.transport = newTransport(config, n.identity, disk.snapshots, n.snapshotLost)
+	if n.torn != nil {
+		config.Log.Warn("interrupted write removed", "segment", n.torn.Segment, "offset", n.torn.Offset, "bytes", n.torn.Dropped)
+	}
+	for _, name := range disk.damaged {
+		config.Log.Error("damaged snapshot set aside", "file", name)
+	}
+	return n
+}
+
+func (n *Node) newLoop(disk *storage) (*loop, error) {
+	r := disk.recovered
+	machine, err := raft.New(raft.Config{
+		ID: n.identity, HeartbeatTicks: n.config.HeartbeatTicks, ElectionTicks: n.config.ElectionTicks, Random: rand.IntN,
+		Restored: raft.Restored{State: r.State, Snapshot: disk.info(), Base: r.Mark, Entries: r.Entries},
+	})
+	if err != nil {
+		return nil, err
 	}
-	return nil
+	l := &loop{
+		node: n, machine: machine, disk: disk,
+		waiters: map[uint64]waiter{}, reads: map[uint64][]chan outcome{}, addresses: map[uint64]string{},
+	}
+	if disk.snapshot.Index == 0 {
+		return l, nil
+	}
+	return l, l.restore(disk.snapshot)
 }
 
 // Service returns the RPC receiver to register as ServiceName.
 func (n *Node) Service() *Service { return &Service{node: n} }
 
-// Propose appends data to the log and returns the result of applying it, once it is durable on a quorum. An error of
-// fault.NotLeader means that the entry was not accepted; after fault.Unavailable it may still be applied.
-func (n *Node) Propose(_ context.Context, data []byte) ([]byte, error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.isLeader() {
-		return nil, n.notLeader("propose")
+// Propose appends data to the log and returns the result of applying it, once it is durable on a quorum. After
+// fault.NotLeader and fault.NotRun the entry was not accepted; after fault.Unavailable it may still be applied.
+func (n *Node) Propose(ctx context.Context, data []byte) ([]byte, error) {
+	if len(data) > maxCommand {
+		return nil, fault.New(fault.TooLarge, "raftnode.propose", "command of %d bytes exceeds %d", len(data), maxCommand)
 	}
-	entry := raft.Entry{Index: n.entries + 1, Term: n.state.Term, Kind: raft.EntryCommand, Data: data}
-	if err := n.log.Save(n.state, []raft.Entry{entry}); err != nil {
-		n.stop(err)
-		return nil, fault.New(fault.Unavailable, "raftnode.propose", "%w", err)
+	p := proposal{data: data, done: make(chan outcome, 1)}
+	select {
+	case n.proposals <- p:
+	case <-ctx.Done():
+		return nil, fault.New(fault.NotRun, "raftnode.propose", "queue is full: %w", ctx.Err())
+	case <-n.halted:
+		return nil, n.notLeader("propose")
 	}
-	n.entries = entry.Index
-	n.applied = entry.Index
-	return n.config.Machine.Apply(entry.Index, data), nil
+	return n.await(ctx, "propose", p.done)
 }
 
 // ReadBarrier returns nil once the state machine reflects every entry acknowledged before the call, and only on the
 // leader. It takes a round trip to a quorum and relies on no clock.
-func (n *Node) ReadBarrier(context.Context) error {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.isLeader() {
+func (n *Node) ReadBarrier(ctx context.Context) error {
+	done := make(chan outcome, 1)
+	select {
+	case n.reads <- done:
+	case <-ctx.Done():
+		return fault.New(fault.Unavailable, "raftnode.read", "%w", ctx.Err())
+	case <-n.halted:
 		return n.notLeader("read")
 	}
-	return nil
+	_, err := n.await(ctx, "read", done)
+	return err
 }
 
-// Leader returns the settings name of the leader, or "" when unknown.
-func (n *Node) Leader() string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.isLeader() {
-		return ""
+func (n *Node) await(ctx context.Context, op string, done chan outcome) ([]byte, error) {
+	select {
+	case result := <-done:
+		return result.data, result.err
+	case <-ctx.Done():
+		return nil, fault.New(fault.Unavailable, "raftnode."+op, "%w", ctx.Err())
+	case <-n.done:
+	}
+	select {
+	case result := <-done:
+		return result.data, result.err
+	default:
+		return nil, fault.New(fault.Unavailable, "raftnode."+op, "%s has stopped", n.config.Name)
 	}
-	return n.config.Name
-}
-
-// Term returns the current term.
-func (n *Node) Term() uint64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.state.Term
-}
-
-// AddMember asks the address for its identity and adds it as a learner. It becomes a voter by itself once its log is
-// synced. AddMember returns when the change is committed.
-func (n *Node) AddMember(context.Context, string, string) error {
-	return n.notLeader("add")
 }
 
-// RemoveMember removes the member with the identity (in hexadecimal) or the name.
-func (n *Node) RemoveMember(context.Context, string) error {
-	return n.notLeader("remove")
-}
+// Leader returns the settings name of the leader, or "" when unknown.
+func (n *Node) Leader() string { return n.current().leaderName }
 
-// TransferLeadership hands leadership to the named voter, or to the most advanced one when name is empty.
-func (n *Node) TransferLeadership(context.Context, string) error {
-	return n.notLeader("transfer")
-}
+// Term returns the current term.
+func (n *Node) Term() uint64 { return n.current().term }
 
 // Members returns the members of the group as this member knows them.
 func (n *Node) Members() []MemberStatus {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	v := n.current()
 	var out []MemberStatus
-	for _, member := range n.group.Members {
-		out = append(out, MemberStatus{ID: member.ID, Name: member.Name, Address: member.Address, Role: RoleLeader, Match: n.entries})
+	for _, member := range v.group.Members {
+		status := MemberStatus{ID: member.ID, Name: member.Name, Address: member.Address, Role: roleOf(member, v.leader)}
+		if peer, ok := v.peers[member.ID]; ok {
+			status.Match = peer.Match
+			status.LastContact = time.Duration(peer.SilentTicks) * n.config.Tick
+		} else if member.ID == n.identity {
+			status.Match = v.last
+		}
+		out = append(out, status)
 	}
 	return out
 }
 
+func roleOf(member raft.Member, leader uint64) Role {
+	switch {
+	case member.ID == leader:
+		return RoleLeader
+	case member.Voter:
+		return RoleVoter
+	default:
+		return RoleLearner
+	}
+}
+
 // Status describes this member.
 func (n *Node) Status() Status {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	role := RoleNotMember
-	if n.isLeader() {
-		role = RoleLeader
-	}
+	v := n.current()
 	return Status{
-		ID: n.identity, Name: n.config.Name, Role: role, Term: n.state.Term,
-		Commit: n.entries, Applied: n.applied, Torn: n.torn,
+		ID: n.identity, Name: n.config.Name, Role: v.role, Leader: v.leaderName, Term: v.term,
+		Commit: v.commit, Applied: v.applied, Snapshot: v.snapshot, Torn: n.torn,
 	}
 }
 
@@ -226,30 +292,49 @@
 
 // Close stops the member. Everything acknowledged is durable already.
 func (n *Node) Close() error {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.stop(nil)
-	return n.log.Close()
+	n.closeOnce.Do(func() { close(n.closing) })
+	<-n.done
+	return n.Err()
 }
 
-func (n *Node) stop(err error) {
+// receive accepts messages without blocking the RPC server. Messages that find the queue full are sent again later.
+func (n *Node) receive(batch StepArgs) error {
 	select {
-	case <-n.done:
+	case n.inbox <- batch:
+		return nil
 	default:
-		n.err = err
-		close(n.done)
+		return fault.New(fault.Unavailable, "raftnode.step", "queue of %s is full", n.config.Name)
 	}
 }
 
-func (n *Node) isLeader() bool {
+// submit runs a task on the loop's goroutine. It reports false when the loop has stopped.
+func (n *Node) submit(task func()) bool {
 	select {
-	case <-n.done:
+	case n.tasks <- task:
+		return true
+	case <-n.halted:
 		return false
-	default:
-		return n.group.IsVoter(n.identity)
 	}
 }
 
+func (n *Node) current() view {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view
+}
+
+func (n *Node) setView(v view) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.view = v
+}
+
+func (n *Node) setErr(err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.err = err
+}
+
 func (n *Node) notLeader(op string) error {
 	return fault.New(fault.NotLeader, "raftnode."+op, "%s does not lead", n.config.Name)
 }
--- a/internal/raftnode/node_test.go
+++ b/internal/raftnode/node_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"os"
+	"path/filepath"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/wisteriamux/wisteriamux/internal/control"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/raftnode"
 )
 
@@ -18,42 +22,166 @@
 
 var _ control.Replicator = (*raftnode.Node)(nil)
 
-// recorder is a state machine that keeps the commands in order.
-type recorder struct{ commands []string }
+var _ = Describe("a group of one", func() {
+	It("keeps acknowledged entries over restarts with snapshots", func() {
+		g := newGroup("a")
+		g.propose("first", 3*snapEvery)
+		for range 2 {
+			g.hosts[0].stop()
+			g.hosts[0].start()
+			g.expectAcked(3 * snapEvery)
+		}
+		Expect(g.hosts[0].node.Status().Snapshot).To(BeNumerically(">", 0))
+	})
+
+	It("does not form from an empty directory without bootstrap", func() {
+		h := newHost("a")
+		h.start()
+		Consistently(h.node.Leader, 50*testTick, polling).Should(BeEmpty())
+		_, err := h.node.Propose(context.Background(), []byte("x"))
+		Expect(fault.Is(err, fault.NotLeader)).To(BeTrue())
+	})
+
+	It("refuses a second bootstrap and a second process on one directory, which would overwrite the log", func() {
+		g := newGroup("a")
+		Expect(fault.Is(raftnode.Bootstrap(g.hosts[0].config()), fault.Conflict)).To(BeTrue())
+		_, err := raftnode.Open(g.hosts[0].config())
+		Expect(fault.Is(err, fault.Conflict)).To(BeTrue())
+	})
 
-func (r *recorder) Apply(_ uint64, data []byte) []byte {
-	r.commands = append(r.commands, string(data))
-	return data
+	It("falls back to the older snapshot when the newest is corrupt, and refuses when the log does not reach it", func() {
+		g := newGroup("a")
+		h := g.hosts[0]
+		for _, prefix := range []string{"p", "q", "r", "s"} {
+			g.propose(prefix, snapEvery+10)
+			Eventually(h.node.Status, patience, polling).Should(HaveField("Snapshot", BeNumerically(">", len(g.acked)-snapEvery)))
+		}
+		h.stop()
+		corruptSnapshots(h, 1)
+		h.start()
+		g.expectAcked(4 * snapEvery)
+		h.stop()
+		corruptSnapshots(h, 2)
+		h.machine = &recorder{}
+		_, err := raftnode.Open(h.config())
+		Expect(fault.Is(err, fault.Corrupt)).To(BeTrue(), "%v", err)
+	})
+})
+
+// corruptSnapshots flips a bit in each of the newest snapshots.
+func corruptSnapshots(h *host, count int) {
+	names, err := filepath.Glob(filepath.Join(h.dir, "snapshots", "*.snap"))
+	Expect(err).NotTo(HaveOccurred())
+	for _, name := range names[len(names)-count:] {
+		data, err := os.ReadFile(name)
+		Expect(err).NotTo(HaveOccurred())
+		data[len(data)/2] ^= 1
+		Expect(os.WriteFile(name, data, 0o600)).To(Succeed())
+	}
 }
 
-func (r *recorder) Snapshot() ([]byte, error) { return nil, nil }
+var _ = Describe("a group of three", func() {
+	It("loses nothing acknowledged when the leader stops, all restart, a disk is wiped and a second member is lost", func() {
+		g := newGroup("a", "b", "c")
+		g.propose("first", 600)
+		g.expectAcked(600)
 
-func (r *recorder) Restore([]byte) error { return nil }
+		old := g.leader()
+		old.stop()
+		g.expectAcked(600)
+		g.propose("second", 100)
+		old.start()
 
-var _ = Describe("a group of one", func() {
-	It("keeps acknowledged entries over a restart", func() {
-		dir := GinkgoT().TempDir()
-		open := func(machine raftnode.StateMachine) *raftnode.Node {
-			node, err := raftnode.Open(raftnode.Config{Name: "a", Address: "127.0.0.1:1", Dir: dir, Machine: machine})
-			Expect(err).NotTo(HaveOccurred())
-			return node
+		for _, h := range g.hosts {
+			h.stop()
 		}
-		Expect(raftnode.Bootstrap(raftnode.Config{Name: "a", Address: "127.0.0.1:1", Dir: dir})).To(Succeed())
-		node := open(&recorder{})
-		Expect(node.Propose(context.Background(), []byte("x"))).To(Equal([]byte("x")))
-		Expect(node.Close()).To(Succeed())
-		machine := &recorder{}
-		node = open(machine)
-		Expect(machine.commands).To(Equal([]string{"x"}))
-		Expect(node.Leader()).To(Equal("a"))
-		Expect(node.Close()).To(Succeed())
+		for _, h := range g.hosts {
+			h.start()
+		}
+		g.expectAcked(700)
+		Expect(g.leader().node.Status().Snapshot).To(BeNumerically(">", 0))
+
+		repaired := g.follower()
+		repaired.wipe()
+		repaired.start()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		err := g.leader().node.AddMember(ctx, repaired.name, repaired.listener.Addr().String())
+		Expect(fault.Is(err, fault.Conflict)).To(BeTrue(), "the identity of the wiped disk is still a member")
+		Expect(g.leader().node.RemoveMember(ctx, repaired.name)).To(Succeed())
+		g.add(repaired)
+		g.leader().stop()
+		g.expectAcked(700)
+		g.propose("third", 100)
+		g.expectAcked(800)
+		Eventually(func() int { return len(repaired.machine.list()) }, patience, polling).Should(BeNumerically(">=", 800))
+		expectHeld(repaired.machine.list(), g.acked)
 	})
 
-	It("does not form from an empty directory without bootstrap", func() {
-		config := raftnode.Config{Name: "a", Address: "127.0.0.1:1", Dir: GinkgoT().TempDir(), Machine: &recorder{}}
-		node, err := raftnode.Open(config)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(node.Leader()).To(BeEmpty())
-		Expect(node.Close()).To(Succeed())
+	It("refuses reads and writes on a leader that is cut off, while the others elect another", func() {
+		g := newGroup("a", "b", "c")
+		g.propose("first", 10)
+		old := g.leader()
+		old.dropConns(true, true)
+		Expect(barrier(old.node)).NotTo(Succeed())
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := old.node.Propose(ctx, []byte("lost"))
+		Expect(err).To(HaveOccurred())
+		Eventually(old.node.Status, patience, polling).ShouldNot(HaveField("Role", raftnode.RoleLeader))
+		g.propose("second", 10)
+		g.expectAcked(20)
+		old.dropConns(false, false)
+		Eventually(func() int { return len(old.machine.list()) }, patience, polling).Should(BeNumerically(">=", 20))
+		expectHeld(old.machine.list(), g.acked)
+	})
+
+	It("stops a member whose disk fails, with a typed error and without acknowledging, while the quorum continues", func() {
+		g := newGroup("a", "b", "c")
+		bad := g.leader()
+		disk := &failingFS{}
+		bad.fs = disk
+		bad.stop()
+		bad.start()
+		g.propose("first", 10)
+		disk.mu.Lock()
+		disk.full = true
+		disk.mu.Unlock()
+		g.propose("second", 10)
+		Eventually(bad.node.Done(), patience, polling).Should(BeClosed())
+		Expect(isStorageFailed(bad.node.Err())).To(BeTrue(), "%v", bad.node.Err())
+		g.propose("third", 10)
+		g.expectAcked(20)
+	})
+
+	It("is not slowed by a silent peer", func() {
+		g := newGroup("a", "b", "c")
+		g.follower().dropConns(true, false)
+		g.propose("first", 300)
+		g.expectAcked(300)
+	})
+
+	It("hands leadership over for a planned stop and reports its members", func() {
+		g := newGroup("a", "b", "c")
+		old := g.leader()
+		Expect(old.node.TransferLeadership(context.Background(), "")).To(Succeed())
+		leader := g.leader()
+		Expect(leader.name).NotTo(Equal(old.name))
+		members := leader.node.Members()
+		Expect(members).To(HaveLen(3))
+		for _, member := range members {
+			Eventually(func() uint64 { return matchOf(leader.node, member.ID) }, patience, polling).Should(Equal(leader.node.Status().Commit))
+		}
+		Expect(leader.node.RemoveMember(context.Background(), old.name)).To(Succeed())
+		Expect(leader.node.Members()).To(HaveLen(2))
 	})
 })
+
+func matchOf(node *raftnode.Node, id uint64) uint64 {
+	for _, member := range node.Members() {
+		if member.ID == id {
+			return member.Match
+		}
+	}
+	return 0
+}
--- a/internal/raftnode/rpc.go
+++ b/internal/raftnode/rpc.go
@@ -1,6 +1,9 @@
 package raftnode
 
-import "github.com/wisteriamux/wisteriamux/internal/fault"
+import (
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/raft"
+)
 
 // ServiceName is the name under which Service is registered on the RPC server of the member.
 const ServiceName = "Raft"
@@ -20,9 +23,41 @@
 	Fault *fault.Wire
 }
 
+// StepArgs carries a batch of messages. From and Address let a member answer one that is not in its membership yet.
+type StepArgs struct {
+	From     uint64
+	Address  string
+	Messages []raft.Message
+}
+
+// StepReply acknowledges receipt only; answers are messages of their own.
+type StepReply struct {
+	Fault *fault.Wire
+}
+
+// SnapshotArgs carries one chunk of a snapshot.
+type SnapshotArgs struct {
+	From    uint64
+	Address string
+	Message raft.Message
+}
+
 // Identify returns the identity of this member's data directory.
 func (s *Service) Identify(_ IdentifyArgs, reply *IdentifyReply) error {
 	reply.ID = s.node.identity
 	reply.Name = s.node.config.Name
 	return nil
 }
+
+// Step accepts messages of another member.
+func (s *Service) Step(args StepArgs, reply *StepReply) error {
+	reply.Fault = fault.ToWire(s.node.receive(args))
+	return nil
+}
+
+// Snapshot accepts a chunk of a snapshot from the leader.
+func (s *Service) Snapshot(args SnapshotArgs, reply *StepReply) error {
+	batch := StepArgs{From: args.From, Address: args.Address, Messages: []raft.Message{args.Message}}
+	reply.Fault = fault.ToWire(s.node.receive(batch))
+	return nil
+}
--- a/internal/raftnode/store.go
+++ b/internal/raftnode/store.go
@@ -3,9 +3,11 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
+	"os"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/raft"
+	"github.com/wisteriamux/wisteriamux/internal/snapstore"
 	"github.com/wisteriamux/wisteriamux/internal/wal"
 )
 
@@ -61,16 +63,103 @@
 	}
 }
 
-// openLog opens the log and creates one with a fresh identity when the data directory is empty.
-func openLog(config Config) (*wal.Log, wal.Recovered, error) {
+// storage is everything durable of one member.
+type storage struct {
+	lock      *os.File
+	log       *wal.Log
+	snapshots *snapstore.Store
+	recovered wal.Recovered
+	snapshot  raft.Snapshot
+	// damaged names snapshots that failed their checksum.
+	damaged []string
+}
+
+// openStorage opens the data directory, and initialises it with a fresh identity when it is empty.
+func openStorage(config Config) (*storage, error) {
+	if err := config.FS.MkdirAll(config.Dir); err != nil {
+		return nil, fault.New(fault.StorageFailed, "raftnode.open", "%w", err)
+	}
+	lock, err := lockDir(config.Dir)
+	if err != nil {
+		return nil, err
+	}
+	s := &storage{lock: lock}
+	if err := s.open(config); err != nil {
+		_ = s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *storage) open(config Config) error {
 	exists, err := wal.Exists(config.FS, config.logPath())
 	if err != nil {
-		return nil, wal.Recovered{}, err
+		return err
 	}
 	if !exists {
 		if err := createLog(config, wal.Checkpoint{Identity: newIdentity()}); err != nil {
-			return nil, wal.Recovered{}, err
+			return err
+		}
+	}
+	if s.log, s.recovered, err = wal.Open(config.FS, config.logPath(), wal.DefaultSegmentSize); err != nil {
+		return err
+	}
+	if s.snapshots, err = snapstore.Open(config.FS, config.snapshotPath()); err != nil {
+		return err
+	}
+	if s.snapshot, s.damaged, err = s.snapshots.Latest(); err != nil {
+		return err
+	}
+	return s.reconcile()
+}
+
+// reconcile completes the installation of a snapshot that a crash interrupted after the snapshot was durable: the log
+// then lacks the snapshot's position and is replaced by it.
+func (s *storage) reconcile() error {
+	c := &s.recovered.Checkpoint
+	if s.snapshot.Index <= c.Mark.Index {
+		if s.snapshot.Index < c.Mark.Index {
+			return fault.New(fault.Corrupt, "raftnode.open", "log starts after %d; the newest intact snapshot is at %d",
+				c.Mark.Index, s.snapshot.Index)
 		}
+		return nil
+	}
+	at := s.snapshot.Index - c.Mark.Index - 1
+	if at < uint64(len(c.Entries)) && c.Entries[at].Term == s.snapshot.Term {
+		return nil
+	}
+	state := c.State
+	state.Commit = s.snapshot.Index
+	if state.Term < s.snapshot.Term {
+		state = raft.HardState{Term: s.snapshot.Term, Commit: s.snapshot.Index}
+	}
+	*c = wal.Checkpoint{Identity: c.Identity, Mark: s.snapshot.Position, State: state}
+	return s.log.Compact(*c)
+}
+
+// info describes the snapshot to the consensus machine.
+func (s *storage) info() raft.SnapshotInfo { return infoOf(s.snapshot) }
+
+func infoOf(s raft.Snapshot) raft.SnapshotInfo {
+	return raft.SnapshotInfo{Position: s.Position, Membership: s.Membership, Size: uint64(len(s.Data))}
+}
+
+// install makes a received snapshot durable and lets it replace the log.
+func (s *storage) install(snapshot raft.Snapshot, state raft.HardState) error {
+	if err := s.snapshots.Save(snapshot); err != nil {
+		return err
+	}
+	if err := s.log.Compact(wal.Checkpoint{Mark: snapshot.Position, State: state}); err != nil {
+		return err
+	}
+	return s.snapshots.Prune()
+}
+
+func (s *storage) close() error {
+	var err error
+	if s.log != nil {
+		err = s.log.Close()
 	}
-	return wal.Open(config.FS, config.logPath(), wal.DefaultSegmentSize)
+	_ = s.lock.Close()
+	return err
 }
--- /dev/null
+++ b/internal/raftnode/transport.go
@@ -0,0 +1,240 @@
+package raftnode
+
+import (
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/raft"
+	"github.com/wisteriamux/wisteriamux/internal/snapstore"
+)
+
+const (
+	// peerQueue bounds the messages that wait for one peer. Messages beyond it are dropped; the consensus machine sends
+	// again what matters.
+	peerQueue = 1024
+	// batchMessages and batchBytes bound one call.
+	batchMessages = 128
+	batchBytes    = 1 << 20
+	// callTimeout is after how long a silent connection is given up. Elections do not wait for it, because each peer
+	// has its own goroutine.
+	callTimeout = time.Second
+	redialPause = 100 * time.Millisecond
+)
+
+// transport sends messages to the other members, with one goroutine, queue and connection for each.
+type transport struct {
+	dial      Dialer
+	identity  uint64
+	address   string
+	snapshots *snapstore.Store
+	// lost is called when a snapshot that is to be sent cannot be read.
+	lost func(to uint64)
+
+	stopping chan struct{}
+	workers  sync.WaitGroup
+
+	// mu guards peers.
+	mu    sync.Mutex
+	peers map[uint64]*peer
+
+	// cacheMu guards cached, the snapshot being sent. It is held while a snapshot is read, so that it is read once.
+	cacheMu sync.Mutex
+	cached  raft.Snapshot
+}
+
+// peer is the sending side of one connection. Its goroutine owns client.
+type peer struct {
+	address string
+	queue   chan raft.Message
+	stop    chan struct{}
+	client  *rpc.Client
+}
+
+func newTransport(config Config, identity uint64, snapshots *snapstore.Store, lost func(uint64)) *transport {
+	return &transport{
+		dial: config.Dial, identity: identity, address: config.Address, snapshots: snapshots, lost: lost,
+		stopping: make(chan struct{}), peers: map[uint64]*peer{},
+	}
+}
+
+// send queues a message without blocking.
+func (t *transport) send(message raft.Message, address string) {
+	if address == "" {
+		return
+	}
+	p := t.peer(message.To, address)
+	select {
+	case p.queue <- message:
+	default:
+	}
+}
+
+func (t *transport) peer(id uint64, address string) *peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.peers[id]
+	if ok && p.address == address {
+		return p
+	}
+	if ok {
+		close(p.stop)
+	}
+	p = &peer{address: address, queue: make(chan raft.Message, peerQueue), stop: make(chan struct{})}
+	t.peers[id] = p
+	t.workers.Add(1)
+	go t.work(p)
+	return p
+}
+
+// retain stops the connections to members that are not to be kept.
+func (t *transport) retain(keep func(id uint64) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, p := range t.peers {
+		if !keep(id) {
+			close(p.stop)
+			delete(t.peers, id)
+		}
+	}
+}
+
+// close stops every goroutine and waits for them.
+func (t *transport) close() {
+	close(t.stopping)
+	t.workers.Wait()
+}
+
+func (t *transport) work(p *peer) {
+	defer t.workers.Done()
+	defer p.disconnect()
+	for {
+		select {
+		case <-t.stopping:
+			return
+		case <-p.stop:
+			return
+		case message := <-p.queue:
+			if err := t.deliver(p, message); err != nil {
+				p.disconnect()
+				t.pause(p)
+			}
+		}
+	}
+}
+
+// pause keeps an unreachable address from being dialled in a tight loop, and drops what has gathered meanwhile.
+func (t *transport) pause(p *peer) {
+	timer := time.NewTimer(redialPause)
+	defer timer.Stop()
+	select {
+	case <-t.stopping:
+	case <-p.stop:
+	case <-timer.C:
+	}
+	for len(p.queue) > 0 {
+		<-p.queue
+	}
+}
+
+// deliver sends the message together with others that wait.
+func (t *transport) deliver(p *peer, first raft.Message) error {
+	if first.Kind == raft.MessageSnapshot {
+		return t.deliverChunk(p, first)
+	}
+	batch := []raft.Message{first}
+	size := sizeOf(first)
+	for len(batch) < batchMessages && size < batchBytes {
+		select {
+		case next := <-p.queue:
+			if next.Kind == raft.MessageSnapshot {
+				if err := t.step(p, batch); err != nil {
+					return err
+				}
+				return t.deliverChunk(p, next)
+			}
+			batch = append(batch, next)
+			size += sizeOf(next)
+			continue
+		default:
+		}
+		break
+	}
+	return t.step(p, batch)
+}
+
+func sizeOf(message raft.Message) int {
+	size := 0
+	for _, entry := range message.Entries {
+		size += len(entry.Data)
+	}
+	return size
+}
+
+func (t *transport) step(p *peer, batch []raft.Message) error {
+	return t.call(p, "Step", StepArgs{From: t.identity, Address: t.address, Messages: batch})
+}
+
+func (t *transport) deliverChunk(p *peer, message raft.Message) error {
+	snapshot, err := t.snapshot(message.Log)
+	if err != nil || message.Chunk.Offset > uint64(len(snapshot.Data)) {
+		t.lost(message.To)
+		return nil
+	}
+	rest := snapshot.Data[message.Chunk.Offset:]
+	message.Chunk.Data = rest[:min(len(rest), raft.ChunkBytes)]
+	return t.call(p, "Snapshot", SnapshotArgs{From: t.identity, Address: t.address, Message: message})
+}
+
+func (t *transport) snapshot(at raft.Position) (raft.Snapshot, error) {
+	t.cacheMu.Lock()
+	defer t.cacheMu.Unlock()
+	if t.cached.Position == at {
+		return t.cached, nil
+	}
+	snapshot, err := t.snapshots.Load(at)
+	if err == nil {
+		t.cached = snapshot
+	}
+	return snapshot, err
+}
+
+func (t *transport) call(p *peer, method string, args any) error {
+	if err := p.connect(t.dial); err != nil {
+		return err
+	}
+	reply := new(StepReply)
+	call := p.client.Go(ServiceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(callTimeout)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+		return call.Error
+	case <-timer.C:
+		return fault.New(fault.Unavailable, "raftnode.call", "%s did not answer within %s", p.address, callTimeout)
+	case <-p.stop:
+		return nil
+	case <-t.stopping:
+		return nil
+	}
+}
+
+func (p *peer) connect(dial Dialer) error {
+	if p.client != nil {
+		return nil
+	}
+	conn, err := dial(p.address)
+	if err != nil {
+		return err
+	}
+	p.client = rpc.NewClient(conn)
+	return nil
+}
+
+func (p *peer) disconnect() {
+	if p.client != nil {
+		_ = p.client.Close()
+		p.client = nil
+	}
+}
--- /dev/null
+++ b/internal/wal/wal_test.go
@@ -0,0 +1,257 @@
+package wal
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/raft"
+)
+
+const (
+	testDir         = "/d/log"
+	testSegmentSize = 300
+	crashRuns       = 400
+)
+
+func TestWAL(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "WAL")
+}
+
+func entry(index, term uint64, data string) raft.Entry {
+	return raft.Entry{Index: index, Term: term, Kind: raft.EntryCommand, Data: []byte(data)}
+}
+
+func clone(c Checkpoint) Checkpoint {
+	c.Entries = append([]raft.Entry(nil), c.Entries...)
+	return c
+}
+
+// same compares the content of logs; a nil and an empty list of entries are equal.
+func same(a, b Checkpoint) bool {
+	if len(a.Entries) == 0 && len(b.Entries) == 0 {
+		a.Entries, b.Entries = nil, nil
+	}
+	return reflect.DeepEqual(a, b)
+}
+
+// crashRun performs random saves and compactions with crashes and compares each recovery with a model. A recovery must
+// hold everything acknowledged, and may hold the operation that the crash interrupted.
+func crashRun(seed uint64, dropSyncs bool) error {
+	rng := rand.New(rand.NewPCG(seed, 9))
+	fs := newMemFS(seed)
+	model := Checkpoint{Identity: seed + 1}
+	if err := Create(fs, testDir, model); err != nil {
+		return err
+	}
+	fs.dropSyncs = dropSyncs
+	log, _, err := Open(fs, testDir, testSegmentSize)
+	if err != nil {
+		return err
+	}
+	for range 40 {
+		next := clone(model)
+		if rng.IntN(6) == 0 {
+			fs.budget = rng.IntN(8)
+		}
+		if err := randomOperation(rng, log, &next); err == nil {
+			model = next
+			if rng.IntN(8) > 0 {
+				continue
+			}
+		}
+		fs.crash()
+		if rng.IntN(3) == 0 {
+			// The recovery itself is interrupted.
+			fs.budget = rng.IntN(6)
+			_, _, _ = Open(fs, testDir, testSegmentSize)
+			fs.crash()
+		}
+		var recovered Recovered
+		if log, recovered, err = Open(fs, testDir, testSegmentSize); err != nil {
+			return err
+		}
+		if !same(recovered.Checkpoint, model) && !same(recovered.Checkpoint, next) {
+			return fmt.Errorf("recovered %+v instead of %+v", recovered.Checkpoint, model)
+		}
+		model = clone(recovered.Checkpoint)
+	}
+	return nil
+}
+
+func randomOperation(rng *rand.Rand, log *Log, c *Checkpoint) error {
+	last := c.Mark.Index + uint64(len(c.Entries))
+	if rng.IntN(5) == 0 && len(c.Entries) > 0 {
+		at := c.Entries[rng.IntN(len(c.Entries))]
+		c.Entries = c.Entries[at.Index-c.Mark.Index:]
+		c.Mark = raft.Position{Index: at.Index, Term: at.Term}
+		return log.Compact(clone(*c))
+	}
+	c.State.Term += rng.Uint64N(2)
+	c.State.Vote = rng.Uint64N(3)
+	from := last + 1
+	if len(c.Entries) > 0 && rng.IntN(3) == 0 {
+		from -= rng.Uint64N(uint64(len(c.Entries)))
+	}
+	var entries []raft.Entry
+	for i := range rng.Uint64N(4) {
+		entries = append(entries, entry(from+i, c.State.Term, fmt.Sprint(rng.Uint64())))
+	}
+	if len(entries) > 0 {
+		c.Entries = append(c.Entries[:from-c.Mark.Index-1], entries...)
+	}
+	return log.Save(c.State, entries)
+}
+
+var _ = ginkgo.Describe("a crash", func() {
+	ginkgo.It("loses nothing that was acknowledged, at any point of any operation", func() {
+		for seed := range uint64(crashRuns) {
+			Expect(crashRun(seed, false)).To(Succeed(), "seed %d", seed)
+		}
+	})
+
+	ginkgo.It("is noticed by this check to lose data when the log acknowledges before sync", func() {
+		failures := 0
+		for seed := range uint64(crashRuns) {
+			if crashRun(seed, true) != nil {
+				failures++
+			}
+		}
+		Expect(failures).To(BeNumerically(">", 0))
+	})
+
+	ginkgo.It("during creation leaves a log that is either absent or complete", func() {
+		for budget := range 12 {
+			fs := newMemFS(uint64(budget))
+			fs.budget = budget
+			_ = Create(fs, testDir, Checkpoint{Identity: 7})
+			fs.crash()
+			exists, err := Exists(fs, testDir)
+			Expect(err).NotTo(HaveOccurred())
+			if !exists {
+				Expect(Create(fs, testDir, Checkpoint{Identity: 7})).To(Succeed())
+			}
+			_, recovered, err := Open(fs, testDir, 0)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(recovered.Identity).To(Equal(uint64(7)))
+		}
+	})
+})
+
+// written returns a file system with a log of several segments, and their names.
+func written(saves int) (*memFS, []string) {
+	fs := newMemFS(1)
+	Expect(Create(fs, testDir, Checkpoint{Identity: 1})).To(Succeed())
+	log, _, err := Open(fs, testDir, testSegmentSize)
+	Expect(err).NotTo(HaveOccurred())
+	for i := range uint64(saves) {
+		Expect(log.Save(raft.HardState{Term: 1}, []raft.Entry{entry(i+1, 1, "some command")})).To(Succeed())
+	}
+	Expect(log.Close()).To(Succeed())
+	names, _ := fs.ReadDir(testDir)
+	return fs, names
+}
+
+var _ = ginkgo.Describe("damage", func() {
+	ginkgo.It("of a torn tail is truncated and reported", func() {
+		fs, names := written(20)
+		last := fs.files[testDir+"/"+names[len(names)-1]]
+		last.data = last.data[:len(last.data)-3]
+		log, recovered, err := Open(fs, testDir, testSegmentSize)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(recovered.Torn).NotTo(BeNil())
+		Expect(recovered.Entries).To(HaveLen(19))
+		Expect(log.Save(raft.HardState{Term: 1}, []raft.Entry{entry(20, 1, "again")})).To(Succeed())
+		_, recovered, err = Open(fs, testDir, testSegmentSize)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(recovered.Torn).To(BeNil())
+		Expect(recovered.Entries).To(HaveLen(20))
+	})
+
+	ginkgo.It("before an intact frame refuses with a typed error, wherever it is", func() {
+		pristine, names := written(20)
+		lastName := testDir + "/" + names[len(names)-1]
+		lastFrame := len(encodeFrame(1, encodeRecord(record{
+			kind: kindSave, state: raft.HardState{Term: 1}, entries: []raft.Entry{entry(20, 1, "some command")},
+		})))
+		for path, file := range pristine.files {
+			end := len(file.data)
+			if path == lastName {
+				end -= lastFrame
+			}
+			for offset := range end {
+				fs, _ := written(20)
+				fs.files[path].data[offset] ^= 0x10
+				_, _, err := Open(fs, testDir, testSegmentSize)
+				Expect(fault.Is(err, fault.Corrupt)).To(BeTrue(), "%s at %d: %v", path, offset, err)
+			}
+		}
+	})
+
+	ginkgo.It("by a missing segment refuses with a typed error", func() {
+		_, names := written(40)
+		Expect(len(names)).To(BeNumerically(">", 3))
+		for _, name := range names[:len(names)-1] {
+			fs, _ := written(40)
+			delete(fs.files, testDir+"/"+name)
+			_, _, err := Open(fs, testDir, testSegmentSize)
+			Expect(fault.Is(err, fault.Corrupt)).To(BeTrue(), "%s: %v", name, err)
+		}
+	})
+
+	ginkgo.It("of the disk while running is a typed error that stays, so that nothing more is acknowledged", func() {
+		fs, _ := written(1)
+		log, _, err := Open(fs, testDir, testSegmentSize)
+		Expect(err).NotTo(HaveOccurred())
+		fs.budget = 1
+		err = log.Save(raft.HardState{Term: 2}, nil)
+		Expect(fault.Is(err, fault.StorageFailed)).To(BeTrue())
+		fs.budget = -1
+		Expect(fault.Is(log.Save(raft.HardState{Term: 2}, nil), fault.StorageFailed)).To(BeTrue())
+		Expect(fault.Is(log.Compact(Checkpoint{}), fault.StorageFailed)).To(BeTrue())
+	})
+})
+
+var _ = ginkgo.It("removes earlier segments after a compaction", func() {
+	fs, before := written(60)
+	log, _, err := Open(fs, testDir, testSegmentSize)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(log.Compact(Checkpoint{Mark: raft.Position{Index: 60, Term: 1}})).To(Succeed())
+	names, _ := fs.ReadDir(testDir)
+	Expect(len(before)).To(BeNumerically(">", 1))
+	Expect(names).To(HaveLen(1))
+	_, recovered, err := Open(fs, testDir, testSegmentSize)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(recovered.Identity).To(Equal(uint64(1)))
+	Expect(recovered.Mark.Index).To(Equal(uint64(60)))
+})
+
+// FuzzDecode guards against records that crash the decoder or decode into something that encodes differently.
+func FuzzDecode(f *testing.F) {
+	save := record{kind: kindSave, state: raft.HardState{Term: 3, Vote: 2, Commit: 1}, entries: []raft.Entry{entry(1, 3, "x")}}
+	checkpoint := record{kind: kindCheckpoint, identity: 9, mark: raft.Position{Index: 4, Term: 2}}
+	f.Add(encodeFrame(1, encodeRecord(save)))
+	f.Add(encodeFrame(2, encodeRecord(checkpoint)))
+	f.Add([]byte{1, 0, 0, 0, 0, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if r, err := decodeRecord(data); err == nil {
+			again, err := decodeRecord(encodeRecord(r))
+			if err != nil || !reflect.DeepEqual(r, again) {
+				t.Fatalf("%+v decodes as %+v: %v", r, again, err)
+			}
+		}
+		sequence, payload, size, err := decodeFrame(data)
+		if err == nil && !bytes.Equal(encodeFrame(sequence, payload), data[:size]) {
+			t.Fatal("frame encodes differently")
+		}
+		parseSegment(segmentName(sequence), data)
+		holdsLaterFrame(data, sequence)
+	})
+}
