--- a/internal/netcut/rules.go
+++ b/internal/netcut/rules.go
@@ -32,7 +32,8 @@
 
 // Rules holds the cuts of the rules file. Each line of the file is "in", "out" or "both" followed by an address, a
 // host, or "*"; the rest of a line after "#" is a comment. "in" stalls what comes from the address, "out" holds back
-// what goes to it. A missing file cuts nothing. A nil Rules cuts nothing and wraps nothing.
+// what goes to it. A missing file cuts nothing. Replace the file by renaming a new one, since an emptied file lifts every
+// cut until it is filled. A nil Rules cuts nothing and wraps nothing.
 type Rules struct {
 	path    string
 	log     *slog.Logger
