control: begin a lease only on the current revision, cap one that is behind

Ruled out: both rules at once, because removal through the log adds up to 0.5 s to the time to in force and protects against nothing more. Conclusion: a running lease of a VM that is behind ends 4 s after the first change that it has not applied.

--- a/cmd/wmux-control/main.go
+++ b/cmd/wmux-control/main.go
@@ -70,5 +70,5 @@
 }
 
 func nodeConfig(loaded settings.Control) raftnode.Config {
-	return raftnode.Config{Name: loaded.ID, Address: loaded.RPCAddress, Dir: loaded.DataDir}
+	return raftnode.Config{Name: loaded.ID, Address: loaded.RPCAddress, Dir: loaded.DataDir, SnapshotEntries: loaded.SnapshotEntries}
 }
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -60,19 +60,33 @@
 	t.leases[who] = lease{expires: now.Add(LeaseLength)}
 }
 
-// renew extends the lease of the instance and returns the time that it has left. from is the time that the lease
-// counts from: now, or the time of the first change that the VM has not applied.
-func (t *leaseTable) renew(who holder, applied uint64, from, now time.Time) time.Duration {
+// renew extends the lease of the instance and returns the time that it has left. behind returns when the first change
+// that the VM has not applied was accepted, or false if there is none. It is called under the table's lock: otherwise a
+// lease on an older view could begin after inForce reported the newer one.
+func (t *leaseTable) renew(who holder, applied uint64, behind func(applied uint64) (time.Time, bool), now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	held := t.leases[who]
-	next := lease{applied: max(applied, held.applied), expires: from.Add(LeaseLength), granted: true}
-	if applied < held.applied || !next.expires.After(now) {
-		// An applied revision never moves backwards within an instance, so this renewal is late and grants nothing.
-		return 0
+	running := held.granted && now.Before(held.expires)
+	from := now
+	if change, isBehind := behind(applied); isBehind {
+		if !running {
+			// A lease begins only on the current revision, so that a lapsed VM cannot come back with an old view.
+			return 0
+		}
+		from = change
+	}
+	if applied < held.applied {
+		// An applied revision never moves backwards within an instance, so this renewal was overtaken.
+		return held.expires.Sub(now)
 	}
-	t.leases[who] = next
-	return next.expires.Sub(now)
+	// Both ends are one lease length after a time at which the VM was not behind, and the later one holds.
+	expires := from.Add(LeaseLength)
+	if running && held.expires.After(expires) {
+		expires = held.expires
+	}
+	t.leases[who] = lease{applied: applied, expires: expires, granted: true}
+	return expires.Sub(now)
 }
 
 // remaining returns the applied revision and the remaining time of the member's lease.
@@ -86,33 +100,22 @@
 	return held.applied, held.expires.Sub(now)
 }
 
-// inForce returns the highest revision, up to that of the view, that no instance is behind. It is 0 during the grace
-// period, since the leases of the previous leader are unknown. A lapsed lease still counts: an instance whose removal
-// is not in the log could renew at this or at a later leader with an old view. Once ExpireMember is applied, every
-// leader refuses that instance. A running lease of an instance that was fenced counts as well.
-func (t *leaseTable) inForce(view *model.View, now time.Time) uint64 {
+// inForce returns the highest revision, up to the current one, that no running lease is behind. It is 0 during the
+// grace period, since the leases of the previous leader are unknown. An ended lease does not count, because the next
+// one begins only on the current revision. Ended leases are dropped.
+func (t *leaseTable) inForce(current uint64, now time.Time) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Before(t.grace) {
 		return 0
 	}
-	revision := view.Revision
-	current := make(map[holder]bool, len(view.Members))
-	for _, member := range view.Members {
-		who := holder{member.ID, member.Instance}
-		current[who] = true
-		revision = min(revision, t.leases[who].applied)
-	}
 	for who, held := range t.leases {
 		switch {
-		case current[who]:
-		case now.Before(held.expires):
-			if held.granted {
-				revision = min(revision, held.applied)
-			}
-		default:
+		case !now.Before(held.expires):
 			delete(t.leases, who)
+		case held.granted:
+			current = min(current, held.applied)
 		}
 	}
-	return revision
+	return current
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -181,11 +181,7 @@
 		return fault.New(fault.Fenced, "control.renew", "instance %d of %s is not current", args.Instance, args.ID)
 	}
 	now := s.now()
-	from := now
-	if change, ok := s.machine.FirstChangeAfter(args.Applied); ok && change.Before(now) {
-		from = change
-	}
-	left := s.leases.renew(holder{args.ID, args.Instance}, args.Applied, from, now)
+	left := s.leases.renew(holder{args.ID, args.Instance}, args.Applied, s.machine.FirstChangeAfter, now)
 	reply.LeaseMillis = left.Milliseconds()
 	reply.Revision = s.machine.Revision()
 	return nil
@@ -253,7 +249,7 @@
 			reply.Fault = fault.ToWire(err)
 			return nil
 		}
-		reply.InForce = s.leases.inForce(s.machine.View(), s.now())
+		reply.InForce = s.leases.inForce(s.machine.Revision(), s.now())
 		if reply.InForce >= args.Revision || !time.Now().Before(deadline) {
 			return nil
 		}
@@ -287,7 +283,7 @@
 	reply.Leader = s.replicator.Leader()
 	reply.Revision = view.Revision
 	reply.Version = view.Config.Version
-	reply.InForce = s.leases.inForce(view, s.now())
+	reply.InForce = s.leases.inForce(view.Revision, s.now())
 	for _, member := range view.Members {
 		applied, left := s.leases.remaining(member, s.now())
 		reply.Members = append(reply.Members, controlrpc.MemberStatus{Member: member, Applied: applied, LeaseMillis: left.Milliseconds()})
--- a/internal/controlrpc/messages.go
+++ b/internal/controlrpc/messages.go
@@ -35,7 +35,8 @@
 type RenewReply struct {
 	Fault *fault.Wire
 	// LeaseMillis is the time left. The lease of a VM that is behind ends one lease length after the first change that it
-	// has not applied; the VM extends it by reading the view and renewing again.
+	// has not applied, and a lease that is not running at this leader begins only on the current revision. The VM extends
+	// or begins it by reading the view and renewing again.
 	LeaseMillis int64
 	Revision    uint64
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,9 @@
 	FailureDomain string `toml:"failure_domain"`
 	RPCAddress    string `toml:"rpc_address"`
 	DataDir       string `toml:"data_dir"`
+	// SnapshotEntries is the number of log entries after which the log is compacted. The default is high because each
+	// snapshot encodes the whole table of bookings, which stops the log meanwhile.
+	SnapshotEntries uint64 `toml:"snapshot_entries"`
 	// FaultRulesFile names the rules of internal/netcut. It is set only in fault tests.
 	FaultRulesFile string `toml:"fault_rules_file"`
 }
@@ -50,7 +53,7 @@
 
 // LoadControl reads the settings of wmux-control.
 func LoadControl(path string) (Control, error) {
-	var loaded Control
+	loaded := Control{SnapshotEntries: 10_000}
 	err := load(path, &loaded)
 	return loaded, err
 }
