controlstate: sort keys instead of values when a view is built

Cause: building the view of 15,000 upstreams dominated the first read after a change. Ruled out: a sorted list kept at each change, because most changes are not read one by one.

--- a/internal/controlstate/view.go
+++ b/internal/controlstate/view.go
@@ -1,7 +1,7 @@
 package controlstate
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -22,20 +22,20 @@
 
 func (s *State) buildView() *model.View {
 	view := &model.View{Revision: s.revision, Config: s.config}
-	view.Members = sortedValues(s.members, func(member model.Member) string { return member.ID })
-	view.Upstreams = sortedValues(s.upstreams, func(upstream model.Upstream) string { return upstream.Name })
-	for fingerprint, until := range s.quarantines {
-		view.Quarantines = append(view.Quarantines, model.Quarantine{Fingerprint: fingerprint, Until: time.UnixMilli(until).UTC()})
+	view.Members = sortedValues(s.members)
+	view.Upstreams = sortedValues(s.upstreams)
+	for _, fingerprint := range slices.Sorted(maps.Keys(s.quarantines)) {
+		until := time.UnixMilli(s.quarantines[fingerprint]).UTC()
+		view.Quarantines = append(view.Quarantines, model.Quarantine{Fingerprint: fingerprint, Until: until})
 	}
-	slices.SortFunc(view.Quarantines, func(a, b model.Quarantine) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return view
 }
 
-func sortedValues[T any](table map[string]T, key func(T) string) []T {
+// sortedValues returns the values in the order of their keys. It sorts the keys, which are smaller than the values.
+func sortedValues[T any](table map[string]T) []T {
 	values := make([]T, 0, len(table))
-	for _, value := range table {
-		values = append(values, value)
+	for _, key := range slices.Sorted(maps.Keys(table)) {
+		values = append(values, table[key])
 	}
-	slices.SortFunc(values, func(a, b T) int { return cmp.Compare(key(a), key(b)) })
 	return values
 }
