wmuxctl: transfer leadership of the control group

Cause: the leader does not remove itself, and a member is added under a name only after its old identity is removed, so operators need to move leadership before they replace the leader's VM. Conclusion: "control transfer"; the help of "control add" names the order.

--- a/cmd/wmux-control/main.go
+++ b/cmd/wmux-control/main.go
@@ -29,7 +29,7 @@
 
 A new group begins with one member, which "bootstrap" prepares. Every other member starts with an empty data directory
 and waits until an operator adds it with "wmuxctl control add". A member whose disk was wiped is added again in the same
-way, and its old identity is removed.`,
+way, after its old identity was removed.`,
 		SilenceUsage: true,
 	}
 	path := root.PersistentFlags().String("settings", "control.toml", "settings file")
--- a/cmd/wmuxctl/control.go
+++ b/cmd/wmuxctl/control.go
@@ -8,7 +8,7 @@
 
 func controlCommand(shared *options) *cobra.Command {
 	command := parentCommand("control", "Show and change the members of the control group")
-	command.AddCommand(controlMembersCommand(shared), controlAddCommand(shared), controlRemoveCommand(shared))
+	command.AddCommand(controlMembersCommand(shared), controlAddCommand(shared), controlRemoveCommand(shared), controlTransferCommand(shared))
 	return command
 }
 
@@ -44,6 +44,7 @@
 type groupChange struct {
 	Added   string `json:"added,omitempty"`
 	Removed string `json:"removed,omitempty"`
+	Leader  string `json:"leader,omitempty"`
 }
 
 func controlAddCommand(shared *options) *cobra.Command {
@@ -52,9 +53,9 @@
 		Short: "Add a running control member; it votes once it has synced the log",
 		Example: `  wmuxctl control add control-2 10.0.1.1:7001
 
-  A member whose disk was wiped comes back with a new identity:
-  wmuxctl control add control-2 10.0.1.1:7001
-  wmuxctl control remove 8f3a61c2d4e5b607`,
+  A member whose disk was wiped comes back with a new identity, and its old one is removed first:
+  wmuxctl control remove control-2
+  wmuxctl control add control-2 10.0.1.1:7001`,
 		Args: cobra.ExactArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return shared.withControl(cmd, func(s session) error {
@@ -71,6 +72,7 @@
 	return &cobra.Command{
 		Use:     "remove NAME|IDENTITY",
 		Short:   "Remove a control member by its name or by the identity of its data directory",
+		Long:    "Remove a control member. The leader does not remove itself; transfer leadership first.",
 		Example: "  wmuxctl control remove control-2",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -83,3 +85,28 @@
 		},
 	}
 }
+
+func controlTransferCommand(shared *options) *cobra.Command {
+	return &cobra.Command{
+		Use:     "transfer [NAME]",
+		Short:   "Hand leadership to the named voter, or to the most advanced one",
+		Example: "  wmuxctl control transfer control-2",
+		Args:    cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var transfer controlrpc.GroupTransferArgs
+			if len(args) == 1 {
+				transfer.Name = args[0]
+			}
+			return shared.withControl(cmd, func(s session) error {
+				if err := s.GroupTransfer(s.ctx, transfer); err != nil {
+					return err
+				}
+				status, err := s.Status(s.ctx)
+				if err != nil {
+					return err
+				}
+				return shared.printLine(groupChange{Leader: status.Leader}, "%s leads", status.Leader)
+			})
+		},
+	}
+}
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -15,6 +15,7 @@
 	Members() []controlrpc.GroupMember
 	Add(ctx context.Context, name, address string) error
 	Remove(ctx context.Context, member string) error
+	Transfer(ctx context.Context, name string) error
 }
 
 // noGroup is the Group of a replicator without members.
@@ -28,6 +29,8 @@
 
 func (g noGroup) Remove(ctx context.Context, _ string) error { return g.Add(ctx, "", "") }
 
+func (g noGroup) Transfer(ctx context.Context, _ string) error { return g.Add(ctx, "", "") }
+
 // GroupMembers lists the members of the control group.
 func (s *Service) GroupMembers(_ controlrpc.GroupArgs, reply *controlrpc.GroupReply) error {
 	reply.Fault = fault.ToWire(s.leadOnce())
@@ -51,6 +54,14 @@
 	return nil
 }
 
+// GroupTransfer hands leadership over.
+func (s *Service) GroupTransfer(args controlrpc.GroupTransferArgs, reply *controlrpc.GroupChangeReply) error {
+	reply.Fault = fault.ToWire(s.changeGroup(func(ctx context.Context) error {
+		return s.group.Transfer(ctx, args.Name)
+	}))
+	return nil
+}
+
 func (s *Service) changeGroup(change func(ctx context.Context) error) error {
 	if err := s.leads(); err != nil {
 		return err
--- a/internal/control/raftgroup.go
+++ b/internal/control/raftgroup.go
@@ -41,3 +41,8 @@
 func (g RaftGroup) Remove(ctx context.Context, member string) error {
 	return g.node.RemoveMember(ctx, member)
 }
+
+// Transfer implements Group.
+func (g RaftGroup) Transfer(ctx context.Context, name string) error {
+	return g.node.TransferLeadership(ctx, name)
+}
--- a/internal/controlrpc/client.go
+++ b/internal/controlrpc/client.go
@@ -125,6 +125,12 @@
 	return err
 }
 
+// GroupTransfer hands leadership over.
+func (c *Client) GroupTransfer(ctx context.Context, args GroupTransferArgs) error {
+	_, err := callWithin[GroupChangeReply](ctx, c, groupTimeout, "GroupTransfer", args)
+	return err
+}
+
 // Status returns the state of the control group as its leader sees it.
 func (c *Client) Status(ctx context.Context) (StatusReply, error) {
 	return call[StatusReply](ctx, c, "Status", StatusArgs{})
--- a/internal/controlrpc/messages.go
+++ b/internal/controlrpc/messages.go
@@ -120,6 +120,11 @@
 	Member string
 }
 
+// GroupTransferArgs hands leadership to the named voter, or to the most advanced one when Name is empty.
+type GroupTransferArgs struct {
+	Name string
+}
+
 // GroupChangeReply is returned once the change of the group is committed.
 type GroupChangeReply struct {
 	Fault *fault.Wire
