--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/rpc"
 	"sync"
 	"time"
 
@@ -12,16 +11,15 @@
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
 )
 
-// peers sends sub-requests to the owners of upstreams. Searches go in batches over one link for each owner; each booking
-// is a call of its own on a second connection, so that it never waits behind large search results.
+// peers sends sub-requests to the owners of upstreams. Searches go in batches over one link for each owner; bookings
+// go over the separate connections of links, so that they never wait behind large search results.
 type peers struct {
 	selfID string
 	local  *owner
 	dial   controlrpc.Dialer
 
-	// mu guards conns, links and jobs.
+	// mu guards links and jobs.
 	mu    sync.Mutex
-	conns map[string]*rpc.Client
 	links map[string]*link
 	jobs  map[uint64]*job
 }
@@ -29,7 +27,7 @@
 func newPeers(selfID string, local *owner, dial controlrpc.Dialer) *peers {
 	return &peers{
 		selfID: selfID, local: local, dial: dial,
-		conns: map[string]*rpc.Client{}, links: map[string]*link{}, jobs: map[uint64]*job{},
+		links: map[string]*link{}, jobs: map[uint64]*job{},
 	}
 }
 
@@ -94,61 +92,3 @@
 	}
 	return current
 }
-
-// execute runs the sub-request at the member that owns its upstream and waits for the result.
-func (p *peers) execute(ctx context.Context, member model.Member, sub ownerrpc.SubRequest) ownerrpc.SubResult {
-	if member.ID == p.selfID {
-		return p.local.execute(ctx, sub)
-	}
-	conn, err := p.conn(member.RPCAddress)
-	if err != nil {
-		return ownerrpc.SubResult{ID: sub.ID, Fault: fault.ToWire(err)}
-	}
-	var reply ownerrpc.ExecuteReply
-	call := conn.Go(ownerrpc.ServiceName+".Execute", ownerrpc.ExecuteArgs{SubRequest: sub}, &reply, make(chan *rpc.Call, 1))
-	select {
-	case <-ctx.Done():
-		err := fault.New(fault.Cancelled, "peers.execute", "%w", ctx.Err())
-		return ownerrpc.SubResult{ID: sub.ID, Fault: fault.ToWire(err)}
-	case done := <-call.Done:
-		if done.Error != nil {
-			p.drop(member.RPCAddress, conn)
-			err := fault.New(fault.OutcomeUnknown, "peers.execute", "owner %s: %w", member.ID, done.Error)
-			return ownerrpc.SubResult{ID: sub.ID, Fault: fault.ToWire(err)}
-		}
-		return reply.Result
-	}
-}
-
-// conn returns the connection for calls to the address. It dials outside the lock, because a dial to a silent VM takes
-// long and must not hold up calls to others.
-func (p *peers) conn(address string) (*rpc.Client, error) {
-	p.mu.Lock()
-	conn, ok := p.conns[address]
-	p.mu.Unlock()
-	if ok {
-		return conn, nil
-	}
-	raw, err := p.dial(address)
-	if err != nil {
-		return nil, fault.New(fault.NotRun, "peers.dial", "owner at %s: %w", address, err)
-	}
-	dialled := rpc.NewClient(raw)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if conn, ok := p.conns[address]; ok {
-		_ = dialled.Close()
-		return conn, nil
-	}
-	p.conns[address] = dialled
-	return dialled, nil
-}
-
-func (p *peers) drop(address string, conn *rpc.Client) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conns[address] == conn {
-		delete(p.conns, address)
-	}
-	_ = conn.Close()
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,8 @@
 	Ownership string `toml:"ownership"`
 	Balance   string `toml:"balance"`
 	Hedging   bool   `toml:"hedging"`
+	// TraceFile records the events of the decision packages for wmux-replay; empty records nothing.
+	TraceFile string `toml:"trace_file"`
 }
 
 // Control holds the settings of wmux-control.
