--- a/internal/controlrpc/messages.go
+++ b/internal/controlrpc/messages.go
@@ -34,8 +34,9 @@
 // RenewReply grants a lease that the VM counts from the moment it sent the request.
 type RenewReply struct {
 	Fault *fault.Wire
-	// LeaseMillis is the time left. A VM that is behind gets what is left of its earlier lease and no extension; it
-	// extends its lease by reading the view and renewing again.
+	// LeaseMillis is the time left. The lease of a VM that is behind ends one lease length after the first change that it
+	// has not applied, and a lease that is not running at this leader begins only on the current revision. The VM extends
+	// or begins it by reading the view and renewing again.
 	LeaseMillis int64
 	Revision    uint64
 }
@@ -119,6 +120,11 @@
 	Member string
 }
 
+// GroupTransferArgs hands leadership to the named voter, or to the most advanced one when Name is empty.
+type GroupTransferArgs struct {
+	Name string
+}
+
 // GroupChangeReply is returned once the change of the group is committed.
 type GroupChangeReply struct {
 	Fault *fault.Wire
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,9 @@
 	DataDir string `toml:"data_dir" validate:"required"`
 	// TLS secures the connections of members, entry VMs and operators; absent means none.
 	TLS security.Files `toml:"tls"`
+	// SnapshotEntries is the number of log entries after which the log is compacted. The default is high because each
+	// snapshot encodes the whole table of bookings, which stops the log meanwhile.
+	SnapshotEntries uint64 `toml:"snapshot_entries" validate:"min=10,max=10000000"`
 	// FaultRulesFile names the rules of internal/netcut. It is set only in fault tests.
 	FaultRulesFile string `toml:"fault_rules_file"`
 }
@@ -63,7 +66,7 @@
 
 // LoadControl reads the settings of wmux-control.
 func LoadControl(path string) (Control, error) {
-	var loaded Control
+	loaded := Control{SnapshotEntries: 10_000}
 	err := load(path, &loaded)
 	return loaded, err
 }
