Admit a query only with a margin for what the estimate does not see

Admitted queries ran into their deadlines under overload: the estimate misses requests of other entry VMs since the last result and the spread of the waits of a query's shards.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -7,8 +7,13 @@
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 )
 
-// overloadShare is the share of the remaining time that the expected wait must exceed to count as overload.
-const overloadShare = 0.5
+const (
+	// overloadShare is the share of the remaining time that the expected wait must exceed to count as overload.
+	overloadShare = 0.25
+	// waitMargin covers what the estimate does not see: requests of other entry VMs since the last result, and the spread
+	// of the waits of a query's shards. Without it, admitted queries ran into their deadlines by the thousand.
+	waitMargin = 2.0
+)
 
 // Estimate is the expected wait and service time at the most loaded shard of a query.
 type Estimate struct {
@@ -37,7 +42,7 @@
 			return fault.New(fault.OverShare, "admission.admit", "caller %q is above its share during overload", caller)
 		}
 		wait := time.Duration(float64(worst.Wait) * math.Min(1, load))
-		if wait+worst.Service > remaining {
+		if time.Duration(waitMargin*float64(wait))+worst.Service > remaining {
 			return fault.New(fault.NotRun, "admission.admit", "expected wait of %s exceeds the remaining %s", wait, remaining)
 		}
 	}
