Execute drain plans through the log and refuse to drain a last replica

Cause: plans existed only as a pure package, and an operator's drain of one upstream could end the coverage of a shard that may never lose it. A member may propose its own removal again, which a planned stop needs.

The test that drained the only upstream of a shard now expects the refusal and drains beside a second replica: it checks more than before. Burn and demand are not reported by entry VMs yet.

--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -10,6 +10,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/planner"
 )
 
 // Machine adapts controlstate.State to the StateMachine interface and makes it readable from other goroutines.
@@ -170,3 +171,10 @@
 	}
 	return c.times[first], true
 }
+
+// Execution returns the newest drain execution.
+func (m *Machine) Execution() (planner.Execution, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Execution()
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -28,6 +28,7 @@
 	group      Group
 	barriers   *barrierGroup
 	leases     *leaseTable
+	loads      *loadTable
 	now        func() time.Time
 	log        *slog.Logger
 }
@@ -41,6 +42,7 @@
 		group:      noGroup{},
 		barriers:   &barrierGroup{barrier: replicator.ReadBarrier},
 		leases:     newLeaseTable(),
+		loads:      newLoadTable(),
 		now:        now,
 		log:        slog.New(slog.DiscardHandler),
 	}
@@ -58,7 +60,7 @@
 	return s
 }
 
-// Run expires members whose leases have ended until the context ends.
+// Run expires members whose leases have ended and advances the current drain until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
@@ -103,6 +105,7 @@
 	if s.leadOnce() != nil {
 		return
 	}
+	s.advancePlan(ctx)
 	view := s.machine.View()
 	for _, member := range view.Members {
 		if _, left := s.leases.remaining(member, s.now()); left <= 0 {
@@ -181,6 +184,7 @@
 		return fault.New(fault.Fenced, "control.renew", "instance %d of %s is not current", args.Instance, args.ID)
 	}
 	now := s.now()
+	s.loads.put(args.ID, args.Load, now)
 	left := s.leases.renew(holder{args.ID, args.Instance}, args.Applied, s.machine.FirstChangeAfter, now)
 	reply.LeaseMillis = left.Milliseconds()
 	reply.Revision = s.machine.Revision()
@@ -226,7 +230,7 @@
 }
 
 func (s *Service) proposeFor(command controlstate.Command) (controlstate.Result, error) {
-	if command.JoinMember != nil || command.ExpireMember != nil || command.Tick != nil {
+	if command.JoinMember != nil || command.AdvancePlan != nil || command.StartPlan != nil || command.Tick != nil {
 		return controlstate.Result{}, fault.New(fault.Forbidden, "control.propose", "only the leader itself proposes this command")
 	}
 	if err := s.leads(); err != nil {
--- a/internal/controlrpc/messages.go
+++ b/internal/controlrpc/messages.go
@@ -29,6 +29,16 @@
 	Applied uint64
 	// Served is the newest revision that the VM has ever served. Control answers only at or above it.
 	Served uint64
+	// Load is what the VM measures of the service level and of the demand.
+	Load Load
+}
+
+// Load is what an entry VM measures. It steers drains.
+type Load struct {
+	// Burn is the highest recent burn rate of any objective.
+	Burn float64
+	// Demand is the mean number of busy slots of each service at the upstreams that the VM owns.
+	Demand map[string]float64
 }
 
 // RenewReply grants a lease that the VM counts from the moment it sent the request.
--- a/internal/controlstate/bounds_test.go
+++ b/internal/controlstate/bounds_test.go
@@ -142,6 +142,8 @@
 		Expect(codeOf(d.set("a", model.UpstreamReady))).To(Equal(fault.Conflict))
 		d.announce("a")
 		Expect(d.state.View().Upstreams[0].State).To(Equal(model.UpstreamReady))
+		Expect(codeOf(d.set("a", model.UpstreamDraining))).To(Equal(fault.Conflict), "the last replica of a shard that may never lose coverage")
+		d.announce("b")
 		d.set("a", model.UpstreamDraining)
 		d.set("a", model.UpstreamLost)
 		d.announce("a")
--- a/internal/controlstate/commands.go
+++ b/internal/controlstate/commands.go
@@ -24,6 +24,9 @@
 	AddQuarantine    *AddQuarantine    `cbor:"9,keyasint,omitempty"`
 	ClearQuarantine  *ClearQuarantine  `cbor:"10,keyasint,omitempty"`
 	Tick             *Tick             `cbor:"11,keyasint,omitempty"`
+	StartPlan        *StartPlan        `cbor:"12,keyasint,omitempty"`
+	OrderPlan        *OrderPlan        `cbor:"13,keyasint,omitempty"`
+	AdvancePlan      *AdvancePlan      `cbor:"14,keyasint,omitempty"`
 }
 
 // ApplyConfig replaces the configuration if BaseVersion is the current version. ChangeID makes a resend idempotent.
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -5,6 +5,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/planner"
 )
 
 // snapshotFormat is the version of the snapshot's encoding. A member refuses a format that it does not know.
@@ -21,6 +22,7 @@
 	Upstreams   []snapshotUpstream  `cbor:"7,keyasint"`
 	Bookings    []Booking           `cbor:"8,keyasint"`
 	Quarantines []snapshotDeadline  `cbor:"9,keyasint"`
+	Execution   *planner.Execution  `cbor:"10,keyasint,omitempty"`
 }
 
 type snapshotUpstream struct {
@@ -45,6 +47,7 @@
 		Config:    s.config,
 		Members:   view.Members,
 		Bookings:  make([]Booking, 0, s.bookings.order.Len()),
+		Execution: s.execution,
 	}
 	for _, id := range s.changes.order {
 		content.Changes = append(content.Changes, s.changes.byID[id])
@@ -89,6 +92,7 @@
 	s.nowMillis = c.NowMillis
 	s.revision = c.Revision
 	s.config = c.Config
+	s.execution = c.Execution
 	for _, change := range c.Changes {
 		s.changes.remember(change, s.limits.changes)
 	}
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/planner"
 )
 
 // State is the replicated state. The caller serialises all calls. Every field but cached and limits is part of the
@@ -23,6 +24,8 @@
 	leaving     map[string]string
 	bookings    bookingTable
 	quarantines map[string]int64
+	// execution is the newest drain execution, or nil.
+	execution *planner.Execution
 
 	// cached is the view of the current revision, or nil until it is asked for.
 	cached *model.View
@@ -105,6 +108,12 @@
 		return s.addQuarantine(index, *command.AddQuarantine)
 	case command.ClearQuarantine != nil:
 		return s.clearQuarantine(index, *command.ClearQuarantine)
+	case command.StartPlan != nil:
+		return s.startPlan(*command.StartPlan)
+	case command.OrderPlan != nil:
+		return s.orderPlan(*command.OrderPlan)
+	case command.AdvancePlan != nil:
+		return s.advancePlan(*command.AdvancePlan)
 	case command.Tick != nil:
 		return s.unchanged()
 	}
--- a/internal/controlstate/upstreams.go
+++ b/internal/controlstate/upstreams.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/planner"
 )
 
 func (s *State) announceUpstream(index uint64, announce AnnounceUpstream) Result {
@@ -72,6 +73,11 @@
 	if err := checkTransition(upstream, set.State); err != nil {
 		return s.refuse(err)
 	}
+	if set.State == model.UpstreamDraining {
+		if reason := planner.LastReplica(*s.View(), upstream); reason != "" {
+			return s.refuse(fault.New(fault.Conflict, "upstream.set_state", "never_lose_coverage: %s", reason))
+		}
+	}
 	switch set.State {
 	case model.UpstreamReady:
 		delete(s.leaving, set.Name)
--- a/internal/planner/execute.go
+++ b/internal/planner/execute.go
@@ -93,16 +93,16 @@
 // advance drains the current wave and moves on once all of it has left. A wave is checked against the view again
 // before it starts, because replicas may have been lost since the plan was made.
 func advance(e Execution, view model.View, nowMillis int64) (Execution, []Action) {
-	states := upstreamStates(view)
+	upstreams := upstreamsByName(view)
 	var actions []Action
 	pending := false
 	for _, step := range e.Plan.Steps {
 		if step.Wave != e.Wave {
 			continue
 		}
-		switch states[step.Upstream] {
+		switch upstreams[step.Upstream].State {
 		case model.UpstreamReady:
-			if reason := lastReplica(view, step); reason != "" {
+			if reason := LastReplica(view, upstreams[step.Upstream]); reason != "" {
 				return e.enter(StatusPaused, nowMillis, reason), nil
 			}
 			actions = append(actions, Action{step.Upstream, model.UpstreamDraining})
@@ -121,33 +121,34 @@
 	return e, nil
 }
 
-func upstreamStates(view model.View) map[string]model.UpstreamState {
-	states := make(map[string]model.UpstreamState, len(view.Upstreams))
+func upstreamsByName(view model.View) map[string]model.Upstream {
+	upstreams := make(map[string]model.Upstream, len(view.Upstreams))
 	for _, upstream := range view.Upstreams {
-		states[upstream.Name] = upstream.State
+		upstreams[upstream.Name] = upstream
 	}
-	return states
+	return upstreams
 }
 
-// lastReplica says why the step would end a shard's coverage now, or returns "".
-func lastReplica(view model.View, step Step) string {
-	if !view.Config.RuleFor(step.Shard.Service).NeverLoseCoverage {
+// LastReplica says why draining the upstream now would end the coverage of its shard, or returns "" if it would not or
+// the rule of its service permits it.
+func LastReplica(view model.View, leaving model.Upstream) string {
+	if !view.Config.RuleFor(leaving.Service).NeverLoseCoverage {
 		return ""
 	}
-	for _, upstream := range view.Upstreams {
-		if upstream.Name != step.Upstream && upstream.ShardID() == step.Shard && upstream.State == model.UpstreamReady {
+	for _, other := range view.Upstreams {
+		if other.Name != leaving.Name && other.State == model.UpstreamReady && serves(other, leaving) {
 			return ""
 		}
 	}
-	return fmt.Sprintf("%s is the last ready upstream of shard %d of %s", step.Upstream, step.Shard.Shard, step.Shard.Service)
+	return fmt.Sprintf("%s is the last ready upstream of shard %d of %s", leaving.Name, leaving.Shard, leaving.Service)
 }
 
 // reverse brings every upstream of the plan back that is still announced as draining or drained.
 func reverse(e Execution, view model.View, nowMillis int64) (Execution, []Action) {
-	states := upstreamStates(view)
+	upstreams := upstreamsByName(view)
 	var actions []Action
 	for _, step := range e.Plan.Steps {
-		state := states[step.Upstream]
+		state := upstreams[step.Upstream].State
 		if state == model.UpstreamDraining || state == model.UpstreamDrained {
 			actions = append(actions, Action{step.Upstream, model.UpstreamReady})
 		}
