Test searches through several entry daemons and real connections

The suites of the decision packages cannot see faults of the adapter: slots used beyond their number by several entry VMs, a refused request that ran anyway, a cancellation that stops at the owner, a lost owner that is noticed at the deadline. Property suites take their seed from internal/rapidseed. The owner and its service read the time themselves, since they no longer share the session's clock.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -1,7 +1,6 @@
 package admission_test
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -12,10 +11,10 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/admission"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	_ "github.com/wisteriamux/wisteriamux/internal/rapidseed"
 )
 
 func TestAdmission(t *testing.T) {
-	_ = flag.Set("rapid.seed", "1")
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "Admission")
 }
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -11,10 +11,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/wisteriamux/wisteriamux/internal/balance"
+	_ "github.com/wisteriamux/wisteriamux/internal/rapidseed"
 )
 
 func TestBalance(t *testing.T) {
-	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.checks", "25")
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "Balance")
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -1,7 +1,6 @@
 package budget_test
 
 import (
-	"flag"
 	"testing"
 	"time"
 
@@ -10,10 +9,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/wisteriamux/wisteriamux/internal/budget"
+	_ "github.com/wisteriamux/wisteriamux/internal/rapidseed"
 )
 
 func TestBudget(t *testing.T) {
-	_ = flag.Set("rapid.seed", "1")
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "Budget")
 }
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -160,7 +160,7 @@
 // submit queues a sub-request. done is called once with its result, unless the job is cancelled while it waits; ctx
 // cancels the job as well once it runs.
 func (o *owner) submit(ctx context.Context, sub ownerrpc.SubRequest, done func(ownerrpc.SubResult)) *job {
-	now := o.session.now()
+	now := time.Now()
 	j := &job{sub: sub, done: done}
 	j.ctx, j.cancel = context.WithTimeout(ctx, sub.Timeout)
 	upstream, err := o.admit(sub)
@@ -208,7 +208,7 @@
 func (o *owner) dispatch(p *pool) {
 	for {
 		p.mu.Lock()
-		next, dropped := p.queue.Next(o.session.now())
+		next, dropped := p.queue.Next(time.Now())
 		client := p.client
 		p.mu.Unlock()
 		for _, r := range dropped {
@@ -225,11 +225,11 @@
 func (o *owner) serve(p *pool, client *upstreamapi.Client, j *job) {
 	defer j.cancel()
 	result := ownerrpc.SubResult{ID: j.sub.ID}
-	started := o.session.now()
+	started := time.Now()
 	_, err := o.admit(j.sub)
 	if err == nil {
 		err = o.send(j, client, &result)
-		result.Service = o.session.now().Sub(started)
+		result.Service = time.Since(started)
 	}
 	result.Fault = fault.ToWire(err)
 	p.mu.Lock()
--- a/internal/entry/ownerservice.go
+++ b/internal/entry/ownerservice.go
@@ -82,7 +82,7 @@
 
 // session returns the session and ends those whose senders no longer collect.
 func (s *OwnerService) session(key ownerrpc.Session) *inbound {
-	now := s.owner.session.now()
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.sessions == nil {
--- /dev/null
+++ b/internal/entry/searchtest/search_test.go
@@ -0,0 +1,325 @@
+// Package searchtest tests searches through several entry daemons with upstreams over real connections.
+package searchtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wisteriamux/wisteriamux/internal/balance"
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/controlstate"
+	"github.com/wisteriamux/wisteriamux/internal/entry"
+	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
+)
+
+func TestSearch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Search")
+}
+
+// upstream counts what reaches it.
+type upstream struct {
+	server  *httptest.Server
+	hold    time.Duration
+	release chan struct{}
+
+	mu        sync.Mutex
+	running   int
+	most      int
+	conns     map[string]bool
+	seen      map[string]bool
+	cancelled int
+}
+
+func startUpstream(hold time.Duration) *upstream {
+	u := &upstream{hold: hold, release: make(chan struct{}), conns: map[string]bool{}, seen: map[string]bool{}}
+	u.server = httptest.NewServer(u)
+	return u
+}
+
+func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var request upstreamapi.SearchRequest
+	_ = json.NewDecoder(r.Body).Decode(&request)
+	u.mu.Lock()
+	u.running++
+	u.most = max(u.most, u.running)
+	u.conns[r.RemoteAddr] = true
+	u.seen[r.Header.Get(upstreamapi.HeaderRequestID)] = true
+	u.mu.Unlock()
+	defer func() { u.mu.Lock(); u.running--; u.mu.Unlock() }()
+	select {
+	case <-time.After(u.hold):
+	case <-u.release:
+	case <-r.Context().Done():
+		u.mu.Lock()
+		u.cancelled++
+		u.mu.Unlock()
+		return
+	}
+	version, _ := strconv.ParseUint(r.Header.Get(upstreamapi.HeaderIndexVersion), 10, 64)
+	generation, _ := strconv.ParseUint(r.Header.Get(upstreamapi.HeaderShardGeneration), 10, 64)
+	item, _ := json.Marshal(request.Query)
+	_ = json.NewEncoder(w).Encode(upstreamapi.SearchResponse{Version: version, Generation: generation, Items: []json.RawMessage{item}})
+}
+
+func (u *upstream) read(field func(u *upstream) int) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return field(u)
+}
+
+func cancelled(u *upstream) int { return u.cancelled }
+func started(u *upstream) int   { return len(u.seen) }
+
+// control grants every lease and serves a fixed view.
+type control struct {
+	entry.Control
+	view model.View
+}
+
+func (c *control) Join(context.Context, model.Member) (uint64, error) { return 1, nil }
+
+func (c *control) Renew(context.Context, controlrpc.RenewArgs) (controlrpc.RenewReply, error) {
+	return controlrpc.RenewReply{LeaseMillis: 4_000, Revision: c.view.Revision}, nil
+}
+
+func (c *control) View(context.Context, uint64) (model.View, bool, error) { return c.view, false, nil }
+
+func (c *control) Propose(context.Context, controlstate.Command) (controlstate.Result, error) {
+	return controlstate.Result{}, nil
+}
+
+// tier runs entry daemons in this process.
+type tier struct {
+	urls      []string
+	addresses []string
+	peers     []net.Listener
+	upstreams []*upstream
+	stops     []context.CancelFunc
+
+	mu    sync.Mutex
+	conns map[string][]net.Conn
+}
+
+const slots = 2
+
+// startTier starts entry daemons and services of one shard with two replicas each.
+func startTier(entries, services int, hold time.Duration, config entry.Config) *tier {
+	t := &tier{conns: map[string][]net.Conn{}}
+	view := model.View{Revision: 5, Config: model.Configuration{Rules: []model.Rule{{Service: "s*", WaitShare: 0.9, PartialAllowed: false}}}}
+	for s := range services {
+		name := fmt.Sprintf("s%d", s)
+		view.Config.Inventory.Services = append(view.Config.Inventory.Services, model.Service{Name: name, Kind: model.ServiceSearch})
+		for r := range 2 {
+			u := startUpstream(hold)
+			t.upstreams = append(t.upstreams, u)
+			view.Upstreams = append(view.Upstreams, model.Upstream{State: model.UpstreamReady, Announcement: model.Announcement{
+				Name: fmt.Sprintf("%s-%d", name, r), Service: name, FailureDomain: fmt.Sprint(r), Address: u.server.Listener.Addr().String(),
+				ShardCount: 1, Generation: 1, MinVersion: 1, MaxVersion: 1, Slots: slots, Connections: 6,
+			}})
+		}
+	}
+	var callers []net.Listener
+	for n := range entries {
+		callers = append(callers, listen())
+		t.peers = append(t.peers, listen())
+		t.addresses = append(t.addresses, t.peers[n].Addr().String())
+		t.urls = append(t.urls, "http://"+callers[n].Addr().String())
+		view.Members = append(view.Members, model.Member{ID: fmt.Sprintf("e%d", n), Instance: 1, RPCAddress: t.addresses[n]})
+	}
+	for n := range entries {
+		ctx, stop := context.WithCancel(context.Background())
+		t.stops = append(t.stops, stop)
+		own := config
+		own.ID = fmt.Sprintf("e%d", n)
+		own.DrainTimeout = time.Second
+		server := entry.New(own, &control{view: view}, t.addresses[n], t.dial, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		go func() { defer GinkgoRecover(); _ = server.Run(ctx, callers[n], t.peers[n]) }()
+		Eventually(func() int { return status(t.urls[n] + "/healthz") }).Should(Equal(http.StatusOK))
+	}
+	DeferCleanup(t.stop)
+	return t
+}
+
+func listen() net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	return listener
+}
+
+// dial records connections between entry VMs, so that a test can cut those to one owner.
+func (t *tier) dial(address string) (net.Conn, error) {
+	conn, err := net.Dial("tcp", address)
+	if err == nil {
+		t.mu.Lock()
+		t.conns[address] = append(t.conns[address], conn)
+		t.mu.Unlock()
+	}
+	return conn, err
+}
+
+// cut closes an owner's listener and the connections to it.
+func (t *tier) cut(n int) {
+	_ = t.peers[n].Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, conn := range t.conns[t.addresses[n]] {
+		_ = conn.Close()
+	}
+}
+
+func (t *tier) stop() {
+	for _, stop := range t.stops {
+		stop()
+	}
+	for _, u := range t.upstreams {
+		u.server.CloseClientConnections()
+		u.server.Close()
+	}
+}
+
+func status(url string) int {
+	response, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+type answer struct {
+	HTTP      int
+	RequestID string `json:"request_id"`
+	Items     []string
+	Coverage  model.Coverage
+}
+
+func search(ctx context.Context, url, query string, timeout time.Duration) answer {
+	body := fmt.Sprintf(`{"services":["s*"],"query":%q,"timeout_ms":%d}`, query, timeout.Milliseconds())
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/search", bytes.NewBufferString(body))
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(entry.HeaderCaller, strings.SplitN(query, "/", 2)[0])
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{}
+	}
+	defer func() { _ = response.Body.Close() }()
+	var got answer
+	_ = json.NewDecoder(response.Body).Decode(&got)
+	got.HTTP = response.StatusCode
+	return got
+}
+
+// flood sends searches through all entry VMs at once and returns the answers by query.
+func (t *tier) flood(count int, timeout time.Duration) map[string]answer {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	answers := map[string]answer{}
+	for n := range count {
+		all.Go(func() {
+			query := fmt.Sprintf("caller-%d/%d", n%3, n)
+			got := search(context.Background(), t.urls[n%len(t.urls)], query, timeout)
+			mu.Lock()
+			defer mu.Unlock()
+			answers[query] = got
+		})
+	}
+	all.Wait()
+	return answers
+}
+
+var _ = Describe("Search", func() {
+	It("keeps at most the slots in flight at each upstream and uses all of them, for all entry VMs together", func() {
+		t := startTier(3, 2, 3*time.Millisecond, entry.Config{Balance: balance.Observed})
+		for query, got := range t.flood(150, 20*time.Second) {
+			Expect(got.HTTP).To(Equal(http.StatusOK))
+			Expect(got.Items).To(Equal([]string{query, query}), "P3: the items are those of the caller's own request")
+		}
+		for _, u := range t.upstreams {
+			Expect(u.most).To(Equal(slots))
+			Expect(len(u.conns)).To(BeNumerically("<=", 6))
+		}
+	})
+
+	It("refuses as not run only what reached no upstream", func() {
+		t := startTier(2, 2, 20*time.Millisecond, entry.Config{Balance: balance.Observed, Hedging: true})
+		refused := 0
+		for range 3 {
+			for _, got := range t.flood(120, 150*time.Millisecond) {
+				if got.HTTP != http.StatusServiceUnavailable && got.HTTP != http.StatusTooManyRequests {
+					continue
+				}
+				refused++
+				for _, u := range t.upstreams {
+					Expect(u.read(func(u *upstream) int { return count(u.seen[got.RequestID]) })).To(BeZero(), "P4: a refused request ran")
+				}
+			}
+		}
+		Expect(refused).To(BeNumerically(">", 0), "the load must cause refusals")
+	})
+
+	It("closes the stream to the upstream when the caller leaves, whichever entry VM owns it", func() {
+		t := startTier(3, 3, time.Minute, entry.Config{Balance: balance.Observed})
+		ctx, leave := context.WithCancel(context.Background())
+		go search(ctx, t.urls[0], "leaver", 50*time.Second)
+		Eventually(func() int { return t.total(started) }).Should(Equal(3))
+		leave()
+		Eventually(func() int { return t.total(cancelled) }).Should(Equal(3))
+	})
+
+	It("retries on the other replica when an owner is lost, long before the deadline", func() {
+		const services = 20
+		t := startTier(2, services, time.Minute, entry.Config{Balance: balance.Observed})
+		answers := make(chan answer, 1)
+		go func() { answers <- search(context.Background(), t.urls[0], "q", 50*time.Second) }()
+		Eventually(func() int { return t.total(started) }).Should(Equal(services))
+		t.cut(1)
+		for _, u := range t.upstreams {
+			close(u.release)
+		}
+		var got answer
+		Eventually(answers).WithTimeout(10 * time.Second).Should(Receive(&got))
+		Expect(got.HTTP).To(Equal(http.StatusOK))
+		Expect(got.Items).To(HaveLen(services))
+		Expect(t.total(started)).To(BeNumerically(">", services), "the lost sub-requests ran again")
+	})
+
+	It("sends from every entry VM itself with direct ownership", func() {
+		t := startTier(2, 2, time.Millisecond, entry.Config{Balance: balance.Random, Ownership: entry.OwnershipDirect})
+		for _, got := range t.flood(40, 20*time.Second) {
+			Expect(got.HTTP).To(Equal(http.StatusOK))
+		}
+		Expect(t.conns).To(BeEmpty(), "no entry VM calls another")
+	})
+})
+
+func count(yes bool) int {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
+func (t *tier) total(field func(u *upstream) int) int {
+	sum := 0
+	for _, u := range t.upstreams {
+		sum += u.read(field)
+	}
+	return sum
+}
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -12,11 +12,11 @@
 	"github.com/wisteriamux/wisteriamux/internal/fanout"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	_ "github.com/wisteriamux/wisteriamux/internal/rapidseed"
 	"github.com/wisteriamux/wisteriamux/internal/snapshot"
 )
 
 func TestFanout(t *testing.T) {
-	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.checks", "20000")
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "Fanout")
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -1,7 +1,6 @@
 package snapshot_test
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 
@@ -10,11 +9,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	_ "github.com/wisteriamux/wisteriamux/internal/rapidseed"
 	"github.com/wisteriamux/wisteriamux/internal/snapshot"
 )
 
 func TestSnapshot(t *testing.T) {
-	_ = flag.Set("rapid.seed", "1")
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "Snapshot")
 }
