--- a/internal/fanout/messages.go
+++ b/internal/fanout/messages.go
@@ -51,6 +51,8 @@
 	Timeout    time.Duration
 	// Extra marks a hedge or a retry.
 	Extra bool
+	// AfterCrash marks an attempt of a sub-request that was in flight when an upstream crashed.
+	AfterCrash bool
 }
 
 // Cancel asks to stop a sub-request whose result is no longer needed.
