--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -184,7 +184,7 @@
 // submit queues a sub-request. done is called once with its result, unless the job is cancelled while it waits; ctx
 // cancels the job as well once it runs.
 func (o *owner) submit(ctx context.Context, sub ownerrpc.SubRequest, done func(ownerrpc.SubResult)) *job {
-	now := o.session.now()
+	now := time.Now()
 	j := &job{sub: sub, done: done}
 	j.ctx, j.cancel = context.WithTimeout(ctx, sub.Timeout)
 	upstream, err := o.admit(sub)
@@ -232,7 +232,7 @@
 func (o *owner) dispatch(p *pool) {
 	for {
 		p.mu.Lock()
-		next, dropped := p.queue.Next(o.session.now())
+		next, dropped := p.queue.Next(time.Now())
 		client := p.client
 		p.mu.Unlock()
 		for _, r := range dropped {
@@ -273,9 +273,9 @@
 		return err
 	}
 	if _, err = o.admit(j.sub); err == nil {
-		started := o.session.now()
+		started := time.Now()
 		err = o.send(j, client, ticket.alone, result)
-		result.Service = o.session.now().Sub(started)
+		result.Service = time.Since(started)
 	}
 	ticket.afterResult(err)
 	return err
