Measure the service level with OpenTelemetry and report burn

Cause: drains had no signal to pause on and operators no report. Change: each search and booking counts for the latency and coverage objectives of its services; entry VMs serve /metrics (Prometheus exporter) and /v1/burn (JSON, text, page); renewals report the worst recent burn and the busy slots by service; wmuxctl burn reads several VMs, saves runs and renders saved runs.

A refused search counts against latency, since its caller has no answer in time; malformed and quarantined ones count for nothing.

--- a/cmd/wmux-entry/main.go
+++ b/cmd/wmux-entry/main.go
@@ -98,7 +98,12 @@
 		return err
 	}
 	defer func() { _ = recorder.Close() }()
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return err
+	}
 	config := entry.Config{
+		Metrics:       metrics,
 		Recorder:      recorder,
 		ID:            loaded.ID,
 		FailureDomain: loaded.FailureDomain,
--- a/cmd/wmuxctl/main.go
+++ b/cmd/wmuxctl/main.go
@@ -52,7 +52,7 @@
 	root.PersistentFlags().StringVar(&shared.tls.Key, "tls-key", "", "key of the operator's certificate")
 	root.PersistentFlags().StringVar(&shared.tls.Authority, "tls-authority", "", "certificate of the authority")
 	root.AddCommand(
-		certificateCommand(), shrinkCommand(shared), applyCommand(shared), configCommand(shared),
+		certificateCommand(), burnCommand(shared), shrinkCommand(shared), applyCommand(shared), configCommand(shared),
 		statusCommand(shared), servicesCommand(shared), membersCommand(shared),
 		upstreamsCommand(shared), drainCommand(shared), undrainCommand(shared),
 		bookingsCommand(shared), quarantineCommand(shared), controlCommand(shared),
--- a/internal/burn/burn.go
+++ b/internal/burn/burn.go
@@ -117,14 +117,17 @@
 	for objective, counts := range newest.Counts {
 		report.Rows = append(report.Rows, h.row(objective, counts))
 	}
-	sort.Slice(report.Rows, func(i, j int) bool {
-		a, b := report.Rows[i], report.Rows[j]
-		if a.Service != b.Service {
-			return a.Service < b.Service
+	sortRows(report.Rows)
+	return report
+}
+
+func sortRows(rows []Row) {
+	sort.Slice(rows, func(i, j int) bool {
+		if rows[i].Service != rows[j].Service {
+			return rows[i].Service < rows[j].Service
 		}
-		return a.Kind < b.Kind
+		return rows[i].Kind < rows[j].Kind
 	})
-	return report
 }
 
 func (h *History) row(objective Objective, counts Counts) Row {
@@ -192,6 +195,57 @@
 	return worst, at
 }
 
+// SampleOf returns the counters of a report.
+func SampleOf(report Report) Sample {
+	sample := Sample{At: report.At, Counts: make(map[Objective]Counts, len(report.Rows))}
+	for _, row := range report.Rows {
+		sample.Counts[row.Objective] = row.Counts
+	}
+	return sample
+}
+
+// Combine adds the counters of reports of several VMs. Burn rates are those of the worst VM, because the counters of
+// earlier moments are not part of a report.
+func Combine(reports []Report) Report {
+	var combined Report
+	rows := map[Objective]Row{}
+	for _, report := range reports {
+		if report.At.After(combined.At) {
+			combined.At = report.At
+		}
+		for _, row := range report.Rows {
+			sum, seen := rows[row.Objective]
+			if !seen {
+				sum = Row{Objective: row.Objective, Windows: make([]WindowRate, len(row.Windows))}
+			}
+			rows[row.Objective] = sum.plus(row)
+		}
+	}
+	for _, row := range rows {
+		combined.Rows = append(combined.Rows, row)
+	}
+	sortRows(combined.Rows)
+	return combined
+}
+
+func (r Row) plus(other Row) Row {
+	r.Counts = Counts{Good: r.Good + other.Good, Total: r.Total + other.Total}
+	r.Attained, r.BudgetLeft = 1, 1
+	if r.Total > 0 {
+		r.Attained = float64(r.Good) / float64(r.Total)
+		r.BudgetLeft = 1 - rate(r.Objective, r.Counts)
+	}
+	r.Recent = max(r.Recent, other.Recent)
+	for i := range min(len(r.Windows), len(other.Windows)) {
+		worst := &r.Windows[i]
+		worst.Window = other.Windows[i].Window
+		worst.Long = max(worst.Long, other.Windows[i].Long)
+		worst.Short = max(worst.Short, other.Windows[i].Short)
+		worst.Alert = worst.Alert || other.Windows[i].Alert
+	}
+	return r
+}
+
 // Merge adds the counters of samples that different VMs took at about the same time.
 func Merge(at time.Time, parts []map[Objective]Counts) Sample {
 	merged := Sample{At: at, Counts: map[Objective]Counts{}}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/gorilla/mux"
 
@@ -51,10 +52,14 @@
 		{"/v1/bookings", http.MethodPost, s.handleBooking, slog.LevelInfo},
 		{upstreamapi.PathAnnounce, http.MethodPost, s.handleAnnounce, slog.LevelDebug},
 		{"/healthz", http.MethodGet, s.handleHealth, slog.LevelDebug},
+		{"/v1/burn", http.MethodGet, s.handleBurn, slog.LevelDebug},
 	} {
 		router.Handle(route.path, s.observed(route.level, route.handler)).Methods(route.method)
 		router.Handle(route.path, s.observed(slog.LevelInfo, methodNotAllowed(route.method)))
 	}
+	if s.config.Metrics != nil {
+		router.Handle("/metrics", s.config.Metrics.Handler()).Methods(http.MethodGet)
+	}
 	router.NotFoundHandler = s.observed(slog.LevelInfo, notFound)
 	return router
 }
@@ -80,7 +85,9 @@
 		writeError(w, err, nil)
 		return
 	}
+	started := time.Now()
 	response, err := s.search(r.Context(), requestIDOf(w), callerOf(r), request)
+	s.objectives.recordSearch(s.session.latest().view.Config, request.Services, response.Coverage, err, time.Since(started))
 	noteMissing(w, len(response.Coverage.Missing))
 	if err != nil {
 		writeError(w, err, &response.Coverage)
@@ -114,7 +121,9 @@
 		writeError(w, err, nil)
 		return
 	}
+	started := time.Now()
 	response, err := s.bookings.book(r.Context(), requestIDOf(w), callerOf(r), request)
+	s.objectives.recordBooking(s.session.latest().view.Config, request.Service, err, time.Since(started))
 	if err != nil {
 		writeError(w, err, nil)
 		return
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -6,8 +6,11 @@
 	"log/slog"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"time"
 
+	"github.com/gorilla/mux"
+
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
 )
@@ -54,6 +57,7 @@
 			if cause := recover(); cause != nil {
 				s.answerPanic(response, requestID, cause)
 			}
+			s.countRequest(r, response.status, time.Since(started))
 			s.log.Log(r.Context(), level, "request",
 				"request_id", requestID, "path", r.URL.Path, "caller", callerOf(r), "status", response.status,
 				"code", response.code, "latency_ms", time.Since(started).Milliseconds(), "missing", response.missing)
@@ -62,6 +66,20 @@
 	})
 }
 
+// countRequest records the request under its route; unknown paths share one name, so that callers cannot create series.
+func (s *Server) countRequest(r *http.Request, status int, latency time.Duration) {
+	if s.config.Metrics == nil {
+		return
+	}
+	kind := "other"
+	if route := mux.CurrentRoute(r); route != nil {
+		if template, err := route.GetPathTemplate(); err == nil {
+			kind = template
+		}
+	}
+	s.config.Metrics.Request(kind, strconv.Itoa(status), latency)
+}
+
 func (s *Server) answerPanic(response *observedResponse, requestID string, cause any) {
 	s.log.Error("handler panicked", "request_id", requestID, "cause", cause, "stack", string(debug.Stack()))
 	if response.status == 0 {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,6 +18,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
+	"github.com/wisteriamux/wisteriamux/internal/telemetry"
 	"github.com/wisteriamux/wisteriamux/internal/trace"
 )
 
@@ -45,6 +46,8 @@
 	Hedging   bool
 	// BodyTimeout bounds the time to read a request's body; 0 stands for the default.
 	BodyTimeout time.Duration
+	// Metrics holds the instruments; nil measures nothing.
+	Metrics *telemetry.Metrics
 	// Recorder records the events of the decision packages; nil records nothing.
 	Recorder *trace.Recorder
 }
@@ -61,7 +64,9 @@
 	links    *links
 	bookings *bookings
 	renewals *renewals
-	log      *slog.Logger
+	// objectives measures the service level and the demand.
+	objectives *objectives
+	log        *slog.Logger
 
 	http     *http.Server
 	nextID   atomic.Uint64
@@ -101,6 +106,8 @@
 	bookingOwner := newBookingOwner(session, server.guard, config.Recorder)
 	server.bookings = newBookings(session, control, bookingOwner, server.guard, server.links, config.Recorder)
 	server.renewals = newRenewals(session, control, server.links, server.inFlightAt, log)
+	server.objectives = newObjectives(config.Metrics, session, server.inFlightAt)
+	session.load = server.objectives.load
 	server.http = &http.Server{
 		Handler: server.routes(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: keepAliveTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
@@ -122,6 +129,7 @@
 	go s.owner.run(background)
 	go s.tier.run(background, s.session)
 	go s.renewals.run(background)
+	go s.objectives.run(background)
 	if err := s.servePeers(peers); err != nil {
 		return err
 	}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -81,6 +81,9 @@
 	log     *slog.Logger
 	wake    chan struct{}
 
+	// load returns what renewals report to control; nil reports nothing. It is set before run.
+	load func() controlrpc.Load
+
 	// mu guards the fields below.
 	mu       sync.RWMutex
 	instance uint64
@@ -178,6 +181,9 @@
 func (s *session) renew(ctx context.Context) (controlrpc.RenewReply, error) {
 	sent := s.clock.read()
 	args := s.renewArgs()
+	if s.load != nil {
+		args.Load = s.load()
+	}
 	reply, err := s.control.Renew(ctx, args)
 	if err != nil {
 		return reply, err
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,178 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/metric/metricdata"
+
+	"github.com/wisteriamux/wisteriamux/internal/burn"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+)
+
+// Names of the instruments.
+const (
+	scope            = "wisteriamux"
+	requestsName     = "wisteriamux.requests"
+	durationName     = "wisteriamux.request.duration"
+	objectiveName    = "wisteriamux.objective.requests"
+	keyKind          = "kind"
+	keyStatus        = "status"
+	keyService       = "service"
+	keyObjective     = "objective"
+	keyTarget        = "target"
+	keyThreshold     = "threshold_ms"
+	keyGood          = "good"
+	secondsPerMillis = 0.001
+	smallestBucket   = 1 * secondsPerMillis
+	bucketGrowth     = 2
+	numberOfBuckets  = 14
+	maxAttributeSets = 20_000
+)
+
+// Metrics holds the OpenTelemetry instruments of a daemon. It is safe for concurrent use.
+type Metrics struct {
+	handler    http.Handler
+	reader     *sdk.ManualReader
+	meter      metric.Meter
+	requests   metric.Int64Counter
+	duration   metric.Float64Histogram
+	objectives metric.Int64Counter
+}
+
+// NewMetrics returns instruments that are scraped through Handler and sampled through Sample.
+func NewMetrics() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	scraped, err := exporter.New(exporter.WithRegisterer(registry))
+	if err != nil {
+		return nil, fault.New(fault.Internal, "metrics.new", "exporter: %w", err)
+	}
+	m := &Metrics{
+		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		reader:  sdk.NewManualReader(),
+	}
+	// The default limit would fold the objectives of more than 500 services into one series.
+	provider := sdk.NewMeterProvider(sdk.WithReader(scraped), sdk.WithReader(m.reader), sdk.WithCardinalityLimit(maxAttributeSets))
+	m.meter = provider.Meter(scope)
+	return m, m.createInstruments()
+}
+
+func (m *Metrics) createInstruments() error {
+	var err error
+	if m.requests, err = m.meter.Int64Counter(requestsName, metric.WithDescription("requests of callers")); err != nil {
+		return fault.New(fault.Internal, "metrics.new", "%s: %w", requestsName, err)
+	}
+	m.duration, err = m.meter.Float64Histogram(durationName, metric.WithUnit("s"),
+		metric.WithDescription("time from the arrival of a request to its answer"),
+		metric.WithExplicitBucketBoundaries(buckets()...))
+	if err != nil {
+		return fault.New(fault.Internal, "metrics.new", "%s: %w", durationName, err)
+	}
+	m.objectives, err = m.meter.Int64Counter(objectiveName, metric.WithDescription("requests by service-level objective"))
+	if err != nil {
+		return fault.New(fault.Internal, "metrics.new", "%s: %w", objectiveName, err)
+	}
+	return nil
+}
+
+func buckets() []float64 {
+	bounds := make([]float64, numberOfBuckets)
+	bound := smallestBucket
+	for i := range bounds {
+		bounds[i] = bound
+		bound *= bucketGrowth
+	}
+	return bounds
+}
+
+// Handler serves the scrape endpoint.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Gauge registers a value that is read at each scrape.
+func (m *Metrics) Gauge(name, description string, read func() int64) error {
+	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			observer.Observe(read())
+			return nil
+		}))
+	if err != nil {
+		return fault.New(fault.Internal, "metrics.gauge", "%s: %w", name, err)
+	}
+	return nil
+}
+
+// Request records one request of a caller.
+func (m *Metrics) Request(kind, status string, latency time.Duration) {
+	attributes := metric.WithAttributeSet(attribute.NewSet(attribute.String(keyKind, kind), attribute.String(keyStatus, status)))
+	m.requests.Add(context.Background(), 1, attributes)
+	m.duration.Record(context.Background(), latency.Seconds(), attributes)
+}
+
+// Objective records whether a request met an objective.
+func (m *Metrics) Objective(objective burn.Objective, good bool) {
+	attributes := attribute.NewSet(
+		attribute.String(keyService, objective.Service),
+		attribute.String(keyObjective, string(objective.Kind)),
+		attribute.Float64(keyTarget, objective.Target),
+		attribute.Int(keyThreshold, objective.ThresholdMillis),
+		attribute.Bool(keyGood, good),
+	)
+	m.objectives.Add(context.Background(), 1, metric.WithAttributeSet(attributes))
+}
+
+// Sample reads the counters of all objectives.
+func (m *Metrics) Sample(ctx context.Context, now time.Time) (burn.Sample, error) {
+	sample := burn.Sample{At: now, Counts: map[burn.Objective]burn.Counts{}}
+	var collected metricdata.ResourceMetrics
+	if err := m.reader.Collect(ctx, &collected); err != nil {
+		return sample, fault.New(fault.Internal, "metrics.sample", "%w", err)
+	}
+	for _, scopeMetrics := range collected.ScopeMetrics {
+		for _, collectedMetric := range scopeMetrics.Metrics {
+			sum, ok := collectedMetric.Data.(metricdata.Sum[int64])
+			if ok && collectedMetric.Name == objectiveName {
+				addPoints(sample.Counts, sum.DataPoints)
+			}
+		}
+	}
+	return sample, nil
+}
+
+func addPoints(counts map[burn.Objective]burn.Counts, points []metricdata.DataPoint[int64]) {
+	for _, point := range points {
+		objective, good, ok := objectiveOf(point.Attributes)
+		if !ok {
+			continue
+		}
+		sum := counts[objective]
+		sum.Total += uint64(point.Value)
+		if good {
+			sum.Good += uint64(point.Value)
+		}
+		counts[objective] = sum
+	}
+}
+
+// objectiveOf reads an objective from attributes; the overflow series of the SDK has none of them.
+func objectiveOf(attributes attribute.Set) (objective burn.Objective, good, ok bool) {
+	service, found := attributes.Value(keyService)
+	if !found {
+		return objective, false, false
+	}
+	kind, _ := attributes.Value(keyObjective)
+	target, _ := attributes.Value(keyTarget)
+	threshold, _ := attributes.Value(keyThreshold)
+	wasGood, _ := attributes.Value(keyGood)
+	objective = burn.Objective{
+		Service: service.AsString(), Kind: burn.Kind(kind.AsString()), Target: target.AsFloat64(),
+		ThresholdMillis: int(threshold.AsInt64()),
+	}
+	return objective, wasGood.AsBool(), true
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -64,3 +64,6 @@
 ctl bookings show demo-booking
 echo "== 100 searches per second for 3 s"
 "$work/wmux-load" search --target "$all" --services 'clerk-*' --rate 100 --duration 3s
+sleep 2
+echo "== service-level burn"
+ctl burn --entry "$all"
