Test the entry daemon and answer peers until they have moved

The stopping owner closed its connections while net/rpc still wrote replies.

A VM that has left now answers its peers for 1.5 s more, ends reading on each connection and lets net/rpc write what is pending. The attempt table keeps the last instance after a fence or a leave, so that a resolve still gets what the process knows. A refusal by an owner without a lease may be followed by an attempt at the same upstream under its new owner; before, an upstream counted as tried once an intent named it.

Ruled out: waiting only until no attempt is in flight. The count falls to zero before the reply is written.

--- a/internal/booking/booking_test.go
+++ b/internal/booking/booking_test.go
@@ -195,7 +195,7 @@
 		outcome := controlstate.BookingOutcome{Key: c.key, Attempt: c.action.Attempt, State: c.action.State, Response: c.action.Response}
 		result := w.apply(controlstate.Command{BookingOutcome: &outcome})
 		if !lost {
-			w.give(c, booking.FlowEvent{Kind: booking.FlowRecorded, Record: recordOf(*result.Booking), Roll: 1})
+			w.give(c, booking.FlowEvent{Kind: booking.FlowRecorded, Record: recordOf(*result.Booking), Roll: 1, Candidates: w.candidates()})
 		}
 	}
 }
--- a/internal/booking/choose.go
+++ b/internal/booking/choose.go
@@ -9,12 +9,20 @@
 	LoadPermille int
 }
 
-// Choose returns the less loaded of two candidates drawn by roll, leaving out the tried ones. Two draws avoid that all
+// place is an upstream under one owner instance. After a refusal, the same upstream may be tried under a new owner.
+type place struct {
+	upstream string
+	instance uint64
+}
+
+func (c Candidate) place() place { return place{upstream: c.Upstream, instance: c.OwnerInstance} }
+
+// choose returns the less loaded of two candidates drawn by roll, leaving out the tried ones. Two draws avoid that all
 // entry VMs send to the same upstream on the same load report.
-func Choose(candidates []Candidate, tried map[string]bool, roll uint64) (Candidate, bool) {
+func choose(candidates []Candidate, tried map[place]bool, roll uint64) (Candidate, bool) {
 	var open []Candidate
 	for _, candidate := range candidates {
-		if !tried[candidate.Upstream] {
+		if !tried[candidate.place()] {
 			open = append(open, candidate)
 		}
 	}
--- a/internal/booking/flow.go
+++ b/internal/booking/flow.go
@@ -38,7 +38,8 @@
 
 // FlowEvent is one input of a Flow.
 type FlowEvent struct {
-	Kind       FlowKind
+	Kind FlowKind
+	// Candidates are the ready upstreams at FlowStart and at FlowRecorded.
 	Candidates []Candidate
 	// Self is the entry VM as owner of an intent that is never sent.
 	Self Candidate
@@ -93,7 +94,7 @@
 type Flow struct {
 	waiting    ActionKind
 	candidates []Candidate
-	tried      map[string]bool
+	tried      map[place]bool
 	chosen     Candidate
 	attempts   int
 	record     Record
@@ -104,7 +105,7 @@
 
 // NewFlow returns a flow that waits for FlowStart.
 func NewFlow() *Flow {
-	return &Flow{waiting: ActNone, tried: map[string]bool{}}
+	return &Flow{waiting: ActNone, tried: map[place]bool{}}
 }
 
 // Step applies one event.
@@ -132,12 +133,11 @@
 }
 
 func (f *Flow) intend(roll uint64) Action {
-	chosen, ok := Choose(f.candidates, f.tried, roll)
+	chosen, ok := choose(f.candidates, f.tried, roll)
 	if !ok || f.attempts >= MaxAttempts {
 		return f.finish(Answer{Code: fault.NotRun, Reason: "no ready upstream is left to try", Attempt: f.record.Attempt})
 	}
 	f.chosen = chosen
-	f.tried[chosen.Upstream] = true
 	f.attempts++
 	f.waiting = ActIntent
 	return Action{Kind: ActIntent, Upstream: chosen.Upstream, OwnerID: chosen.OwnerID, OwnerInstance: chosen.OwnerInstance}
@@ -156,9 +156,11 @@
 		return f.finish(Answer{Code: intentCode(event.Code), Reason: "the intent was not confirmed", Attempt: f.record.Attempt})
 	}
 	f.record = *event.Record
-	switch {
-	case !event.Granted:
+	if !event.Granted {
 		return f.follow()
+	}
+	f.tried[f.chosen.place()] = true
+	switch {
 	case f.answered, f.record.Upstream == "":
 		// The caller is told not run, so the attempt must never leave.
 		return f.recordState(controlstate.BookingNotRun, nil)
@@ -225,6 +227,7 @@
 	}
 	sameAttempt := event.Record.Attempt == f.record.Attempt
 	f.record = *event.Record
+	f.candidates = event.Candidates
 	if sameAttempt && f.record.State == controlstate.BookingNotRun && !f.answered {
 		return f.intend(event.Roll)
 	}
--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -432,6 +432,7 @@
 		result, err := r.propose(ctx, controlstate.Command{BookingOutcome: &outcome})
 		if err == nil && result.Booking != nil {
 			event.Record = recordOf(*result.Booking)
+			event.Candidates = r.candidates(r.session.latest(), r.request.Service)
 			return event
 		}
 		event.Code = fault.CodeOf(err)
--- /dev/null
+++ b/internal/entry/booking_test.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wisteriamux/wisteriamux/internal/booking"
+	"github.com/wisteriamux/wisteriamux/internal/controlstate"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
+)
+
+var _ = Describe("bookings", func() {
+	It("become unknown for good when the owner is killed between send and outcome (P5)", func() {
+		control := newFakeControl()
+		upstream := startUpstream(control, "u1", "settlement", 2)
+		upstream.hold = make(chan struct{})
+		owner, other := ownerOf("u1", pairOf(control)...)
+		answers := make(chan response, 1)
+		go func() { answers <- other.book("k", 800) }()
+		Eventually(upstream.waiting, 5).Should(Receive())
+		owner.kill()
+		Expect((<-answers).status).To(Equal(http.StatusGatewayTimeout))
+		control.expire(owner.config.ID)
+		other.sync()
+		close(upstream.hold)
+		for range 2 {
+			again := other.book("k", 1000)
+			Expect(again.status).To(Equal(http.StatusGatewayTimeout))
+			Expect(again.body["code"]).To(BeEquivalentTo(fault.OutcomeUnknown))
+		}
+		Expect(control.booking("k").State).To(Equal(controlstate.BookingUnknown))
+		Expect(upstream.ran("k")).To(Equal(1))
+	})
+
+	It("run under a new attempt when the entry VM was killed between intent and send (P4, P5)", func() {
+		control := newFakeControl()
+		upstream := startUpstream(control, "u1", "settlement", 2)
+		owner, other := ownerOf("u1", pairOf(control)...)
+		request := BookingRequest{Service: "settlement", Key: "k", Payload: []byte(`{"lot":1}`)}
+		intent := controlstate.BookingIntent{
+			Key: "k", Digest: bookingDigest(request), Service: "settlement", Upstream: "u1",
+			OwnerID: owner.config.ID, OwnerInstance: owner.session.instanceID(),
+			SenderID: other.config.ID, SenderInstance: other.session.instanceID(),
+		}
+		Expect(control.apply(controlstate.Command{BookingIntent: &intent}).Granted).To(BeTrue())
+		answer := owner.book("k", 2000)
+		Expect(answer.status).To(Equal(http.StatusOK))
+		Expect(answer.body["attempt"]).To(BeEquivalentTo(2))
+		late := owner.bookings.owner.book(ownerrpc.BookArgs{
+			Key: "k", Attempt: 1, Service: "settlement", Upstream: "u1", OwnerInstance: intent.OwnerInstance,
+			SenderID: intent.SenderID, SenderInstance: intent.SenderInstance, Timeout: time.Second, Payload: request.Payload,
+		})
+		Expect(late.Outcome).To(Equal(booking.OutcomeNotRun))
+		Expect(upstream.ran("k")).To(Equal(1))
+	})
+
+	It("run once when they are resent through another entry VM at the same moment (P5)", func() {
+		control := newFakeControl()
+		upstream := startUpstream(control, "u1", "settlement", 2)
+		startUpstream(control, "u2", "settlement", 2).Config.Handler = http.HandlerFunc(upstream.serve)
+		vms := pairOf(control)
+		var group sync.WaitGroup
+		statuses := make(chan int, 200)
+		for i := range 40 {
+			for _, v := range append(vms, vms...) {
+				group.Add(1)
+				go func() {
+					defer group.Done()
+					statuses <- v.book(fmt.Sprint("k", i), 8000).status
+				}()
+			}
+		}
+		group.Wait()
+		close(statuses)
+		for status := range statuses {
+			Expect(status).To(Equal(http.StatusOK))
+		}
+		for i := range 40 {
+			Expect(upstream.ran(fmt.Sprint("k", i))).To(Equal(1))
+		}
+	})
+
+	It("that waited at a frozen owner are not sent after it wakes without a lease (P5)", func() {
+		control := newFakeControl()
+		upstream := startUpstream(control, "u1", "settlement", 1)
+		upstream.hold = make(chan struct{})
+		owner, other := ownerOf("u1", pairOf(control)...)
+		answers := make(chan response, 2)
+		go func() { answers <- other.book("first", 8000) }()
+		Eventually(upstream.waiting, 5).Should(Receive())
+		go func() { answers <- other.book("queued", 8000) }()
+		Eventually(func() int { return owner.bookings.owner.inFlight("u1") }, 5).Should(Equal(2))
+		owner.port.down.Store(true)
+		owner.clock.wall.Add(int64(time.Minute))
+		control.expire(owner.config.ID)
+		close(upstream.hold)
+		Eventually(func() int { return owner.bookings.owner.inFlight("u1") }, 5).Should(BeZero())
+		statuses := []int{(<-answers).status, (<-answers).status}
+		Expect(statuses).To(Or(ConsistOf(http.StatusOK, http.StatusOK), ConsistOf(http.StatusOK, http.StatusServiceUnavailable)))
+		other.sync()
+		Expect(other.book("queued", 5000).status).To(Equal(http.StatusOK))
+		Expect(control.booking("queued").Attempt).To(BeNumerically(">", 1), "the waiting attempt was refused and ran under the new owner")
+		Expect(upstream.ran("queued")).To(Equal(1))
+	})
+
+	It("of an earlier instance are refused after a rejoin, and resolved as gone where nothing is known (P4)", func() {
+		control := newFakeControl()
+		upstream := startUpstream(control, "u1", "settlement", 1)
+		owner := startVM(control, "entry-1", nil)
+		earlier := owner.session.instanceID()
+		control.expire("entry-1")
+		Eventually(func() bool { return owner.session.instanceID() > earlier }, 8).Should(BeTrue())
+		resolved := owner.bookings.owner.resolve(ownerrpc.ResolveArgs{Key: "k", Attempt: 1, OwnerInstance: earlier})
+		Expect(resolved.Outcome).To(Equal(booking.OutcomeGone))
+		late := ownerrpc.BookArgs{Key: "k", Attempt: 1, Service: "settlement", Upstream: "u1", OwnerInstance: earlier, Timeout: time.Second}
+		Expect(owner.bookings.owner.book(late).Outcome).To(Equal(booking.OutcomeNotRun))
+		Expect(upstream.ran("k")).To(BeZero())
+	})
+
+	It("are recorded after the caller's deadline, so that a resend gets the outcome", func() {
+		control := newFakeControl()
+		upstream := startUpstream(control, "u1", "settlement", 2)
+		upstream.delay = 600 * time.Millisecond
+		v := startVM(control, "entry-1", nil)
+		Expect(v.book("slow", 200).status).To(Equal(http.StatusGatewayTimeout))
+		Eventually(func() controlstate.BookingState { return control.booking("slow").State }, 5).Should(Equal(controlstate.BookingDone))
+		Expect(v.book("slow", 500).status).To(Equal(http.StatusOK))
+		Expect(upstream.ran("slow")).To(Equal(1))
+	})
+
+	It("go to another upstream after a refusal, and end as not run when all refuse (P4)", func() {
+		control := newFakeControl()
+		refusing := startUpstream(control, "u1", "settlement", 2)
+		refusing.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Wisteria-Not-Run", "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		v := startVM(control, "entry-1", nil)
+		refused := v.book("k", 1000)
+		Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused.header.Get("Retry-After")).NotTo(BeEmpty())
+		upstream := startUpstream(control, "u2", "settlement", 2)
+		v.sync()
+		for i := range 8 {
+			Expect(v.book(fmt.Sprint("n", i), 1000).status).To(Equal(http.StatusOK))
+			Expect(upstream.ran(fmt.Sprint("n", i))).To(Equal(1))
+		}
+	})
+
+	It("are conflicts when a key is reused with another body", func() {
+		control := newFakeControl()
+		startUpstream(control, "u1", "settlement", 2)
+		v := startVM(control, "entry-1", nil)
+		Expect(v.book("k", 1000).status).To(Equal(http.StatusOK))
+		Expect(v.bookPayload("k", `{"lot":2}`, 1000).status).To(Equal(http.StatusConflict))
+	})
+
+	It("that crash their upstream are unknown, and their fingerprint is quarantined at the second crash", func() {
+		control := newFakeControl()
+		upstream := startUpstream(control, "u1", "settlement", 2)
+		upstream.crashOn = "poison"
+		v := startVM(control, "entry-1", nil)
+		for _, key := range []string{"k1", "k2"} {
+			Expect(v.bookPayload(key, `"poison"`, 1000).status).To(Equal(http.StatusGatewayTimeout))
+		}
+		Expect(v.bookPayload("k3", `"poison"`, 1000).status).To(Equal(http.StatusUnprocessableEntity))
+		Eventually(func() int { return len(control.view().Quarantines) }, 5).Should(Equal(1))
+		Expect(v.book("k4", 1000).status).To(Equal(http.StatusOK))
+	})
+
+	It("that wait for a slot of a draining upstream are not sent there (P6)", func() {
+		Expect(sentWhileDraining(true)).To(BeFalse())
+	})
+
+	It("would reach a draining upstream through a VM that keeps its lease without the view, which the check detects (P6)", func() {
+		Expect(sentWhileDraining(false)).To(BeTrue())
+	})
+})
+
+func pairOf(control *fakeControl) []*vm {
+	a, b := startPair(control)
+	return []*vm{a, b}
+}
+
+// sentWhileDraining reports whether a booking that waits for a slot is sent after its upstream started to drain.
+func sentWhileDraining(appliesView bool) bool {
+	control := newFakeControl()
+	upstream := startUpstream(control, "u1", "settlement", 1)
+	upstream.hold = make(chan struct{})
+	v := startVM(control, "entry-1", nil)
+	first, second := make(chan response, 1), make(chan response, 1)
+	go func() { first <- v.book("first", 5000) }()
+	Eventually(upstream.waiting, 5).Should(Receive())
+	go func() { second <- v.book("second", 5000) }()
+	Eventually(func() int { return v.bookings.owner.inFlight("u1") }, 5).Should(Equal(2))
+	if !appliesView {
+		frozen := v.session.latest().view
+		v.port.stale.Store(&frozen)
+	}
+	control.setState("u1", model.UpstreamDraining)
+	v.sync()
+	close(upstream.hold)
+	Expect((<-first).status).To(Equal(http.StatusOK), "P7: the request in flight completes")
+	<-second
+	return upstream.ran("second") > 0
+}
--- a/internal/entry/bookowner.go
+++ b/internal/entry/bookowner.go
@@ -93,7 +93,7 @@
 func (o *bookingOwner) receive(args ownerrpc.BookArgs) booking.TableResult {
 	event := booking.TableEvent{
 		Kind: booking.TableReceive, Key: args.Key, Attempt: args.Attempt,
-		Instance: args.OwnerInstance, Current: o.session.instanceID(),
+		Instance: args.OwnerInstance, Current: o.session.lastInstance(),
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -243,7 +243,7 @@
 
 func (o *bookingOwner) ask(kind booking.TableKind, args ownerrpc.ResolveArgs) (booking.TableResult, <-chan struct{}) {
 	event := booking.TableEvent{
-		Kind: kind, Key: args.Key, Attempt: args.Attempt, Instance: args.OwnerInstance, Current: o.session.instanceID(),
+		Kind: kind, Key: args.Key, Attempt: args.Attempt, Instance: args.OwnerInstance, Current: o.session.lastInstance(),
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- /dev/null
+++ b/internal/entry/fakes_test.go
@@ -0,0 +1,320 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/controlstate"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
+)
+
+func TestEntry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Entry")
+}
+
+// fakeControl is the control group in memory.
+type fakeControl struct {
+	mu    sync.Mutex
+	state *controlstate.State
+	index uint64
+}
+
+func newFakeControl() *fakeControl {
+	control := &fakeControl{state: controlstate.New()}
+	control.apply(controlstate.Command{ApplyConfig: &controlstate.ApplyConfig{ChangeID: "setup", Inventory: model.Inventory{
+		Regions:        []model.Region{{Name: "r"}},
+		FailureDomains: []model.FailureDomain{{Name: "halle-a", Region: "r"}, {Name: "halle-b", Region: "r"}},
+		Services:       []model.Service{{Name: "settlement", Kind: model.ServiceBooking}, {Name: "clerk", Kind: model.ServiceSearch}},
+		Upstreams:      []model.InventoryUpstream{{Name: "listed", Service: "settlement", FailureDomain: "halle-a"}},
+	}}})
+	return control
+}
+
+func (c *fakeControl) apply(command controlstate.Command) controlstate.Result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.index++
+	command.UnixMillis = time.Now().UnixMilli()
+	return c.state.Apply(c.index, command)
+}
+
+func (c *fakeControl) view() model.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.View()
+}
+
+func (c *fakeControl) booking(key string) controlstate.Booking {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	record, _ := c.state.Booking(key)
+	return record
+}
+
+func (c *fakeControl) upstream(name string) model.Upstream {
+	for _, upstream := range c.view().Upstreams {
+		if upstream.Name == name {
+			return upstream
+		}
+	}
+	return model.Upstream{}
+}
+
+func (c *fakeControl) setState(name string, state model.UpstreamState) {
+	c.apply(controlstate.Command{SetUpstreamState: &controlstate.SetUpstreamState{Name: name, State: state}})
+}
+
+// expire ends the membership of an entry VM, as control does at the end of its lease.
+func (c *fakeControl) expire(id string) {
+	for _, member := range c.view().Members {
+		if member.ID == id {
+			c.apply(controlstate.Command{ExpireMember: &controlstate.ExpireMember{ID: id, Instance: member.Instance}})
+		}
+	}
+}
+
+// port is one entry VM's way to control. It is cut while down is set; stale answers View with an earlier view.
+type port struct {
+	*fakeControl
+	down  atomic.Bool
+	stale atomic.Pointer[model.View]
+}
+
+func (p *port) reach() error {
+	if p.down.Load() {
+		return fault.New(fault.Unavailable, "port", "cut")
+	}
+	return nil
+}
+
+func (p *port) Join(_ context.Context, member model.Member) (uint64, error) {
+	if err := p.reach(); err != nil {
+		return 0, err
+	}
+	return p.apply(controlstate.Command{JoinMember: &controlstate.JoinMember{Member: member}}).Instance, nil
+}
+
+func (p *port) Renew(_ context.Context, args controlrpc.RenewArgs) (controlrpc.RenewReply, error) {
+	if err := p.reach(); err != nil {
+		return controlrpc.RenewReply{}, err
+	}
+	view := p.view()
+	for _, member := range view.Members {
+		if member.ID == args.ID && member.Instance == args.Instance {
+			return controlrpc.RenewReply{LeaseMillis: 4000, Revision: view.Revision}, nil
+		}
+	}
+	return controlrpc.RenewReply{}, fault.New(fault.Fenced, "port", "fenced")
+}
+
+func (p *port) View(context.Context, uint64) (model.View, bool, error) {
+	if stale := p.stale.Load(); stale != nil {
+		return *stale, false, nil
+	}
+	return p.view(), false, p.reach()
+}
+
+func (p *port) Propose(_ context.Context, command controlstate.Command) (controlstate.Result, error) {
+	if err := p.reach(); err != nil {
+		return controlstate.Result{}, err
+	}
+	result := p.apply(command)
+	return result, result.Fault.AsError()
+}
+
+// testClock adds jumps to the system clocks.
+type testClock struct{ mono, wall atomic.Int64 }
+
+func (c *testClock) clock() clock {
+	system := systemClock()
+	return clock{
+		mono: func() time.Duration { return system.mono() + time.Duration(c.mono.Load()) },
+		wall: func() time.Time { return system.wall().Add(time.Duration(c.wall.Load())) },
+	}
+}
+
+// vm is an entry daemon under test.
+type vm struct {
+	*Server
+	port  *port
+	clock *testClock
+	url   string
+	stop  context.CancelFunc
+	done  chan error
+}
+
+func startVM(control *fakeControl, id string, adjust func(*Config)) *vm {
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	config := Config{ID: id, FailureDomain: "halle-a", LameDuck: 50 * time.Millisecond, DrainTimeout: 10 * time.Second}
+	if adjust != nil {
+		adjust(&config)
+	}
+	v := &vm{port: &port{fakeControl: control}, clock: &testClock{}, url: "http://" + callers.Addr().String(), done: make(chan error, 1)}
+	log := slog.New(slog.NewTextHandler(GinkgoWriter, nil))
+	v.Server = newServer(config, v.port, peers.Addr().String(), controlrpc.PlainDialer, v.clock.clock(), log)
+	ctx, stop := context.WithCancel(context.Background())
+	v.stop = stop
+	go func() { v.done <- v.Run(ctx, callers, peers) }()
+	DeferCleanup(v.kill)
+	Eventually(func() error { _, err := v.session.leased(); return err }, 5).Should(Succeed())
+	return v
+}
+
+// kill ends the daemon without a drain. What it had started at upstreams goes on there.
+func (v *vm) kill() {
+	v.port.down.Store(true)
+	v.peerMu.Lock()
+	v.peersClosed = true
+	for conn := range v.peerConns {
+		_ = conn.Close()
+	}
+	v.peerMu.Unlock()
+	_ = v.http.Close()
+}
+
+// sync makes the VM serve from the newest view.
+func (v *vm) sync() {
+	GinkgoHelper()
+	Expect(v.session.fetch(context.Background())).To(Succeed())
+}
+
+// fakeUpstream runs bookings and searches, and counts the runs of each key.
+type fakeUpstream struct {
+	*httptest.Server
+	mu      sync.Mutex
+	runs    map[string]int
+	waiting chan struct{}
+	// hold blocks requests that have started until it is closed; nil blocks none.
+	hold chan struct{}
+	// crashOn drops every connection when a body contains it.
+	crashOn string
+	delay   time.Duration
+}
+
+func startUpstream(control *fakeControl, name, service string, slots int) *fakeUpstream {
+	u := &fakeUpstream{runs: map[string]int{}, waiting: make(chan struct{}, 1000)}
+	u.Server = httptest.NewServer(http.HandlerFunc(u.serve))
+	DeferCleanup(func() { u.CloseClientConnections(); u.Close() })
+	announcement := u.announcement(name, service)
+	announcement.Slots = slots
+	control.apply(controlstate.Command{AnnounceUpstream: &controlstate.AnnounceUpstream{Announcement: announcement}})
+	return u
+}
+
+func (u *fakeUpstream) announcement(name, service string) model.Announcement {
+	return model.Announcement{
+		Name: name, Instance: "1", Service: service, Address: u.Listener.Addr().String(), ShardCount: 1,
+		MinVersion: 1, MaxVersion: 1, Slots: 2, Connections: 20,
+	}
+}
+
+func (u *fakeUpstream) serve(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	key := r.Header.Get(upstreamapi.HeaderBookingKey)
+	u.mu.Lock()
+	u.runs[key]++
+	u.mu.Unlock()
+	u.waiting <- struct{}{}
+	if u.crashOn != "" && strings.Contains(string(body), u.crashOn) {
+		u.CloseClientConnections()
+		return
+	}
+	time.Sleep(u.delay)
+	if u.hold != nil {
+		<-u.hold
+	}
+	if r.URL.Path == upstreamapi.PathSearch {
+		_, _ = io.WriteString(w, `{"version":1,"generation":0,"items":["found"]}`)
+		return
+	}
+	_, _ = fmt.Fprintf(w, `{"booked":%q}`, key)
+}
+
+func (u *fakeUpstream) ran(key string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs[key]
+}
+
+// response is what a caller sees.
+type response struct {
+	status int
+	header http.Header
+	body   map[string]any
+	err    error
+}
+
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+func send(method, url, contentType, body string) response {
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return response{err: err}
+	}
+	request.Header.Set("Content-Type", contentType)
+	answer, err := client.Do(request)
+	if err != nil {
+		return response{err: err}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	result := response{status: answer.StatusCode, header: answer.Header}
+	data, err := io.ReadAll(answer.Body)
+	if err == nil && len(bytes.TrimSpace(data)) > 0 {
+		err = json.Unmarshal(data, &result.body)
+	}
+	result.err = err
+	return result
+}
+
+func (v *vm) book(key string, timeoutMillis int) response {
+	return v.bookPayload(key, `{"lot":1}`, timeoutMillis)
+}
+
+func (v *vm) bookPayload(key, payload string, timeoutMillis int) response {
+	body := fmt.Sprintf(`{"service":"settlement","key":%q,"payload":%s,"timeout_ms":%d}`, key, payload, timeoutMillis)
+	return send(http.MethodPost, v.url+"/v1/bookings", "application/json", body)
+}
+
+// ownerOf tells apart the owner of the upstream and the other VM.
+func ownerOf(upstream string, vms ...*vm) (owner, other *vm) {
+	id := vms[0].session.latest().owners[upstream].ID
+	for _, v := range vms {
+		if v.config.ID == id {
+			owner = v
+		} else {
+			other = v
+		}
+	}
+	return owner, other
+}
+
+// startPair starts two VMs that know each other and the upstreams.
+func startPair(control *fakeControl) (a, b *vm) {
+	a = startVM(control, "entry-1", nil)
+	b = startVM(control, "entry-2", nil)
+	a.sync()
+	b.sync()
+	return a, b
+}
--- /dev/null
+++ b/internal/entry/lease_test.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+)
+
+var _ = Describe("a lease", func() {
+	leaseError := func(v *vm) func() error {
+		return func() error { _, err := v.session.leased(); return err }
+	}
+
+	It("ends by the wall clock when the whole VM was paused and its monotonic clock stood still", func() {
+		v := startVM(newFakeControl(), "entry-1", nil)
+		v.port.down.Store(true)
+		v.clock.wall.Add(int64(5 * time.Second))
+		Expect(fault.CodeOf(leaseError(v)())).To(Equal(fault.NotRun))
+		Expect(send(http.MethodGet, v.url+"/healthz", "", "").status).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	It("ends by the monotonic clock when the wall clock was set back", func() {
+		v := startVM(newFakeControl(), "entry-1", nil)
+		v.port.down.Store(true)
+		v.clock.wall.Add(-int64(time.Hour))
+		v.clock.mono.Add(int64(5 * time.Second))
+		Expect(fault.CodeOf(leaseError(v)())).To(Equal(fault.NotRun))
+	})
+
+	It("counts from before the request was sent", func() {
+		clock := &testClock{}
+		slow := &slowPort{port: &port{fakeControl: newFakeControl()}, clock: clock}
+		v := startVM(slow.fakeControl, "entry-1", nil)
+		session := newSession(slow, v.session.member, clock.clock(), v.log)
+		Expect(session.step(context.Background())).To(Succeed())
+		_, err := session.leased()
+		Expect(fault.CodeOf(err)).To(Equal(fault.NotRun), "a reply that took 5 s grants nothing of a lease of 4 s")
+	})
+
+	It("never brings back an older view, also after a rejoin", func() {
+		control := newFakeControl()
+		v := startVM(control, "entry-1", nil)
+		old := control.view()
+		startUpstream(control, "u1", "settlement", 1)
+		v.sync()
+		newest := v.session.revision()
+		v.port.stale.Store(&old)
+		control.expire("entry-1")
+		v.session.refresh()
+		Consistently(v.session.revision, "1500ms", "50ms").Should(Equal(newest))
+		v.port.stale.Store(nil)
+		Eventually(leaseError(v), 5).Should(Succeed())
+	})
+})
+
+// slowPort takes 5 s to answer a renewal.
+type slowPort struct {
+	*port
+	clock *testClock
+}
+
+func (p *slowPort) Renew(ctx context.Context, args controlRenewArgs) (controlRenewReply, error) {
+	p.clock.mono.Add(int64(5 * time.Second))
+	return p.port.Renew(ctx, args)
+}
+
+var _ = Describe("a planned stop", func() {
+	It("interrupts no request under load and moves ownership at once (P7)", func() {
+		control := newFakeControl()
+		Expect(interruptedByStop(control, 10*time.Second)).To(BeZero())
+		Expect(control.view().Members).To(HaveLen(1))
+	})
+
+	It("would interrupt requests if it did not wait for them, which the check detects (P7)", func() {
+		Expect(interruptedByStop(newFakeControl(), time.Millisecond)).NotTo(BeZero())
+	})
+
+	It("refuses new work of peers as not run while accepted work finishes", func() {
+		control := newFakeControl()
+		upstream := startUpstream(control, "u1", "settlement", 1)
+		upstream.hold = make(chan struct{})
+		owner, other := ownerOf("u1", pairOf(control)...)
+		answers := make(chan response, 2)
+		go func() { answers <- other.book("accepted", 5000) }()
+		Eventually(upstream.waiting, 5).Should(Receive())
+		owner.stop()
+		Eventually(func() error { _, err := owner.session.leased(); return err }, 5).ShouldNot(Succeed())
+		Expect(other.book("new", 1000).status).To(Equal(http.StatusServiceUnavailable))
+		close(upstream.hold)
+		Expect((<-answers).status).To(Equal(http.StatusOK))
+		Eventually(owner.done, 5).Should(Receive(BeNil()))
+		Expect(upstream.ran("new")).To(BeZero())
+	})
+})
+
+// interruptedByStop stops one of two loaded VMs and counts the requests that were cut off. Callers follow the health
+// check, as the balancer does.
+func interruptedByStop(control *fakeControl, drainTimeout time.Duration) int64 {
+	startUpstream(control, "u1", "settlement", 10).delay = 200 * time.Millisecond
+	startUpstream(control, "u2", "settlement", 10).delay = 200 * time.Millisecond
+	stopped := startVM(control, "entry-1", func(config *Config) {
+		config.DrainTimeout = drainTimeout
+		config.LameDuck = 300 * time.Millisecond
+	})
+	other := startVM(control, "entry-2", nil)
+	stopped.sync()
+	other.sync()
+	var interrupted, sent atomic.Int64
+	var group sync.WaitGroup
+	ended := make(chan struct{})
+	for caller := range 16 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for {
+				target := other
+				if caller%2 == 0 && send(http.MethodGet, stopped.url+"/healthz", "", "").status == http.StatusOK {
+					target = stopped
+				}
+				answer := target.book(newKey(), 5000)
+				sent.Add(1)
+				if answer.err != nil || (answer.status != http.StatusOK && answer.status != http.StatusServiceUnavailable) {
+					interrupted.Add(1)
+					GinkgoWriter.Println("interrupted", target.config.ID, answer.status, answer.body, answer.err)
+				}
+				select {
+				case <-ended:
+					return
+				default:
+				}
+			}
+		}()
+	}
+	time.Sleep(500 * time.Millisecond)
+	stopped.stop()
+	err := <-stopped.done
+	if drainTimeout > time.Second {
+		Expect(err).NotTo(HaveOccurred())
+	}
+	time.Sleep(300 * time.Millisecond)
+	close(ended)
+	group.Wait()
+	Expect(sent.Load()).To(BeNumerically(">", 30))
+	Expect(errors.Is(err, context.Canceled)).To(BeFalse())
+	return interrupted.Load()
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -28,6 +28,12 @@
 	maxHeaderBytes = 16 << 10
 	drainPoll      = 10 * time.Millisecond
 	leaveTimeout   = 2 * time.Second
+	// peerLinger is how long a VM that has left still answers its peers: one renewal interval, within which they see
+	// the new membership, and the time of that exchange. A connection closed before would turn refusals into unknown
+	// outcomes.
+	peerLinger = renewInterval + 500*time.Millisecond
+	// replyTimeout bounds the wait for replies that are still being written when the connections are closed.
+	replyTimeout = time.Second
 )
 
 // Config holds the settings of an entry daemon.
@@ -61,6 +67,8 @@
 	nextID   atomic.Uint64
 	draining atomic.Bool
 
+	// peerCalls counts connections of peers with unfinished replies.
+	peerCalls sync.WaitGroup
 	// peerMu guards peerConns and peersClosed.
 	peerMu      sync.Mutex
 	peerConns   map[net.Conn]struct{}
@@ -176,24 +184,46 @@
 		return
 	}
 	s.peerConns[conn] = struct{}{}
+	s.peerCalls.Add(1)
 	s.peerMu.Unlock()
+	defer s.peerCalls.Done()
 	server.ServeConn(conn)
 	s.peerMu.Lock()
 	defer s.peerMu.Unlock()
 	delete(s.peerConns, conn)
 }
 
-// closePeers ends the owner service. Work that peers sent must have ended before.
+// closePeers ends the owner service. No more calls are read, and those that were read are answered.
 func (s *Server) closePeers(listener net.Listener) {
 	_ = listener.Close()
+	s.stopReading()
+	answered := make(chan struct{})
+	go func() {
+		s.peerCalls.Wait()
+		close(answered)
+	}()
+	select {
+	case <-answered:
+	case <-time.After(replyTimeout):
+		s.log.Warn("connections closed with unanswered calls of peers")
+	}
 	s.peerMu.Lock()
 	defer s.peerMu.Unlock()
-	s.peersClosed = true
 	for conn := range s.peerConns {
 		_ = conn.Close()
 	}
 }
 
+// stopReading ends the reading of each connection; net/rpc then waits for the pending replies and closes it.
+func (s *Server) stopReading() {
+	s.peerMu.Lock()
+	defer s.peerMu.Unlock()
+	s.peersClosed = true
+	for conn := range s.peerConns {
+		_ = conn.SetReadDeadline(time.Now())
+	}
+}
+
 // drain stops in an order that interrupts nothing: the balancer moves callers away, their requests finish, work of
 // peers at this owner finishes while new work is refused as not run, and then ownership moves at once.
 func (s *Server) drain() error {
@@ -206,6 +236,10 @@
 	s.session.refuseNew()
 	err = errors.Join(err, s.finishWork(ctx))
 	s.leave()
+	select {
+	case <-time.After(peerLinger):
+	case <-ctx.Done():
+	}
 	if err != nil {
 		return fault.New(fault.Internal, "entry.drain", "requests still in flight after %s: %w", s.config.DrainTimeout, err)
 	}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -84,8 +84,11 @@
 	// mu guards the fields below.
 	mu       sync.RWMutex
 	instance uint64
-	expires  instant
-	current  *served
+	// joined is the last instance of this process. It stays set after a fence or a leave, because the process still
+	// knows what that instance received.
+	joined  uint64
+	expires instant
+	current *served
 	// closing refuses new work while accepted work may still be sent.
 	closing bool
 	// left is set once this VM has left the membership for good.
@@ -167,6 +170,7 @@
 	}
 	s.mu.Lock()
 	s.instance = instance
+	s.joined = instance
 	s.expires = instant{}
 	s.mu.Unlock()
 	s.log.Info("joined", "instance", instance, "revision", s.revision())
@@ -270,6 +274,13 @@
 	return s.instance
 }
 
+// lastInstance is the last instance of this process, which may have ended.
+func (s *session) lastInstance() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.joined
+}
+
 func (s *session) revision() uint64 {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
