--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -1,25 +1,36 @@
 package control
 
 import (
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/planner"
 )
 
 // Machine adapts controlstate.State to the StateMachine interface and makes it readable from other goroutines.
 type Machine struct {
-	// mu guards state.
-	mu    sync.RWMutex
-	state *controlstate.State
+	now func() time.Time
+
+	// mu guards the fields below.
+	mu      sync.RWMutex
+	state   *controlstate.State
+	changes changeTimes
+	// wake is closed and replaced when the revision changes.
+	wake chan struct{}
 }
 
 // NewMachine returns a machine with an empty state.
-func NewMachine() *Machine {
-	return &Machine{state: controlstate.New()}
+func NewMachine() *Machine { return NewMachineWithClock(time.Now) }
+
+// NewMachineWithClock returns a machine that records the time of changes by the clock.
+func NewMachineWithClock(now func() time.Time) *Machine {
+	return &Machine{now: now, state: controlstate.New(), wake: make(chan struct{})}
 }
 
 // Apply implements StateMachine.
@@ -29,9 +40,7 @@
 	if err != nil {
 		result.Fault = fault.ToWire(err)
 	} else {
-		m.mu.Lock()
-		result = m.state.Apply(index, command)
-		m.mu.Unlock()
+		result = m.apply(index, command)
 	}
 	encoded, err := cbor.Marshal(result)
 	if err != nil {
@@ -40,14 +49,43 @@
 	return encoded
 }
 
+func (m *Machine) apply(index uint64, command controlstate.Command) controlstate.Result {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.state.Revision()
+	result := m.state.Apply(index, command)
+	if m.state.Revision() != before {
+		m.noteChange()
+	}
+	return result
+}
+
+// noteChange requires mu.
+func (m *Machine) noteChange() {
+	m.changes.add(m.state.Revision(), m.now())
+	close(m.wake)
+	m.wake = make(chan struct{})
+}
+
 // Snapshot implements StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
-	return nil, fault.New(fault.Internal, "machine.snapshot", "snapshots are not implemented")
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Snapshot()
 }
 
 // Restore implements StateMachine.
-func (m *Machine) Restore([]byte) error {
-	return fault.New(fault.Internal, "machine.restore", "snapshots are not implemented")
+func (m *Machine) Restore(data []byte) error {
+	state, err := controlstate.Restore(data)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state = state
+	m.changes = changeTimes{}
+	m.noteChange()
+	return nil
 }
 
 // Revision returns the revision of the last change of the view.
@@ -57,10 +95,45 @@
 	return m.state.Revision()
 }
 
-// View returns the current view.
-func (m *Machine) View() model.View {
+// FirstChangeAfter returns when the first revision above the given one was applied here, or false if there is none. A
+// change longer ago than LeaseLength counts as the oldest one that is remembered.
+func (m *Machine) FirstChangeAfter(revision uint64) (time.Time, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.changes.firstAfter(revision)
+}
+
+// Changed returns a channel that is closed at the next change of the view.
+func (m *Machine) Changed() <-chan struct{} {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	return m.wake
+}
+
+// Member returns the registered instance of an entry VM.
+func (m *Machine) Member(id string) (model.Member, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Member(id)
+}
+
+// Booking returns the record of a key.
+func (m *Machine) Booking(key string) (controlstate.Booking, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Booking(key)
+}
+
+// View returns the current view. It is shared by all callers at the same revision and must not be changed.
+func (m *Machine) View() *model.View {
+	m.mu.RLock()
+	view := m.state.CachedView()
+	m.mu.RUnlock()
+	if view != nil {
+		return view
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	return m.state.View()
 }
 
@@ -72,3 +145,36 @@
 	}
 	return result, nil
 }
+
+// changeTimes remembers when this member applied the latest revisions.
+type changeTimes struct {
+	revisions []uint64
+	times     []time.Time
+}
+
+// add drops what is older than a lease, except for the newest of those.
+func (c *changeTimes) add(revision uint64, at time.Time) {
+	c.revisions = append(c.revisions, revision)
+	c.times = append(c.times, at)
+	drop := 0
+	for drop+1 < len(c.times) && at.Sub(c.times[drop+1]) >= LeaseLength {
+		drop++
+	}
+	c.revisions = c.revisions[drop:]
+	c.times = c.times[drop:]
+}
+
+func (c *changeTimes) firstAfter(revision uint64) (time.Time, bool) {
+	first, _ := slices.BinarySearch(c.revisions, revision+1)
+	if first == len(c.times) {
+		return time.Time{}, false
+	}
+	return c.times[first], true
+}
+
+// Execution returns the newest drain execution.
+func (m *Machine) Execution() (planner.Execution, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Execution()
+}
--- /dev/null
+++ b/internal/controlstate/view.go
@@ -0,0 +1,41 @@
+package controlstate
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/model"
+)
+
+// View returns the state that entry VMs serve from, in a deterministic order. Calls at the same revision return the
+// same view, which nobody may change.
+func (s *State) View() *model.View {
+	if s.cached == nil {
+		s.cached = s.buildView()
+	}
+	return s.cached
+}
+
+// CachedView returns the view of the current revision if it was built before. Unlike View it only reads.
+func (s *State) CachedView() *model.View { return s.cached }
+
+func (s *State) buildView() *model.View {
+	view := &model.View{Revision: s.revision, Config: s.config}
+	view.Members = sortedValues(s.members)
+	view.Upstreams = sortedValues(s.upstreams)
+	for _, fingerprint := range slices.Sorted(maps.Keys(s.quarantines)) {
+		until := time.UnixMilli(s.quarantines[fingerprint]).UTC()
+		view.Quarantines = append(view.Quarantines, model.Quarantine{Fingerprint: fingerprint, Until: until})
+	}
+	return view
+}
+
+// sortedValues returns the values in the order of their keys. It sorts the keys, which are smaller than the values.
+func sortedValues[T any](table map[string]T) []T {
+	values := make([]T, 0, len(table))
+	for _, key := range slices.Sorted(maps.Keys(table)) {
+		values = append(values, table[key])
+	}
+	return values
+}
--- a/internal/entry/bookowner.go
+++ b/internal/entry/bookowner.go
@@ -213,7 +213,7 @@
 	created := &bookingLane{
 		address: upstream.Address,
 		slots:   make(chan struct{}, upstream.Slots),
-		client:  upstreamapi.NewClient(upstream.Address, upstream.Connections),
+		client:  upstreamapi.NewClient(upstream.Address, upstream.Connections, upstream.Slots),
 	}
 	o.lanes[upstream.Name] = created
 	return created, nil
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
@@ -11,66 +11,84 @@
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
 )
 
-// peers sends sub-requests to the owners of upstreams, over one connection for each member.
+// peers sends sub-requests to the owners of upstreams. Searches go in batches over one link for each owner; bookings
+// go over the separate connections of links, so that they never wait behind large search results.
 type peers struct {
 	selfID string
 	local  *owner
 	dial   controlrpc.Dialer
 
-	// mu guards conns.
+	// mu guards links and jobs.
 	mu    sync.Mutex
-	conns map[string]*rpc.Client
+	links map[string]*link
+	jobs  map[uint64]*job
 }
 
 func newPeers(selfID string, local *owner, dial controlrpc.Dialer) *peers {
-	return &peers{selfID: selfID, local: local, dial: dial, conns: map[string]*rpc.Client{}}
+	return &peers{
+		selfID: selfID, local: local, dial: dial,
+		links: map[string]*link{}, jobs: map[uint64]*job{},
+	}
 }
 
-// execute runs the sub-request at the member that owns its upstream.
-func (p *peers) execute(ctx context.Context, member model.Member, sub ownerrpc.SubRequest) ownerrpc.SubResult {
-	if member.ID == p.selfID {
-		return p.local.execute(ctx, sub)
+// submit sends searches to the member that owns their upstreams. done is called once for each result that arrives.
+func (p *peers) submit(member model.Member, subs []ownerrpc.SubRequest, done waiter) {
+	if p.isLocal(member) {
+		for _, sub := range subs {
+			p.submitLocal(sub, done)
+		}
+		return
 	}
-	conn, err := p.conn(member.RPCAddress)
-	if err != nil {
-		return ownerrpc.SubResult{ID: sub.ID, Fault: fault.ToWire(err)}
+	if p.link(member.RPCAddress).submit(subs, done) {
+		return
 	}
-	var reply ownerrpc.ExecuteReply
-	call := conn.Go(ownerrpc.ServiceName+".Execute", ownerrpc.ExecuteArgs{SubRequest: sub}, &reply, make(chan *rpc.Call, 1))
-	select {
-	case <-ctx.Done():
-		err := fault.New(fault.Cancelled, "peers.execute", "%w", ctx.Err())
-		return ownerrpc.SubResult{ID: sub.ID, Fault: fault.ToWire(err)}
-	case done := <-call.Done:
-		if done.Error != nil {
-			p.drop(member.RPCAddress, conn)
-			err := fault.New(fault.OutcomeUnknown, "peers.execute", "owner %s: %w", member.ID, done.Error)
-			return ownerrpc.SubResult{ID: sub.ID, Fault: fault.ToWire(err)}
-		}
-		return reply.Result
+	err := fault.New(fault.NotRun, "peers.submit", "owner %s is not reachable", member.ID)
+	for _, sub := range subs {
+		done(ownerrpc.SubResult{ID: sub.ID, Fault: fault.ToWire(err)})
 	}
 }
 
-func (p *peers) conn(address string) (*rpc.Client, error) {
+func (p *peers) isLocal(member model.Member) bool { return member.ID == p.selfID || p.local.direct }
+
+func (p *peers) submitLocal(sub ownerrpc.SubRequest, done waiter) {
+	p.mu.Lock()
+	p.jobs[sub.ID] = nil
+	p.mu.Unlock()
+	j := p.local.submit(context.Background(), sub, func(result ownerrpc.SubResult) {
+		p.mu.Lock()
+		delete(p.jobs, sub.ID)
+		p.mu.Unlock()
+		done(result)
+	})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if conn, ok := p.conns[address]; ok {
-		return conn, nil
+	if _, open := p.jobs[sub.ID]; open {
+		p.jobs[sub.ID] = j
 	}
-	raw, err := p.dial(address)
-	if err != nil {
-		return nil, fault.New(fault.NotRun, "peers.dial", "owner at %s: %w", address, err)
+}
+
+// cancel stops a search whose result is no longer needed. It is called by the goroutine that submitted the search.
+func (p *peers) cancel(member model.Member, id uint64) {
+	if !p.isLocal(member) {
+		p.link(member.RPCAddress).cancel(id)
+		return
+	}
+	p.mu.Lock()
+	j := p.jobs[id]
+	delete(p.jobs, id)
+	p.mu.Unlock()
+	if j != nil {
+		j.stop()
 	}
-	conn := rpc.NewClient(raw)
-	p.conns[address] = conn
-	return conn, nil
 }
 
-func (p *peers) drop(address string, conn *rpc.Client) {
+func (p *peers) link(address string) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.conns[address] == conn {
-		delete(p.conns, address)
+	current, ok := p.links[address]
+	if !ok || current.replaceable(time.Now()) {
+		current = newLink(p.selfID, address, p.dial)
+		p.links[address] = current
 	}
-	_ = conn.Close()
+	return current
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -13,10 +13,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wisteriamux/wisteriamux/internal/balance"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
+	"github.com/wisteriamux/wisteriamux/internal/telemetry"
 	"github.com/wisteriamux/wisteriamux/internal/trace"
 )
 
@@ -44,8 +46,14 @@
 	LameDuck time.Duration
 	// DrainTimeout bounds the wait for requests in flight.
 	DrainTimeout time.Duration
+	// Ownership, Balance and Hedging select between the design and its baselines; empty means owner and observed.
+	Ownership Ownership
+	Balance   balance.Policy
+	Hedging   bool
 	// BodyTimeout bounds the time to read a request's body; 0 stands for the default.
 	BodyTimeout time.Duration
+	// Metrics holds the instruments; nil measures nothing.
+	Metrics *telemetry.Metrics
 	// Recorder records the events of the decision packages; nil records nothing.
 	Recorder *trace.Recorder
 }
@@ -57,11 +65,14 @@
 	session  *session
 	owner    *owner
 	peers    *peers
+	tier     *tier
 	guard    *crashGuard
 	links    *links
 	bookings *bookings
 	renewals *renewals
-	log      *slog.Logger
+	// objectives measures the service level and the demand.
+	objectives *objectives
+	log        *slog.Logger
 
 	http     *http.Server
 	nextID   atomic.Uint64
@@ -86,14 +97,16 @@
 	}
 	member := model.Member{ID: config.ID, RPCAddress: rpcAddress, FailureDomain: config.FailureDomain}
 	session := newSession(control, member, clock, log)
-	owner := newOwner(session)
+	guard := newCrashGuard(session, control, config.Recorder, log)
+	owner := newOwner(session, guard, config.Ownership == OwnershipDirect)
 	server := &Server{
 		config:    config,
 		control:   control,
 		session:   session,
 		owner:     owner,
 		peers:     newPeers(config.ID, owner, dial),
-		guard:     newCrashGuard(session, control, config.Recorder, log),
+		guard:     guard,
+		tier:      newTier(config.Balance, config.Hedging),
 		links:     newLinks(dial),
 		log:       log,
 		peerConns: map[net.Conn]struct{}{},
@@ -101,6 +114,8 @@
 	bookingOwner := newBookingOwner(session, server.guard, config.Recorder)
 	server.bookings = newBookings(session, control, bookingOwner, server.guard, server.links, config.Recorder)
 	server.renewals = newRenewals(session, control, server.links, server.inFlightAt, log)
+	server.objectives = newObjectives(config.Metrics, session, server.inFlightAt)
+	session.load = server.objectives.load
 	server.http = &http.Server{
 		Handler: server.routes(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: keepAliveTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
@@ -110,28 +125,7 @@
 
 // inFlightAt counts the requests of this owner at one upstream.
 func (s *Server) inFlightAt(upstream string) int {
-	return s.bookings.owner.inFlight(upstream) + s.searchesAt(upstream)
-}
-
-// searchesAt counts the sub-requests of searches that hold a slot of the upstream.
-func (s *Server) searchesAt(upstream string) int {
-	s.owner.mu.Lock()
-	defer s.owner.mu.Unlock()
-	if pool, ok := s.owner.pools[upstream]; ok {
-		return len(pool.slots)
-	}
-	return 0
-}
-
-// searchesInFlight counts the sub-requests of searches that hold a slot of any upstream.
-func (s *Server) searchesInFlight() int {
-	s.owner.mu.Lock()
-	defer s.owner.mu.Unlock()
-	total := 0
-	for _, pool := range s.owner.pools {
-		total += len(pool.slots)
-	}
-	return total
+	return s.bookings.owner.inFlight(upstream) + s.owner.backlog(upstream)
 }
 
 // Run serves until the context ends, then drains: the health check fails first, and requests in flight finish.
@@ -140,7 +134,10 @@
 	defer stop()
 	defer s.links.close()
 	go s.session.run(background)
+	go s.owner.run(background)
+	go s.tier.run(background, s.session)
 	go s.renewals.run(background)
+	go s.objectives.run(background)
 	if err := s.servePeers(peers); err != nil {
 		return err
 	}
@@ -260,7 +257,7 @@
 	case <-ctx.Done():
 		return fault.New(fault.Internal, "entry.finish", "booking outcomes are not recorded: %w", ctx.Err())
 	}
-	for s.bookings.owner.totalInFlight()+s.searchesInFlight() > 0 {
+	for s.bookings.owner.totalInFlight()+s.owner.totalBacklog() > 0 {
 		select {
 		case <-time.After(drainPoll):
 		case <-ctx.Done():
--- a/internal/ownerrpc/messages.go
+++ b/internal/ownerrpc/messages.go
@@ -10,13 +10,6 @@
 // ServiceName is the name under which the owner service is registered with net/rpc.
 const ServiceName = "Owner"
 
-// Booking is the part of a sub-request that carries a booking attempt.
-type Booking struct {
-	Key     string
-	Attempt uint64
-	Payload []byte
-}
-
 // SubRequest is one unit of work for one upstream.
 type SubRequest struct {
 	// ID is unique among the sub-requests of the sending instance.
@@ -29,9 +22,11 @@
 	Timeout    time.Duration
 	Version    uint64
 	Generation uint64
+	Service    string
 	Query      string
 	Shard      int
-	Booking    *Booking
+	// AfterCrash marks a sub-request that was in flight when an upstream crashed.
+	AfterCrash bool
 }
 
 // SubResult is the outcome of one sub-request.
@@ -41,14 +36,43 @@
 	Items [][]byte
 	// Service is the time that the upstream took, without the wait for a slot.
 	Service time.Duration
+	// Version and Generation are those of the upstream's response.
+	Version    uint64
+	Generation uint64
+	// Backlog is the number of requests that ran or waited for the upstream at the owner when the result left it.
+	Backlog int
 }
 
-// ExecuteArgs carries one sub-request.
-type ExecuteArgs struct {
-	SubRequest SubRequest
+// Session identifies one sender at an owner. A sender that loses its connection starts a new session, so that results
+// of the old one never reach it.
+type Session struct {
+	Member string
+	Nonce  uint64
 }
 
-// ExecuteReply carries its result.
-type ExecuteReply struct {
-	Result SubResult
+// SubmitArgs carries a batch of searches. Their results are fetched by Collect.
+type SubmitArgs struct {
+	Session     Session
+	SubRequests []SubRequest
 }
+
+// SubmitReply confirms that the batch was accepted.
+type SubmitReply struct{}
+
+// CollectArgs asks for the results of a session. The owner holds the call until there are some or CollectHold is over.
+type CollectArgs struct{ Session Session }
+
+// CollectReply carries a batch of results, which may be empty.
+type CollectReply struct{ Results []SubResult }
+
+// CollectHold is how long an owner holds a Collect without results.
+const CollectHold = time.Second
+
+// CancelArgs names sub-requests whose results are no longer needed.
+type CancelArgs struct {
+	Session Session
+	IDs     []uint64
+}
+
+// CancelReply confirms the cancellation.
+type CancelReply struct{}
--- a/internal/upstreamapi/client.go
+++ b/internal/upstreamapi/client.go
@@ -41,22 +41,32 @@
 	// pooled keeps idle connections; fresh opens a connection for each request.
 	pooled *http.Transport
 	fresh  *http.Transport
+	spares *spares
 }
 
-// NewClient returns a client of the upstream at the address.
-func NewClient(address string, connections int) *Client {
+// NewClient returns a client of the upstream at the address. Part of the connections is kept open as spares and part
+// is left to requests that need a connection of their own, which take a slot each; all together never exceed the
+// given number.
+func NewClient(address string, connections, slots int) *Client {
+	spare := min(maxSpares, max(0, connections-slots))
+	fresh := min(slots, max(1, (connections-spare)/2))
+	spares := newSpares(address, spare)
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		base:   "http://" + address,
-		pooled: newTransport(connections, false),
-		fresh:  newTransport(connections, true),
+		pooled: newTransport(spares.dialContext, max(1, connections-spare-fresh), false),
+		fresh:  newTransport(dialer.DialContext, fresh, true),
+		spares: spares,
 	}
 }
 
-func newTransport(connections int, fresh bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+// dialContext opens a connection as net.Dialer.DialContext does.
+type dialContext func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newTransport(dial dialContext, connections int, fresh bool) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -69,8 +79,11 @@
 	}
 }
 
-// Close closes the idle connections.
-func (c *Client) Close() { c.pooled.CloseIdleConnections() }
+// Close closes the idle and the spare connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+	c.spares.close()
+}
 
 // Search runs a search on one shard. A response of another snapshot than the call's is an error.
 func (c *Client) Search(ctx context.Context, call Call, request SearchRequest) (SearchResponse, error) {
