--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -148,6 +148,7 @@
 		Expect(report.GoodputRate).To(BeEquivalentTo(1), "two good answers in 2 s")
 		Expect(report.WithinShare).To(BeEquivalentTo(0.5))
 		Expect(report.P50Millis).To(BeNumerically("~", 200, 1))
+		Expect(report.Classes[""]).To(And(HaveField("Offered", 6), HaveField("Accepted", 4), HaveField("Within", BeEquivalentTo(0.5))))
 		report.AddWork(load.Work{Searches: 100}, load.Work{Searches: 121})
 		Expect(report.ExtraLoad).To(BeNumerically("~", 0.05, 1e-9))
 		from := load.Work{Slots: map[string]load.SlotUse{"s": {BusyMillis: 100, Slots: 4}}}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -69,10 +69,21 @@
 	// AfterGrace counts requests that reached a stand-in after its grace to leave.
 	AfterGrace int `json:"received_after_grace"`
 
+	// Classes holds the figures of each class of the mix in the window.
+	Classes map[string]ClassReport `json:"classes"`
 	// Latencies holds quantiles of the accepted requests in the window for the plots, in milliseconds.
 	Latencies []float64 `json:"latency_quantiles_ms"`
 }
 
+// ClassReport is the outcome of one class of requests.
+type ClassReport struct {
+	Offered   int     `json:"offered"`
+	Accepted  int     `json:"accepted"`
+	P50Millis float64 `json:"p50_ms"`
+	P99Millis float64 `json:"p99_ms"`
+	Within    float64 `json:"within_deadline"`
+}
+
 // accepted reports whether the request was admitted: it was answered, or it failed after its admission.
 func (s Sample) accepted() bool { return s.Status != 0 && !refusedStatus(s.Status) }
 
@@ -93,7 +104,7 @@
 // Summarize computes the report of the samples. Deadline is the callers' deadline.
 func Summarize(samples []Sample, window Window, deadline time.Duration) *Report {
 	report := &Report{Refusals: map[string]int{}, Reasons: map[string]int{}, Contradiction: map[string]int{}}
-	latency := hdrhistogram.New(1, maxLatencyMicros, significantFigures)
+	latency := newHistogram()
 	var inWindow, acceptedInWindow, goodInWindow, goodInWhole int
 	for _, sample := range samples {
 		report.count(sample)
@@ -124,9 +135,45 @@
 	for quantile := 1; quantile <= 100; quantile++ {
 		report.Latencies = append(report.Latencies, millis(latency, float64(quantile)))
 	}
+	report.Classes = classReports(samples, window, deadline)
 	return report
 }
 
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatencyMicros, significantFigures)
+}
+
+func classReports(samples []Sample, window Window, deadline time.Duration) map[string]ClassReport {
+	reports := map[string]ClassReport{}
+	latencies := map[string]*hdrhistogram.Histogram{}
+	within := map[string]int{}
+	for _, sample := range samples {
+		if !window.holds(sample.At) {
+			continue
+		}
+		report := reports[sample.Class]
+		report.Offered++
+		if latencies[sample.Class] == nil {
+			latencies[sample.Class] = newHistogram()
+		}
+		if sample.accepted() {
+			report.Accepted++
+			_ = latencies[sample.Class].RecordValue(min(sample.Latency.Microseconds(), maxLatencyMicros))
+		}
+		if sample.good() && sample.Latency <= deadline {
+			within[sample.Class]++
+		}
+		reports[sample.Class] = report
+	}
+	for class, report := range reports {
+		report.P50Millis = millis(latencies[class], 50)
+		report.P99Millis = millis(latencies[class], 99)
+		report.Within = ratio(within[class], report.Accepted)
+		reports[class] = report
+	}
+	return reports
+}
+
 func (r *Report) count(sample Sample) {
 	r.Offered++
 	if sample.Fault != "" {
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"sort"
 	"strconv"
 	"strings"
 )
@@ -27,6 +28,7 @@
 	{"p99 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.P99Millis) }},
 	{"p99.9 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.P999Millis) }},
 	{"within deadline %", func(r *Report) string { return fmt.Sprintf("%.2f", 100*r.WithinShare) }},
+	{"p50, p99 ms and share within deadline by class", func(r *Report) string { return classText(r.Classes) }},
 	{"answered", func(r *Report) string { return strconv.Itoa(r.Answered) }},
 	{"partial", func(r *Report) string { return strconv.Itoa(r.Partial) }},
 	{"failed", func(r *Report) string { return strconv.Itoa(r.Failed) }},
@@ -34,6 +36,7 @@
 	{"extra load %", func(r *Report) string { return fmt.Sprintf("%.2f", 100*r.ExtraLoad) }},
 	{"use of busiest slots %", func(r *Report) string { return fmt.Sprintf("%.1f", 100*r.SlotUse) }},
 	{"most connections of an upstream", func(r *Report) string { return strconv.Itoa(r.MaxConnections) }},
+	{"missing by reason", func(r *Report) string { return sortedCounts(r.Reasons) }},
 	{"refused", func(r *Report) string { return sortedCounts(r.Refusals) }},
 	{"cut", func(r *Report) string { return strconv.Itoa(r.Cut) }},
 	{"false coverage", func(r *Report) string { return strconv.Itoa(r.FalseCoverage) }},
@@ -44,6 +47,19 @@
 	{"work after grace", func(r *Report) string { return strconv.Itoa(r.AfterGrace) }},
 }
 
+func classText(classes map[string]ClassReport) string {
+	names := make([]string, 0, len(classes))
+	for name := range classes {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for n, name := range names {
+		class := classes[name]
+		names[n] = fmt.Sprintf("%s: %.0f, %.0f, %.1f%%", name, class.P50Millis, class.P99Millis, 100*class.Within)
+	}
+	return strings.Join(names, "; ")
+}
+
 func row(report *Report) []string {
 	cells := make([]string, len(columns))
 	for n, column := range columns {
--- a/scripts/experiment-lib.sh
+++ b/scripts/experiment-lib.sh
@@ -26,12 +26,19 @@
 start_cluster() { # directory written by "wmux-load shape"
   local file name control
   for file in "$1"/control-*.toml; do
-    start "$(basename "$file" .toml)" "$work/wmux-control" --settings "$file"
+    name=$(basename "$file" .toml)
+    [ "$name" != control-1 ] || "$work/wmux-control" bootstrap --settings "$file" >>"$results/processes.log"
+    start "$name" "$work/wmux-control" run --settings "$file"
   done
   for file in "$1"/entry-*.toml; do
     start "$(basename "$file" .toml)" "$work/wmux-entry" --settings "$file"
   done
   control=$(sed -n 's/^control_addresses = \[\(.*\)\]/\1/p' "$1/entry-1.toml" | tr -d '" ')
+  for file in "$1"/control-*.toml; do
+    name=$(basename "$file" .toml)
+    [ "$name" = control-1 ] || "$work/wmuxctl" --control "$control" control add "$name" \
+      "$(sed -n 's/^rpc_address = "\(.*\)"/\1/p' "$file")" >>"$results/processes.log"
+  done
   for _ in $(seq 50); do
     "$work/wmuxctl" --control "$control" apply --file "$1/inventory.toml" --base 0 --change experiment \
       >>"$results/processes.log" 2>&1 && break
--- a/scripts/experiment-slopes.sh
+++ b/scripts/experiment-slopes.sh
@@ -9,7 +9,7 @@
 . scripts/experiment-lib.sh
 dir=$work/slopes
 "$work/wmux-load" shape --user blumenwagen --variant owner --port "${WMUX_EXPERIMENT_PORT:-22000}" \
-  --control "${WMUX_CONTROLS:-1}" --dir "$dir"
+  --control "${WMUX_CONTROLS:-3}" --dir "$dir"
 start_cluster "$dir"
 "$work/wmux-load" slopes --cluster "$dir/cluster.json" --processes "$dir/processes" --out "$results/slopes.json" \
   --measure "${1:-fan-out,rate,held,changes,views,renewals}"
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -17,7 +17,7 @@
   for variant in ${variants//,/ }; do
     dir=$work/$user-$variant
     "$work/wmux-load" shape --user "$user" --variant "$variant" --port "${WMUX_EXPERIMENT_PORT:-22000}" \
-      --control "${WMUX_CONTROLS:-1}" --dir "$dir"
+      --control "${WMUX_CONTROLS:-3}" --dir "$dir"
     start_cluster "$dir"
     # shellcheck disable=SC2086
     if "$work/wmux-load" experiment --user "$user" --variant "$variant" --cluster "$dir/cluster.json" \
