--- a/cmd/wmux-entry/main.go
+++ b/cmd/wmux-entry/main.go
@@ -14,14 +14,21 @@
 	"github.com/wisteriamux/wisteriamux/internal/balance"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/entry"
-	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/netcut"
+	"github.com/wisteriamux/wisteriamux/internal/security"
 	"github.com/wisteriamux/wisteriamux/internal/settings"
 	"github.com/wisteriamux/wisteriamux/internal/telemetry"
+	"github.com/wisteriamux/wisteriamux/internal/trace"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// A second signal ends the process at once, because the handler of the first one is removed.
+	go func() {
+		<-ctx.Done()
+		stop()
+	}()
 	if err := command().ExecuteContext(ctx); err != nil {
 		os.Exit(1)
 	}
@@ -33,6 +40,7 @@
 		Use:          "wmux-entry",
 		Short:        "Run the entry daemon",
 		Example:      "  wmux-entry --settings entry.toml",
+		Args:         cobra.NoArgs,
 		SilenceUsage: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			loaded, err := settings.LoadEntry(path)
@@ -42,7 +50,24 @@
 			return run(cmd.Context(), loaded)
 		},
 	}
-	command.Flags().StringVar(&path, "settings", "entry.toml", "settings file")
+	command.PersistentFlags().StringVar(&path, "settings", "entry.toml", "settings file")
+	command.AddCommand(&cobra.Command{
+		Use:     "check",
+		Short:   "Check the settings file without starting",
+		Example: "  wmux-entry check --settings entry.toml",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			loaded, err := settings.LoadEntry(path)
+			if err != nil {
+				return err
+			}
+			if _, err := security.NewTransport(loaded.TLS); err != nil {
+				return err
+			}
+			cmd.Printf("settings of %s are valid\n", loaded.ID)
+			return nil
+		},
+	})
 	return command
 }
 
@@ -56,9 +81,25 @@
 	if err != nil {
 		return err
 	}
-	control := controlrpc.NewClient(loaded.ControlAddresses, controlrpc.PlainDialer)
+	transport, err := security.NewTransport(loaded.TLS)
+	if err != nil {
+		return err
+	}
+	rules, err := netcut.Open(loaded.FaultRulesFile, log)
+	if err != nil {
+		return err
+	}
+	go rules.Run(ctx)
+	dial := rules.Dialer(controlrpc.PlainDialer)
+	control := controlrpc.NewClient(loaded.ControlAddresses, transport.Dialer(dial, security.RoleControl))
 	defer control.Close()
+	recorder, err := openTrace(loaded)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = recorder.Close() }()
 	config := entry.Config{
+		Recorder:      recorder,
 		ID:            loaded.ID,
 		FailureDomain: loaded.FailureDomain,
 		LameDuck:      time.Duration(loaded.LameDuckMillis) * time.Millisecond,
@@ -67,10 +108,14 @@
 		Balance:       balance.Policy(loaded.Balance),
 		Hedging:       loaded.Hedging,
 	}
-	if !config.Ownership.Valid() || !config.Balance.Valid() {
-		return fault.New(fault.Settings, "settings", "unknown ownership %q or balance %q", loaded.Ownership, loaded.Balance)
-	}
-	server := entry.New(config, control, loaded.RPCAddress, controlrpc.PlainDialer, log)
+	server := entry.New(config, control, loaded.RPCAddress, transport.Dialer(dial, security.RoleEntry), log)
 	log.Info("started", "caller_address", loaded.CallerAddress, "rpc_address", loaded.RPCAddress)
-	return server.Run(ctx, callers, peers)
+	return server.Run(ctx, callers, transport.Listener(rules.Listener(peers), security.RoleEntry))
+}
+
+func openTrace(loaded settings.Entry) (*trace.Recorder, error) {
+	if loaded.TraceFile == "" {
+		return nil, nil
+	}
+	return trace.Create(loaded.TraceFile, loaded.ID, trace.DefaultMaxBytes)
 }
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -7,13 +7,10 @@
 	"github.com/wisteriamux/wisteriamux/internal/model"
 )
 
-const (
-	// LeaseLength is the length of an entry VM's lease. It bounds how long a VM without contact may act on an old view.
-	LeaseLength = 4 * time.Second
-	// BehindGrace is how long a VM may serve from a view older than an accepted revision and still extend its lease.
-	// With LeaseLength it bounds the time to in force at 6 s, which leaves 4 s of the bound of 10 s for an election.
-	BehindGrace = 2 * time.Second
-)
+// LeaseLength is the length of an entry VM's lease. It bounds how long a VM may act on an old view: a VM without contact
+// because its lease ends, and a VM that renews but does not read a newer view because its lease is not extended beyond
+// this time after the change. The bound of 5 s for a leaving upstream leaves 1 s for the announcement to be accepted.
+const LeaseLength = 4 * time.Second
 
 // holder names one instance of an entry VM.
 type holder struct {
@@ -63,36 +60,33 @@
 	t.leases[who] = lease{expires: now.Add(LeaseLength)}
 }
 
-// renewal is a request to extend a lease.
-type renewal struct {
-	who     holder
-	applied uint64
-	// tolerated is the revision that a VM with a running lease must have applied.
-	tolerated uint64
-	// revision returns the current revision, which a VM without a running lease must have applied. It is read under
-	// the table's lock: otherwise a lease on an older view could begin after inForce reported the newer one.
-	revision func() uint64
-}
-
-// renew extends the lease of the instance and returns the time that it has left. A VM that is behind keeps what is
-// left of its lease: it may serve until then and read the newer view meanwhile.
-func (t *leaseTable) renew(asked renewal, now time.Time) time.Duration {
+// renew extends the lease of the instance and returns the time that it has left. behind returns when the first change
+// that the VM has not applied was accepted, or false if there is none. It is called under the table's lock: otherwise a
+// lease on an older view could begin after inForce reported the newer one.
+func (t *leaseTable) renew(who holder, applied uint64, behind func(applied uint64) (time.Time, bool), now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	held := t.leases[asked.who]
-	left := max(held.expires.Sub(now), 0)
-	if !held.granted {
-		left = 0
+	held := t.leases[who]
+	running := held.granted && now.Before(held.expires)
+	from := now
+	if change, isBehind := behind(applied); isBehind {
+		if !running {
+			// A lease begins only on the current revision, so that a lapsed VM cannot come back with an old view.
+			return 0
+		}
+		from = change
 	}
-	needed := max(asked.tolerated, held.applied)
-	if left == 0 {
-		needed = asked.revision()
+	if applied < held.applied {
+		// An applied revision never moves backwards within an instance, so this renewal was overtaken.
+		return held.expires.Sub(now)
 	}
-	if asked.applied < needed {
-		return left
+	// Both ends are one lease length after a time at which the VM was not behind, and the later one holds.
+	expires := from.Add(LeaseLength)
+	if running && held.expires.After(expires) {
+		expires = held.expires
 	}
-	t.leases[asked.who] = lease{applied: asked.applied, expires: now.Add(LeaseLength), granted: true}
-	return LeaseLength
+	t.leases[who] = lease{applied: applied, expires: expires, granted: true}
+	return expires.Sub(now)
 }
 
 // remaining returns the applied revision and the remaining time of the member's lease.
@@ -107,7 +101,8 @@
 }
 
 // inForce returns the highest revision, up to the current one, that no running lease is behind. It is 0 during the
-// grace period, since the leases of the previous leader are unknown. Ended leases are dropped.
+// grace period, since the leases of the previous leader are unknown. An ended lease does not count, because the next
+// one begins only on the current revision. Ended leases are dropped.
 func (t *leaseTable) inForce(current uint64, now time.Time) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -115,11 +110,10 @@
 		return 0
 	}
 	for who, held := range t.leases {
-		if !now.Before(held.expires) {
+		switch {
+		case !now.Before(held.expires):
 			delete(t.leases, who)
-			continue
-		}
-		if held.granted {
+		case held.granted:
 			current = min(current, held.applied)
 		}
 	}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -181,12 +181,7 @@
 		return fault.New(fault.Fenced, "control.renew", "instance %d of %s is not current", args.Instance, args.ID)
 	}
 	now := s.now()
-	left := s.leases.renew(renewal{
-		who:       holder{args.ID, args.Instance},
-		applied:   args.Applied,
-		tolerated: s.machine.RevisionAt(now.Add(-BehindGrace)),
-		revision:  s.machine.Revision,
-	}, now)
+	left := s.leases.renew(holder{args.ID, args.Instance}, args.Applied, s.machine.FirstChangeAfter, now)
 	reply.LeaseMillis = left.Milliseconds()
 	reply.Revision = s.machine.Revision()
 	return nil
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -38,6 +38,8 @@
 	pending []uint64
 	retries int
 	hedged  bool
+	// crashed is set once an upstream crashed with the sub-request in flight; a second crash ends the retries.
+	crashed bool
 	retired bool
 	// included, or a reason once the shard is known to be missing; both empty while it is open.
 	included bool
@@ -169,6 +171,7 @@
 		Generation: m.plan.Snapshot.Generations[s.target.Shard.Service],
 		Timeout:    s.waitAt.Sub(now),
 		Extra:      extra,
+		AfterCrash: s.crashed,
 	})
 }
 
@@ -236,10 +239,12 @@
 
 // failed retries a shard on a replica that it has not tried, once no other attempt of it is pending.
 func (m *Machine) failed(now time.Time, s *shard, code fault.Code) {
+	crashedAgain := s.crashed && code == fault.UpstreamCrashed
+	s.crashed = s.crashed || code == fault.UpstreamCrashed
 	if len(s.pending) > 0 {
 		return
 	}
-	if code != fault.OverShare && m.retry(now, s, s.untried()) {
+	if code != fault.OverShare && !crashedAgain && m.retry(now, s, s.untried()) {
 		return
 	}
 	if code == fault.SnapshotRetired {
