--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -74,7 +74,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r := &running{
 		upstream: standin.New(config, slog.New(slog.NewTextHandler(io.Discard, nil))),
-		client:   upstreamapi.NewClient(listener.Addr().String(), 100, 2),
+		client:   upstreamapi.NewClient(listener.Addr().String(), 100, 100),
 		base:     "http://" + listener.Addr().String(),
 		stop:     stop,
 		ended:    make(chan error, 1),
