--- a/internal/load/cluster.go
+++ b/internal/load/cluster.go
@@ -90,9 +90,9 @@
 	files := map[string][]byte{}
 	for n, rpc := range cluster.Control {
 		name := fmt.Sprintf("control-%d", n+1)
-		files[name+".toml"] = encodeTOML(settings.Control{
-			ID: name, FailureDomain: shape.Domains[n%len(shape.Domains)], RPCAddress: rpc, DataDir: filepath.Join(dir, name),
-		})
+		// Only the settings without a default are written, so that new ones keep theirs.
+		files[name+".toml"] = fmt.Appendf(nil, "id = %q\nfailure_domain = %q\nrpc_address = %q\ndata_dir = %q\n",
+			name, shape.Domains[n%len(shape.Domains)], rpc, filepath.Join(dir, name))
 	}
 	return files
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -211,6 +211,8 @@
 			_, err := settings.LoadEntry(filepath.Join(dir, fmt.Sprintf("entry-%d.toml", n+1)))
 			Expect(err).NotTo(HaveOccurred())
 		}
+		_, err = settings.LoadControl(filepath.Join(dir, "control-1.toml"))
+		Expect(err).NotTo(HaveOccurred())
 		operator, err := settings.LoadOperator(filepath.Join(dir, "inventory.toml"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(operator.Inventory).To(Equal(shape.Inventory()))
