--- a/internal/control/drains_test.go
+++ b/internal/control/drains_test.go
@@ -17,10 +17,9 @@
 
 // drainWorld is a service with a test clock, one entry VM, and ten services of two upstreams each.
 type drainWorld struct {
-	clock    time.Time
-	service  *Service
-	instance uint64
-	burn     float64
+	clock   time.Time
+	service *Service
+	burn    float64
 }
 
 func newDrainWorld() *drainWorld {
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -60,7 +60,7 @@
 func (c *fakeControl) view() model.View {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.View()
+	return *c.state.View()
 }
 
 func (c *fakeControl) booking(key string) controlstate.Booking {
