--- a/cmd/wmux-entry/main.go
+++ b/cmd/wmux-entry/main.go
@@ -98,7 +98,7 @@
 		return err
 	}
 	defer func() { _ = recorder.Close() }()
-	metrics, err := telemetry.NewMetrics()
+	metrics, err := telemetry.NewMetrics("wmux-entry")
 	if err != nil {
 		return err
 	}
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -31,6 +31,14 @@
 	o.ResponseWriter.WriteHeader(status)
 }
 
+// Write implements http.ResponseWriter. A first write without a status means 200.
+func (o *observedResponse) Write(data []byte) (int, error) {
+	if o.status == 0 {
+		o.status = http.StatusOK
+	}
+	return o.ResponseWriter.Write(data)
+}
+
 // Unwrap lets http.ResponseController reach the connection.
 func (o *observedResponse) Unwrap() http.ResponseWriter { return o.ResponseWriter }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -54,7 +54,14 @@
 // Operator holds the inventory and the rules that an operator applies.
 type Operator struct {
 	model.Inventory
-	Rules []model.Rule `toml:"rule"`
+	Rules []model.Rule `toml:"-"`
+}
+
+// operatorFile is the file form of Operator. Rules are decoded over their defaults, so that a rule that only sets an
+// objective does not permit the loss of coverage.
+type operatorFile struct {
+	model.Inventory
+	Rules []toml.Primitive `toml:"rule"`
 }
 
 // LoadEntry reads the settings of wmux-entry.
@@ -73,23 +80,42 @@
 
 // LoadOperator reads an inventory with rules.
 func LoadOperator(path string) (Operator, error) {
-	var loaded Operator
-	err := load(path, &loaded)
-	return loaded, err
+	var file operatorFile
+	data, meta, err := decode(path, &file)
+	if err != nil {
+		return Operator{}, err
+	}
+	loaded := Operator{Inventory: file.Inventory}
+	for _, raw := range file.Rules {
+		rule := model.DefaultRule("")
+		if err := meta.PrimitiveDecode(raw, &rule); err != nil {
+			return Operator{}, fault.New(fault.Settings, "settings.load", "%s: rule %d: %w", path, len(loaded.Rules)+1, err)
+		}
+		loaded.Rules = append(loaded.Rules, rule)
+	}
+	return loaded, check(path, data, meta, &loaded)
 }
 
 func load(path string, into any) error {
-	data, err := os.ReadFile(path)
+	data, meta, err := decode(path, into)
 	if err != nil {
-		return fault.New(fault.Settings, "settings.load", "%w", err)
+		return err
 	}
-	meta, err := toml.Decode(string(data), into)
+	return check(path, data, meta, into)
+}
+
+func decode(path string, into any) (data []byte, meta toml.MetaData, err error) {
+	data, err = os.ReadFile(path)
 	if err != nil {
-		var parse toml.ParseError
-		if errors.As(err, &parse) {
-			return fault.New(fault.Settings, "settings.load", "%s:%d: %w", path, parse.Position.Line, err)
-		}
-		return fault.New(fault.Settings, "settings.load", "%s: %w", path, err)
+		return nil, meta, fault.New(fault.Settings, "settings.load", "%w", err)
 	}
-	return check(path, data, meta, into)
+	meta, err = toml.Decode(string(data), into)
+	var parse toml.ParseError
+	switch {
+	case errors.As(err, &parse):
+		return nil, meta, fault.New(fault.Settings, "settings.load", "%s:%d: %w", path, parse.Position.Line, err)
+	case err != nil:
+		return nil, meta, fault.New(fault.Settings, "settings.load", "%s: %w", path, err)
+	}
+	return data, meta, nil
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -38,6 +38,28 @@
 	return invalid.Problems
 }
 
+var _ = Describe("LoadOperator", func() {
+	operator := func(content string) (settings.Operator, error) {
+		path := filepath.Join(GinkgoT().TempDir(), "inventory.toml")
+		Expect(os.WriteFile(path, []byte(content), 0o600)).To(Succeed())
+		return settings.LoadOperator(path)
+	}
+
+	It("keeps the protection of coverage in a rule that only sets an objective", func() {
+		loaded, err := operator("[[rule]]\nservice = \"clerk-*\"\nlatency_objective_ms = 200\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(loaded.Rules).To(HaveLen(1))
+		Expect(loaded.Rules[0].NeverLoseCoverage).To(BeTrue())
+		Expect(loaded.Rules[0].MaxShrink).To(Equal(0.5))
+		Expect(loaded.Rules[0].LatencyObjectiveMillis).To(Equal(200))
+	})
+
+	It("refuses an unknown key of a rule instead of ignoring it", func() {
+		_, err := operator("[[rule]]\nservice = \"*\"\nmax_shrnk = 0.1\n")
+		Expect(problems(err)).To(ConsistOf(And(HaveField("Key", "rule.max_shrnk"), HaveField("Line", 3))))
+	})
+})
+
 var _ = Describe("LoadEntry", func() {
 	It("fills defaults", func() {
 		loaded, err := load(valid)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 	"go.opentelemetry.io/otel/sdk/metric/metricdata"
+	"go.opentelemetry.io/otel/sdk/resource"
 
 	"github.com/wisteriamux/wisteriamux/internal/burn"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
@@ -47,8 +48,8 @@
 	objectives metric.Int64Counter
 }
 
-// NewMetrics returns instruments that are scraped through Handler and sampled through Sample.
-func NewMetrics() (*Metrics, error) {
+// NewMetrics returns the instruments of a process, which are scraped through Handler and sampled through Sample.
+func NewMetrics(process string) (*Metrics, error) {
 	registry := prometheus.NewRegistry()
 	scraped, err := exporter.New(exporter.WithRegisterer(registry))
 	if err != nil {
@@ -59,7 +60,8 @@
 		reader:  sdk.NewManualReader(),
 	}
 	// The default limit would fold the objectives of more than 500 services into one series.
-	provider := sdk.NewMeterProvider(sdk.WithReader(scraped), sdk.WithReader(m.reader), sdk.WithCardinalityLimit(maxAttributeSets))
+	provider := sdk.NewMeterProvider(sdk.WithReader(scraped), sdk.WithReader(m.reader),
+		sdk.WithCardinalityLimit(maxAttributeSets), sdk.WithResource(resource.NewSchemaless(attribute.String("service.name", process))))
 	m.meter = provider.Meter(scope)
 	return m, m.createInstruments()
 }
