--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -120,7 +120,8 @@
 }
 
 func run(schedule []step, f faults, d driverFaults) (err error) {
-	s := newSim(3, 4, f, d)
+	voters := 3 + 2*int(schedule[0].seed%2)
+	s := newSim(voters, voters+1, f, d)
 	defer func() {
 		if cause := recover(); cause != nil {
 			s.violate(panicked, "%v", cause)
--- a/internal/raftnode/cluster_test.go
+++ b/internal/raftnode/cluster_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"net/rpc"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,6 +28,9 @@
 	snapEvery = 100
 )
 
+// padding makes the snapshots of the longer tests larger than a chunk.
+var padding = strings.Repeat("x", 600)
+
 // recorder is a state machine that keeps the commands in order.
 type recorder struct {
 	mu       sync.Mutex
@@ -234,7 +239,7 @@
 	leader := g.leader()
 	for i := range count {
 		callers.Go(func() {
-			command := prefix + "-" + string(rune('a'+i%26)) + time.Duration(i).String()
+			command := fmt.Sprintf("%s-%d-%s", prefix, i, padding)
 			ctx, cancel := context.WithTimeout(context.Background(), patience)
 			defer cancel()
 			if _, err := leader.node.Propose(ctx, []byte(command)); err == nil {
--- a/internal/raftnode/node_test.go
+++ b/internal/raftnode/node_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
 
 	"github.com/wisteriamux/wisteriamux/internal/control"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
@@ -16,8 +17,13 @@
 )
 
 func TestRaftnode(t *testing.T) {
+	ignored := []goleak.Option{
+		goleak.IgnoreCurrent(),
+		goleak.IgnoreAnyFunction("github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"),
+	}
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "Raftnode")
+	goleak.VerifyNone(t, ignored...)
 }
 
 var _ control.Replicator = (*raftnode.Node)(nil)
@@ -54,8 +60,8 @@
 		h := g.hosts[0]
 		for _, prefix := range []string{"p", "q", "r", "s"} {
 			g.propose(prefix, snapEvery+10)
-			Eventually(h.node.Status, patience, polling).Should(HaveField("Snapshot", BeNumerically(">", len(g.acked)-snapEvery)))
 		}
+		Eventually(func() []string { return snapshotFiles(h) }, patience, polling).Should(HaveLen(2))
 		h.stop()
 		corruptSnapshots(h, 1)
 		h.start()
@@ -68,10 +74,15 @@
 	})
 })
 
-// corruptSnapshots flips a bit in each of the newest snapshots.
-func corruptSnapshots(h *host, count int) {
+func snapshotFiles(h *host) []string {
 	names, err := filepath.Glob(filepath.Join(h.dir, "snapshots", "*.snap"))
 	Expect(err).NotTo(HaveOccurred())
+	return names
+}
+
+// corruptSnapshots flips a bit in each of the newest snapshots.
+func corruptSnapshots(h *host, count int) {
+	names := snapshotFiles(h)
 	for _, name := range names[len(names)-count:] {
 		data, err := os.ReadFile(name)
 		Expect(err).NotTo(HaveOccurred())
@@ -154,6 +165,13 @@
 		g.expectAcked(20)
 	})
 
+	It("refuses to add a voter of another group, whose log contradicts its own", func() {
+		g, other := newGroup("a"), newGroup("b")
+		other.leader()
+		err := g.leader().node.AddMember(context.Background(), "b", other.hosts[0].listener.Addr().String())
+		Expect(fault.Is(err, fault.Conflict)).To(BeTrue(), "%v", err)
+	})
+
 	It("is not slowed by a silent peer", func() {
 		g := newGroup("a", "b", "c")
 		g.follower().dropConns(true, false)
--- a/internal/wal/open.go
+++ b/internal/wal/open.go
@@ -21,6 +21,7 @@
 	if err != nil {
 		return nil, Recovered{}, err
 	}
+	// Nothing is changed on disk before the whole log is found to be intact.
 	segments, recovered, err := log.dropTornTail(segments)
 	if err != nil {
 		return nil, Recovered{}, err
@@ -29,6 +30,9 @@
 	if err != nil {
 		return nil, Recovered{}, err
 	}
+	if torn := recovered.Torn; torn != nil && torn.Offset == 0 {
+		obsolete = append(obsolete, torn.Segment)
+	}
 	if err := log.replay(segments, &recovered.Checkpoint); err != nil {
 		return nil, Recovered{}, err
 	}
@@ -100,7 +104,7 @@
 	return s
 }
 
-// dropTornTail truncates an interrupted write at the end of the last segment. A damaged last frame that was complete
+// dropTornTail leaves out an interrupted write at the end of the last segment. A damaged last frame that was complete
 // on disk before cannot be told apart from an interrupted write and is treated as one.
 func (l *Log) dropTornTail(segments []segment) ([]segment, Recovered, error) {
 	last := &segments[len(segments)-1]
@@ -119,7 +123,7 @@
 	if len(segments) == 0 {
 		return nil, Recovered{}, corrupt("the only segment %s holds no intact frame", last.name)
 	}
-	return segments, Recovered{Torn: torn}, l.removeSegments([]string{last.name})
+	return segments, Recovered{Torn: torn}, nil
 }
 
 // fromLastCheckpoint splits off the segments before the newest checkpoint.
