--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -60,6 +60,9 @@
 	return m.Members[i], true
 }
 
+// Equal reports whether both hold the same members in the same order.
+func (m Membership) Equal(other Membership) bool { return slices.Equal(m.Members, other.Members) }
+
 // IsVoter reports whether the identity belongs to a voter.
 func (m Membership) IsVoter(id uint64) bool {
 	member, ok := m.Find(id)
--- a/internal/raftnode/admin.go
+++ b/internal/raftnode/admin.go
@@ -87,6 +87,9 @@
 	})
 }
 
+// formatID returns the form in which RemoveMember accepts an identity.
+func formatID(id uint64) string { return strconv.FormatUint(id, 16) }
+
 func find(group raft.Membership, idOrName string) (raft.Member, error) {
 	if id, err := strconv.ParseUint(idOrName, 16, 64); err == nil {
 		if member, ok := group.Find(id); ok {
--- a/internal/raftnode/loop.go
+++ b/internal/raftnode/loop.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	inboxBatches  = 256
+	inboxBatches  = 64
 	proposalQueue = 4096
 	readQueue     = 4096
 	// batchProposals and batchCommands bound the number and the bytes of the proposals that share one disk write.
@@ -379,10 +379,25 @@
 	if member, ok := group.Find(l.node.identity); ok {
 		v.role = roleOf(member, v.leader)
 	}
+	l.logChange(v)
 	l.node.setView(v)
 	l.node.transport.retain(func(id uint64) bool { return l.addressOf(id) != "" })
 }
 
+// logChange reports a new leader and a new membership.
+func (l *loop) logChange(v view) {
+	before := l.node.current()
+	if v.leader != before.leader {
+		l.node.config.Log.Info("leader changed", "term", v.term, "leader", v.leaderName)
+	}
+	if v.group.Equal(before.group) {
+		return
+	}
+	for _, member := range v.group.Members {
+		l.node.config.Log.Info("membership changed", "member", member.Name, "identity", formatID(member.ID), "voter", member.Voter)
+	}
+}
+
 // finish answers everyone who waits and releases all resources.
 func (l *loop) finish(err error) {
 	n := l.node
--- a/internal/raftnode/node_test.go
+++ b/internal/raftnode/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -165,6 +166,25 @@
 		g.expectAcked(20)
 	})
 
+	It("continues from a received snapshot when a crash comes before the log is replaced", func() {
+		g := newGroup("a", "b", "c")
+		behind := g.follower()
+		behind.stop()
+		g.propose("first", 2*snapEvery)
+		leader := g.leader()
+		Eventually(func() []string { return snapshotFiles(leader) }, patience, polling).ShouldNot(BeEmpty())
+		newest := slices.Max(snapshotFiles(leader))
+		data, err := os.ReadFile(newest)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.WriteFile(filepath.Join(behind.dir, "snapshots", filepath.Base(newest)), data, 0o600)).To(Succeed())
+		for range 2 {
+			behind.start()
+			Eventually(func() int { return len(behind.machine.list()) }, patience, polling).Should(Equal(2 * snapEvery))
+			expectHeld(behind.machine.list(), g.acked)
+			behind.stop()
+		}
+	})
+
 	It("refuses to add a voter of another group, whose log contradicts its own", func() {
 		g, other := newGroup("a"), newGroup("b")
 		other.leader()
