--- a/internal/control/history_test.go
+++ b/internal/control/history_test.go
@@ -28,13 +28,15 @@
 
 const (
 	checkTimeout = 30 * time.Second
-	retryPause   = 20 * time.Millisecond
 	joinedOwner  = "entry-1"
 	noAnswer     = "no answer"
 )
 
 // load is the size of a history.
-type load struct{ clients, steps int }
+type load struct {
+	clients, steps int
+	pause          time.Duration
+}
 
 var (
 	wide = load{clients: 6, steps: 40}
@@ -77,18 +79,20 @@
 	return reply.Result, reply.Fault.AsError()
 }
 
-// drive runs clients against the endpoints; each sticks to one until it fails.
+// drive runs clients against the endpoints until each has made its steps; each sticks to one endpoint until it fails.
 func drive(endpoints []endpoint, size load, step func(random *rand.Rand, client int, at endpoint) error) {
 	var running sync.WaitGroup
 	for client := range size.clients {
 		running.Go(func() {
 			random := rand.New(rand.NewPCG(uint64(client), 20261204))
 			at := client
-			for range size.steps {
-				if step(random, client, endpoints[at%len(endpoints)]) != nil {
+			for made := 0; made < size.steps; {
+				if step(random, client, endpoints[at%len(endpoints)]) == nil {
+					made++
+				} else {
 					at++
-					time.Sleep(retryPause)
 				}
+				time.Sleep(size.pause)
 			}
 		})
 	}
