--- a/internal/entry/lease_test.go
+++ b/internal/entry/lease_test.go
@@ -142,6 +142,8 @@
 	time.Sleep(500 * time.Millisecond)
 	stopped.stop()
 	err := <-stopped.done
+	// The end of the process closes what is still open.
+	stopped.kill()
 	if drainTimeout > time.Second {
 		Expect(err).NotTo(HaveOccurred())
 	}
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -272,7 +272,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err = o.admit(j.sub); err == nil {
+	if _, err = o.admitUnder(o.session.accepted, j.sub); err == nil {
 		started := time.Now()
 		err = o.send(j, client, ticket.alone, result)
 		result.Service = time.Since(started)
@@ -297,7 +297,11 @@
 // admit checks the lease, that the upstream still takes new work, and that this VM owns it unless the sender has seen a
 // later view.
 func (o *owner) admit(sub ownerrpc.SubRequest) (model.Upstream, error) {
-	current, err := o.session.leased()
+	return o.admitUnder(o.session.leased, sub)
+}
+
+func (o *owner) admitUnder(lease func() (*served, error), sub ownerrpc.SubRequest) (model.Upstream, error) {
+	current, err := lease()
 	if err != nil {
 		return model.Upstream{}, err
 	}
--- a/internal/entry/renewals.go
+++ b/internal/entry/renewals.go
@@ -246,7 +246,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	set := controlstate.SetUpstreamState{Name: upstream.Name, State: state}
+	set := controlstate.SetUpstreamState{Name: upstream.Name, State: state, Instance: upstream.Instance}
 	if _, err := r.control.Propose(ctx, controlstate.Command{SetUpstreamState: &set}); err != nil {
 		r.log.Warn("upstream state not recorded", "upstream", upstream.Name, "state", state, "error", err)
 		return
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -201,8 +201,8 @@
 	}()
 	select {
 	case <-answered:
-	case <-time.After(replyTimeout):
-		s.log.Warn("connections closed with unanswered calls of peers")
+	case <-time.After(min(replyTimeout, s.config.DrainTimeout)):
+		s.log.Debug("connections closed with unanswered calls of peers")
 	}
 	s.peerMu.Lock()
 	defer s.peerMu.Unlock()
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -203,7 +203,8 @@
 func (s *session) renewArgs() controlrpc.RenewArgs {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return controlrpc.RenewArgs{ID: s.member.ID, Instance: s.instance, Applied: s.current.view.Revision}
+	revision := s.current.view.Revision
+	return controlrpc.RenewArgs{ID: s.member.ID, Instance: s.instance, Applied: revision, Served: revision}
 }
 
 func (s *session) fetch(ctx context.Context) error {
@@ -314,6 +315,12 @@
 	return current, nil
 }
 
+// accepted returns the served view while the lease holds, for work that was accepted before a planned stop.
+func (s *session) accepted() (*served, error) {
+	current, _, err := s.held()
+	return current, err
+}
+
 // held returns the served view and the instance while the lease holds. Work that was accepted is checked against it
 // again directly before it is sent.
 func (s *session) held() (*served, uint64, error) {
