--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -148,6 +148,7 @@
 		Expect(report.GoodputRate).To(BeEquivalentTo(1), "two good answers in 2 s")
 		Expect(report.WithinShare).To(BeEquivalentTo(0.5))
 		Expect(report.P50Millis).To(BeNumerically("~", 200, 1))
+		Expect(report.Classes[""]).To(And(HaveField("Offered", 6), HaveField("Accepted", 4), HaveField("Within", BeEquivalentTo(0.5))))
 		report.AddWork(load.Work{Searches: 100}, load.Work{Searches: 121})
 		Expect(report.ExtraLoad).To(BeNumerically("~", 0.05, 1e-9))
 		from := load.Work{Slots: map[string]load.SlotUse{"s": {BusyMillis: 100, Slots: 4}}}
@@ -210,6 +211,8 @@
 			_, err := settings.LoadEntry(filepath.Join(dir, fmt.Sprintf("entry-%d.toml", n+1)))
 			Expect(err).NotTo(HaveOccurred())
 		}
+		_, err = settings.LoadControl(filepath.Join(dir, "control-1.toml"))
+		Expect(err).NotTo(HaveOccurred())
 		operator, err := settings.LoadOperator(filepath.Join(dir, "inventory.toml"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(operator.Inventory).To(Equal(shape.Inventory()))
