raft, raftnode: take the shared property seed; log a membership in one line

Cause: the suite set its own seed over one given on the command line. Change: it imports rapidseed. The membership is logged in one line for each change.

--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -2,31 +2,22 @@
 
 import (
 	"errors"
-	"flag"
 	"math/rand/v2"
-	"os"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	_ "github.com/wisteriamux/wisteriamux/internal/rapidseed"
 )
 
 const (
-	stepsPerRun  = 60
-	propertySeed = "20260104"
+	stepsPerRun = 60
 	// mutantRuns bounds the schedules that a mutant gets before it counts as unnoticed.
 	mutantRuns = 200
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	// Fixed, so that a failure in CI repeats.
-	_ = flag.Set("rapid.seed", propertySeed)
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
-
 func TestRaft(t *testing.T) {
 	RegisterFailHandler(ginkgo.Fail)
 	ginkgo.RunSpecs(t, "Raft")
--- a/internal/raftnode/loop.go
+++ b/internal/raftnode/loop.go
@@ -1,6 +1,8 @@
 package raftnode
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
@@ -390,12 +392,21 @@
 	if v.leader != before.leader {
 		l.node.config.Log.Info("leader changed", "term", v.term, "leader", v.leaderName)
 	}
-	if v.group.Equal(before.group) {
-		return
+	if !v.group.Equal(before.group) {
+		l.node.config.Log.Info("membership changed", "members", describe(v.group))
 	}
-	for _, member := range v.group.Members {
-		l.node.config.Log.Info("membership changed", "member", member.Name, "identity", formatID(member.ID), "voter", member.Voter)
+}
+
+func describe(group raft.Membership) string {
+	var out []string
+	for _, member := range group.Members {
+		role := RoleLearner
+		if member.Voter {
+			role = RoleVoter
+		}
+		out = append(out, fmt.Sprintf("%s/%s/%s", member.Name, formatID(member.ID), role))
 	}
+	return strings.Join(out, ",")
 }
 
 // finish answers everyone who waits and releases all resources.
