--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -42,7 +41,8 @@
 	binaries, err = os.MkdirTemp("", "wmux-processes-")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(os.RemoveAll, binaries)
-	build := exec.Command("go", "build", "-o", binaries+"/", "../../cmd/wmux-control", "../../cmd/wmuxctl")
+	build := exec.Command("go", "build", "-o", binaries+"/", "../../cmd/wmux-control", "../../cmd/wmux-entry",
+		"../../cmd/wmux-upstream", "../../cmd/wmuxctl")
 	output, err := build.CombinedOutput()
 	Expect(err).NotTo(HaveOccurred(), string(output))
 })
@@ -65,8 +65,8 @@
 	g := &group{root: GinkgoT().TempDir()}
 	DeferCleanup(g.end)
 	for n := 1; n <= 3; n++ {
-		host := fmt.Sprintf("127.0.0.%d", 10+n)
-		m := &member{name: fmt.Sprintf("control-%d", n), host: host, address: freeAddress(host)}
+		host := loopback(10 + n)
+		m := &member{name: fmt.Sprintf("control-%d", n), host: host, address: fmt.Sprintf("%s:%d", host, controlPort)}
 		m.dir = filepath.Join(g.root, m.name)
 		settings := fmt.Sprintf("id = %q\nfailure_domain = \"halle-%d\"\nrpc_address = %q\ndata_dir = %q\nfault_rules_file = %q\nsnapshot_entries = 200\n",
 			m.name, n, m.address, m.dir, m.rules())
@@ -86,11 +86,19 @@
 	return g
 }
 
-func freeAddress(host string) string {
-	listener, err := net.Listen("tcp", host+":0")
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+// The ports lie below the range from which the kernel takes the ports of outgoing connections. A port that the kernel
+// chose for a listener could be taken again by a connection before the process under test binds it.
+const (
+	controlPort  = 7000
+	callerPort   = 8000
+	peerPort     = 8100
+	upstreamPort = 9000
+)
+
+// loopback returns the address of a VM. It depends on the test process, so that two runs on one machine do not meet.
+func loopback(vm int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>8)%127, pid%256, vm)
 }
 
 func (m *member) settings() string { return m.dir + ".toml" }
