--- a/internal/controlstate/invariants_test.go
+++ b/internal/controlstate/invariants_test.go
@@ -291,8 +291,24 @@
 	return fmt.Errorf(format, args...)
 }
 
-// setRecord replaces the record of a key, as a mutant does.
-func setRecord(s *State, key string, change func(record *Booking)) {
+// onIntent returns a mutant that changes the record of a key before an intent for it; onOutcome likewise for outcomes.
+func onIntent(change func(s *State, record *Booking)) tamper {
+	return func(s *State, c *Command) {
+		if c.BookingIntent != nil {
+			changeRecord(s, c.BookingIntent.Key, func(record *Booking) { change(s, record) })
+		}
+	}
+}
+
+func onOutcome(change func(record *Booking, outcome BookingOutcome)) tamper {
+	return func(s *State, c *Command) {
+		if c.BookingOutcome != nil {
+			changeRecord(s, c.BookingOutcome.Key, func(record *Booking) { change(record, *c.BookingOutcome) })
+		}
+	}
+}
+
+func changeRecord(s *State, key string, change func(record *Booking)) {
 	if record := s.bookings.find(key); record != nil {
 		changed := *record
 		change(&changed)
@@ -300,6 +316,15 @@
 	}
 }
 
+// regrant makes a state of a booking count as not run.
+func regrant(state BookingState) tamper {
+	return onIntent(func(_ *State, record *Booking) {
+		if record.State == state {
+			record.State = BookingNotRun
+		}
+	})
+}
+
 var mutants = map[string]tamper{
 	"P8: any base version is accepted": func(s *State, c *Command) {
 		if c.ApplyConfig != nil {
@@ -314,41 +339,15 @@
 			c.ExpireMember = &ExpireMember{ID: c.ExpireMember.ID, Instance: s.members[c.ExpireMember.ID].Instance}
 		}
 	},
-	"P5: an open attempt is granted again": func(s *State, c *Command) {
-		if c.BookingIntent != nil {
-			setRecord(s, c.BookingIntent.Key, func(b *Booking) {
-				if b.State == BookingOpen {
-					b.State = BookingNotRun
-				}
-			})
-		}
-	},
-	"P5: a later outcome replaces the first": func(s *State, c *Command) {
-		if c.BookingOutcome != nil {
-			setRecord(s, c.BookingOutcome.Key, func(b *Booking) { b.State = BookingOpen })
-		}
-	},
-	"P5: an earlier attempt closes the current one": func(s *State, c *Command) {
-		if c.BookingOutcome != nil {
-			setRecord(s, c.BookingOutcome.Key, func(b *Booking) { b.Attempt = c.BookingOutcome.Attempt })
-		}
-	},
+	"P6: an announcement takes a drain back":          func(s *State, _ *Command) { clear(s.leaving) },
 	"P5: time follows a leader whose clock is behind": func(s *State, c *Command) { s.nowMillis = c.UnixMillis },
-	"P4: an unknown outcome counts as not run": func(s *State, c *Command) {
-		if c.BookingIntent != nil {
-			setRecord(s, c.BookingIntent.Key, func(b *Booking) {
-				if b.State == BookingUnknown {
-					b.State = BookingNotRun
-				}
-			})
-		}
-	},
-	"P4: a lost owner is not noticed": func(s *State, c *Command) {
-		if c.BookingIntent != nil {
-			setRecord(s, c.BookingIntent.Key, func(b *Booking) { b.Intent.OwnerInstance = s.members[b.Intent.OwnerID].Instance })
-		}
-	},
-	"P6: an announcement takes a drain back": func(s *State, _ *Command) { clear(s.leaving) },
+	"P5: an open attempt is granted again":            regrant(BookingOpen),
+	"P5: a later outcome replaces the first":          onOutcome(func(b *Booking, _ BookingOutcome) { b.State = BookingOpen }),
+	"P5: an earlier attempt closes the current one":   onOutcome(func(b *Booking, o BookingOutcome) { b.Attempt = o.Attempt }),
+	"P4: an unknown outcome counts as not run":        regrant(BookingUnknown),
+	"P4: a lost owner is not noticed": onIntent(func(s *State, b *Booking) {
+		b.Intent.OwnerInstance = s.members[b.Intent.OwnerID].Instance
+	}),
 }
 
 var _ = Describe("the state under drawn commands", func() {
