wmux-control: give each role only the calls that it needs

Cause: with mutual TLS every peer could call everything: an entry VM's certificate was enough to send raft messages, to remove a control member, to change the configuration, or to join as another VM and so fence it. Ruled out: a check inside each method, because net/rpc passes no peer to a method; one server for each connection with the receivers of its role does.

--- a/cmd/wmux-control/run.go
+++ b/cmd/wmux-control/run.go
@@ -4,14 +4,12 @@
 	"context"
 	"log/slog"
 	"net"
-	"net/rpc"
 	"os"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/wisteriamux/wisteriamux/internal/control"
-	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/netcut"
 	"github.com/wisteriamux/wisteriamux/internal/raftnode"
@@ -51,9 +49,8 @@
 	}
 	service := control.NewService(loaded.ID, machine, node, time.Now).WithGroup(control.NewRaftGroup(node)).WithLog(log)
 	secured := transport.Listener(rules.Listener(listener), security.RoleControl, security.RoleEntry, security.RoleOperator)
-	if err := serve(secured, service, node); err != nil {
-		return err
-	}
+	peers := &endpoint{service: service, raft: node.Service(), log: log}
+	go peers.accept(secured)
 	go service.Run(ctx)
 	log.Info("started", "rpc_address", loaded.RPCAddress, "identity", node.Status().ID)
 	select {
@@ -84,28 +81,6 @@
 	return func(address string) (net.Conn, error) { return dialer.Dial("tcp", address) }
 }
 
-func serve(listener net.Listener, service *control.Service, node *raftnode.Node) error {
-	server := rpc.NewServer()
-	if err := server.RegisterName(controlrpc.ServiceName, service); err != nil {
-		return fault.New(fault.Internal, "control.register", "%w", err)
-	}
-	if err := server.RegisterName(raftnode.ServiceName, node.Service()); err != nil {
-		return fault.New(fault.Internal, "control.register", "%w", err)
-	}
-	go accept(listener, server)
-	return nil
-}
-
-func accept(listener net.Listener, server *rpc.Server) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		go server.ServeConn(conn)
-	}
-}
-
 // stop hands leadership over first, so that a planned stop costs no election timeout.
 func stop(node *raftnode.Node, id string, log *slog.Logger) error {
 	if node.Leader() == id && len(node.Members()) > 1 {
