control: drop the lease of a VM that has left by itself

Cause: a VM that stops ends its own lease and asks for its removal, but its lease still counted, so a change waited for up to 4 s at a planned stop. Ruled out: dropping the lease at every removal, because the leader itself removes only instances whose lease has ended. Conclusion: a change is in force at once after a VM has left; a renewal that was on its way is refused, since the removal is a change it has not applied.

--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -60,6 +60,14 @@
 	t.leases[who] = lease{expires: now.Add(LeaseLength)}
 }
 
+// leave drops the lease of an instance that gave it up before it asked for its removal, so that a planned stop does not
+// delay a change until the lease would have ended.
+func (t *leaseTable) leave(who holder) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.leases, who)
+}
+
 // renew extends the lease of the instance and returns the time that it has left. behind returns when the first change
 // that the VM has not applied was accepted, or false if there is none. It is called under the table's lock: otherwise a
 // lease on an older view could begin after inForce reported the newer one.
--- a/internal/control/leases_test.go
+++ b/internal/control/leases_test.go
@@ -255,6 +255,19 @@
 		Expect(reply.Fault.Code).To(Equal(fault.Unavailable))
 	})
 
+	It("do not delay a change when a VM has left by itself", func() {
+		w := newWorld()
+		w.join("entry-1")
+		v := w.join("entry-2")
+		w.clock = w.clock.Add(LeaseLength)
+		w.read(v)
+		w.renew(v)
+		_, err := w.service.proposeFor(controlstate.Command{ExpireMember: &controlstate.ExpireMember{ID: v.id, Instance: v.instance}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.inForce()).To(Equal(w.machine.Revision()))
+		Expect(w.renew(v).Fault.Code).To(Equal(fault.Fenced))
+	})
+
 	It("end quarantines on an idle group", func() {
 		w := newWorld()
 		add := controlstate.AddQuarantine{Fingerprint: "f", DurationMillis: 1_000}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -237,6 +237,9 @@
 		return controlstate.Result{}, err
 	}
 	result, err := s.propose(context.Background(), command)
+	if err == nil && command.ExpireMember != nil {
+		s.leases.leave(holder{command.ExpireMember.ID, command.ExpireMember.Instance})
+	}
 	if err == nil && command.ApplyConfig != nil {
 		s.log.Info("configuration change", "change", command.ApplyConfig.ChangeID, "base", command.ApplyConfig.BaseVersion,
 			"version", result.Version, "revision", result.Revision, "refused", result.Fault != nil)
