controlstate: let -rapid.checks on the command line take precedence

Cause: the test set the number of histories after the flags were parsed, so a longer run was not possible.

--- a/internal/controlstate/invariants_test.go
+++ b/internal/controlstate/invariants_test.go
@@ -18,9 +18,10 @@
 	_ "github.com/wisteriamux/wisteriamux/internal/rapidseed"
 )
 
+// The flag on the command line still takes precedence over 500 histories.
+func init() { _ = flag.Set("rapid.checks", "500") }
+
 func TestControlstate(t *testing.T) {
-	Expect := NewWithT(t).Expect
-	Expect(flag.Set("rapid.checks", "500")).To(Succeed())
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "Controlstate")
 }
