Keep hedge tokens for requests far slower than usual

Slow replicas made queries miss their deadline although hedges were permitted. Hedges at the p95 spend all that is earned while nothing is wrong, and frequent probes of outliers by all entry VMs took the rest. Half of the tokens is now kept for requests beyond three times the usual time, probes come from the owner and pause while tokens are scarce, a jump of the service time counts at once, owners report requests that already run too long, and a hedge may go to an outlier, whose slow period may be over.

In the slow scenario of the experiment both replicas of a shard can be slow at once, which no choice of replicas can hide.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -18,6 +18,10 @@
 	// time constant: an observation after a pause counts more.
 	serviceWeight = 0.1
 	serviceWindow = time.Second
+	// A jump by jumpFactor in either direction counts with jumpWeight: slow periods last about a second, and a small
+	// weight would follow them only when they are over.
+	jumpFactor = 2.0
+	jumpWeight = 0.5
 )
 
 // Weight returns the share of a caller relative to other callers.
@@ -241,6 +245,9 @@
 		return
 	}
 	weight := math.Max(serviceWeight, 1-math.Exp(-now.Sub(q.observed).Seconds()/serviceWindow.Seconds()))
+	if value := float64(service); value > jumpFactor*q.service || value*jumpFactor < q.service {
+		weight = math.Max(weight, jumpWeight)
+	}
 	q.service += weight * (float64(service) - q.service)
 	q.observed = now
 }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -33,10 +33,12 @@
 	staleAfter    = time.Second
 	staleWindow   = 3 * time.Second
 	outlierFactor = 3.0
-	// probeInterval is the time between probes of one entry VM to an outlier. With 8 entry VMs and one upstream in ten
-	// slow, probes stay below 2% of the sub-requests.
-	probeInterval  = 4 * time.Second
-	failurePenalty = time.Second
+	// probeInterval is the time between probes of an outlier by its owner, whose observations reach all entry VMs. The
+	// other entry VMs probe rarely, in case the owner gets no query for the service. Frequent probes by all of them used
+	// up the hedge budget.
+	probeInterval      = time.Second
+	otherProbeInterval = 10 * time.Second
+	failurePenalty     = time.Second
 	// tieTolerance is the relative difference of two expected completion times below which the reported load decides.
 	tieTolerance   = 0.1
 	defaultService = 5 * time.Millisecond
@@ -52,6 +54,8 @@
 	Service       string
 	FailureDomain string
 	Slots         int
+	// Owned is set if this entry VM sends to the upstream itself.
+	Owned bool
 	// ReportedLoad is the load that the upstream claims. It lags, so it only breaks ties.
 	ReportedLoad float64
 }
@@ -101,6 +105,8 @@
 	groups    map[string]*group
 	requests  map[uint64]request
 	medians   map[string]median
+	// pauseProbes is set while the budget has no tokens to hedge probes.
+	pauseProbes bool
 }
 
 type median struct {
@@ -234,7 +240,9 @@
 // but no longer than three times the mean of its fastest upstream. While a replica is slow, the p95 is that of the slow
 // replica, and a service with little traffic has no p95 yet. A probe of an outlier is hedged at once, so that no query
 // pays for it. False means that nothing is known of the service.
-func (t *Tracker) HedgeDelay(now time.Time, c Candidate) (time.Duration, bool) {
+//
+// With a scarce budget, the p95 does not count: what is left is for requests that are far slower than usual.
+func (t *Tracker) HedgeDelay(now time.Time, c Candidate, scarce bool) (time.Duration, bool) {
 	g := t.group(c.Service)
 	limit := time.Duration(outlierFactor * t.fastest(g))
 	if limit == 0 {
@@ -243,7 +251,7 @@
 	if t.Outlier(now, c) {
 		return minHedgeDelay, true
 	}
-	if g.p95 > 0 {
+	if g.p95 > 0 && !scarce {
 		limit = min(limit, g.p95)
 	}
 	return max(limit, minHedgeDelay), true
@@ -409,10 +417,17 @@
 	return t.powerOfTwo(now, regular)
 }
 
+// PauseProbes stops or resumes probes of outliers.
+func (t *Tracker) PauseProbes(pause bool) { t.pauseProbes = pause }
+
 // takeProbe grants one request at a time to an outlier, so that its recovery is observed.
 func (t *Tracker) takeProbe(now time.Time, c Candidate) bool {
 	s := t.stats(now, c)
-	if len(s.inFlight) > 0 || now.Sub(s.lastProbe) < probeInterval {
+	interval := otherProbeInterval
+	if c.Owned {
+		interval = probeInterval
+	}
+	if t.pauseProbes || len(s.inFlight) > 0 || now.Sub(s.lastProbe) < interval {
 		return false
 	}
 	s.lastProbe = now
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -35,7 +35,7 @@
 func replicas(n int) []balance.Candidate {
 	var all []balance.Candidate
 	for i := range n {
-		all = append(all, balance.Candidate{Name: fmt.Sprintf("r%d", i), Service: "s", Slots: 2})
+		all = append(all, balance.Candidate{Name: fmt.Sprintf("r%d", i), Service: "s", Slots: 2, Owned: true})
 	}
 	return all
 }
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -65,6 +65,10 @@
 // Hedge grants a hedge to an upstream with an idle slot. A hedge to a busy upstream would only lengthen its queue.
 func (b *Budget) Hedge(idle bool) bool { return idle && b.hedges.Take() }
 
+// Plenty reports whether at least half of the hedge tokens are left. The other half is kept for requests that are far
+// slower than usual: hedges at the p95 alone spend all that is earned while nothing is wrong.
+func (b *Budget) Plenty() bool { return b.hedges.tokens >= b.hedges.burst/2 }
+
 // Retry grants a retry unless queues are growing.
 func (b *Budget) Retry() bool { return !b.trend.Growing() && b.retries.Take() }
 
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -48,6 +48,7 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	queue    *admission.Queue[*job]
+	started  map[*job]time.Time
 	client   *upstreamapi.Client
 	upstream model.Upstream
 	closed   bool
@@ -101,6 +102,9 @@
 	}
 }
 
+// ownsNow reports whether this VM owns the upstream in the served view.
+func (o *owner) ownsNow(upstream string) bool { return o.owns(o.session.latest(), upstream) }
+
 func (o *owner) owns(current *served, upstream string) bool {
 	return o.direct || current.owners[upstream].ID == o.session.member.ID
 }
@@ -110,7 +114,7 @@
 	defer o.mu.Unlock()
 	p, ok := o.pools[upstream.Name]
 	if !ok {
-		p = &pool{name: upstream.Name, queue: admission.NewQueue[*job](upstream.Slots, admission.EqualWeight)}
+		p = &pool{name: upstream.Name, queue: admission.NewQueue[*job](upstream.Slots, admission.EqualWeight), started: map[*job]time.Time{}}
 		o.pools[upstream.Name] = p
 	}
 	p.adapt(upstream)
@@ -179,9 +183,23 @@
 		load.Service = p.queue.ServiceTime()
 		load.Age = now.Sub(observed)
 	}
+	// A request that runs for longer than expected shows a slow upstream before its result does.
+	if oldest := p.oldest(now); load.Service > 0 && oldest > load.Service {
+		load.Service = oldest
+		load.Age = 0
+	}
 	return load
 }
 
+// oldest returns the age of the request that has been running for longest. The caller holds mu.
+func (p *pool) oldest(now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, started := range p.started {
+		oldest = max(oldest, now.Sub(started))
+	}
+	return oldest
+}
+
 // backlog counts the sub-requests that wait for or run on the upstream.
 func (o *owner) backlog(upstream string) int {
 	o.mu.Lock()
@@ -257,6 +275,9 @@
 		p.mu.Lock()
 		next, dropped := p.queue.Next(time.Now())
 		client := p.client
+		if next != nil {
+			p.started[next.Payload] = time.Now()
+		}
 		p.mu.Unlock()
 		for _, r := range dropped {
 			r.Payload.refuse(fault.New(fault.NotRun, "owner.dispatch", "no slot on %s in time", p.name))
@@ -275,6 +296,7 @@
 	err := o.sendGuarded(j, client, &result)
 	result.Fault = fault.ToWire(err)
 	p.mu.Lock()
+	delete(p.started, j)
 	p.queue.Done(time.Now(), learned(p.queue.ServiceTime(), result, err))
 	result.Backlog = p.queue.Backlog()
 	p.mu.Unlock()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -99,7 +99,7 @@
 	session := newSession(control, member, clock, log)
 	guard := newCrashGuard(session, control, config.Recorder, log)
 	owner := newOwner(session, guard, config.Ownership == OwnershipDirect)
-	tier := newTier(config.Balance, config.Hedging)
+	tier := newTier(config.Balance, config.Hedging, owner.ownsNow)
 	server := &Server{
 		config:    config,
 		control:   control,
--- a/internal/entry/tier.go
+++ b/internal/entry/tier.go
@@ -18,6 +18,7 @@
 // tier holds what this entry VM observes of all its queries, and decides for them. It implements fanout.Policy.
 type tier struct {
 	hedging bool
+	owns    func(upstream string) bool
 
 	// mu guards the fields below.
 	mu        sync.Mutex
@@ -27,12 +28,13 @@
 	instances map[string]string
 }
 
-func newTier(policy balance.Policy, hedging bool) *tier {
+func newTier(policy balance.Policy, hedging bool, owns func(upstream string) bool) *tier {
 	if policy == "" {
 		policy = balance.Observed
 	}
 	return &tier{
 		hedging:   hedging,
+		owns:      owns,
 		tracker:   balance.New(policy, rand.Uint64()),
 		budget:    budget.New(),
 		gate:      admission.NewGate(admission.EqualWeight),
@@ -73,7 +75,7 @@
 		t.tracker.Forget(u.Name)
 		t.instances[u.Name] = u.Instance
 	}
-	return balance.Candidate{Name: u.Name, Service: u.Service, FailureDomain: u.FailureDomain, Slots: u.Slots}
+	return balance.Candidate{Name: u.Name, Service: u.Service, FailureDomain: u.FailureDomain, Slots: u.Slots, Owned: t.owns(u.Name)}
 }
 
 func (t *tier) candidates(replicas []model.Upstream) []balance.Candidate {
@@ -101,6 +103,7 @@
 func (t *tier) Choose(now time.Time, replicas []model.Upstream) (model.Upstream, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.tracker.PauseProbes(t.hedging && !t.budget.Plenty())
 	return t.choose(now, replicas)
 }
 
@@ -111,7 +114,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.tracker.HedgeDelay(now, t.candidate(u))
+	return t.tracker.HedgeDelay(now, t.candidate(u), !t.budget.Plenty())
 }
 
 // report records the loads that an owner reports.
@@ -130,7 +133,8 @@
 	defer t.mu.Unlock()
 	var idle []model.Upstream
 	for _, u := range replicas {
-		if c := t.candidate(u); t.tracker.Idle(now, c) && !t.tracker.Outlier(now, c) {
+		// An outlier is not excluded: its slow period may be over, and the hedge is a probe that costs no query anything.
+		if t.tracker.Idle(now, t.candidate(u)) {
 			idle = append(idle, u)
 		}
 	}
