Follow the merged control service in the experiment and the slopes

Bookings need a current owner instance in the control state, so the measurement registers its members. Control members end last, because entry VMs end their membership there. The reports show how many leaving upstreams were told that they are drained.

--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -66,6 +66,9 @@
 	BookingsLost    int `json:"bookings_lost"`
 	// BookingsFalse counts keys of which every response said not run although a stand-in ran them.
 	BookingsFalse int `json:"bookings_false_not_run"`
+	// Leaving counts stand-ins that have asked to leave, Drained those of them that were told that they are drained.
+	Leaving int `json:"upstreams_leaving"`
+	Drained int `json:"upstreams_drained"`
 	// AfterGrace counts requests that reached a stand-in after its grace to leave.
 	AfterGrace int `json:"received_after_grace"`
 
@@ -208,6 +211,7 @@
 func (r *Report) AddWork(before, after Work) {
 	r.Started = int(after.Searches - before.Searches)
 	r.Cancelled = int(after.Cancelled - before.Cancelled)
+	r.Leaving, r.Drained = after.Leaving, after.Drained
 	r.MaxConnections = after.MaxConnections
 	r.AfterGrace = int(after.AfterGrace - before.AfterGrace)
 	if r.Needed > 0 {
--- a/internal/load/slopes/inprocess.go
+++ b/internal/load/slopes/inprocess.go
@@ -26,6 +26,10 @@
 	fewUpstreams    = 115
 	repeatedTimings = 9
 	responseBytes   = 64
+
+	ownerInstance     = 17
+	senderInstance    = 18
+	firstBookingIndex = 100
 )
 
 // InProcess measures the slopes that need no other process.
@@ -155,7 +159,7 @@
 	intent.UnixMillis = 1_796_000_000_000 + int64(n)
 	intent.BookingIntent = &controlstate.BookingIntent{
 		Key: key, Digest: fmt.Sprintf("%064x", n), Service: "settlement", Upstream: "settlement-s0-r1",
-		OwnerID: "entry-0001", OwnerInstance: 17, SenderID: "entry-0002", SenderInstance: 18,
+		OwnerID: "entry-0001", OwnerInstance: ownerInstance, SenderID: "entry-0002", SenderInstance: senderInstance,
 	}
 	outcome.UnixMillis = intent.UnixMillis
 	outcome.BookingOutcome = &controlstate.BookingOutcome{
@@ -175,6 +179,7 @@
 // bookingMemory applies commands in their encoded form, so that the state holds no memory shared with the caller.
 func bookingMemory() (Slope, error) {
 	state := controlstate.New()
+	joinBookingMembers(state)
 	before := heapBytes()
 	var points []Point
 	applied := 0
@@ -190,6 +195,14 @@
 	return Fit("control memory by bookings", "MB of heap per 1,000 bookings", "64-byte responses, in process, after GC", points), nil
 }
 
+// joinBookingMembers registers the entry VMs that the booking commands name. An instance is the index of its join.
+func joinBookingMembers(state *controlstate.State) {
+	for id, index := range map[string]uint64{"entry-0001": ownerInstance, "entry-0002": senderInstance} {
+		member := model.Member{ID: id, RPCAddress: "10.0.0.1:7002"}
+		state.Apply(index, controlstate.Command{JoinMember: &controlstate.JoinMember{Member: member}})
+	}
+}
+
 func applyBooking(state *controlstate.State, n int) error {
 	intent, outcome := bookingCommands(n)
 	for step, command := range []controlstate.Command{intent, outcome} {
@@ -201,7 +214,7 @@
 		if err != nil {
 			return err
 		}
-		if result := state.Apply(uint64(2*n+step+1), decoded); result.Fault != nil {
+		if result := state.Apply(uint64(firstBookingIndex+2*n+step), decoded); result.Fault != nil {
 			return result.Fault.AsError()
 		}
 	}
--- a/internal/load/standins.go
+++ b/internal/load/standins.go
@@ -19,6 +19,9 @@
 	Searches   uint64
 	Cancelled  uint64
 	AfterGrace uint64
+	// Leaving counts stand-ins that asked to leave, Drained those of them that were told that they are drained.
+	Leaving int
+	Drained int
 	// MaxConnections is the highest number of connections that any stand-in had open at a time.
 	MaxConnections int
 	// Slots holds the time for which slots were held and the number of slots of each service.
@@ -71,6 +74,12 @@
 		work.Searches += one.SearchesStarted
 		work.Cancelled += one.Cancelled
 		work.AfterGrace += one.ReceivedAfterGrace
+		if one.State != standin.StateServing {
+			work.Leaving++
+		}
+		if one.ToldDrained {
+			work.Drained++
+		}
 		work.MaxConnections = max(work.MaxConnections, one.MaxConnections)
 		use := work.Slots[one.Service]
 		work.Slots[one.Service] = SlotUse{use.BusyMillis + one.BusyMillis, use.Slots + one.Slots}
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -44,6 +44,7 @@
 	{"doubled", func(r *Report) string { return strconv.Itoa(r.BookingsDoubled) }},
 	{"lost", func(r *Report) string { return strconv.Itoa(r.BookingsLost) }},
 	{"false not run", func(r *Report) string { return strconv.Itoa(r.BookingsFalse) }},
+	{"upstreams leaving, told drained", func(r *Report) string { return fmt.Sprintf("%d, %d", r.Leaving, r.Drained) }},
 	{"work after grace", func(r *Report) string { return strconv.Itoa(r.AfterGrace) }},
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -197,6 +197,7 @@
 	told = announcement.Draining && response.State == string(model.UpstreamDrained)
 	if told {
 		u.setState(StateDrained)
+		u.update(func(s *Stats) { s.ToldDrained = true })
 	}
 	return wait, told, nil
 }
--- a/internal/standin/stats.go
+++ b/internal/standin/stats.go
@@ -24,6 +24,9 @@
 	// ReceivedAfterDrained counts requests that arrived after the stand-in was told that it is drained.
 	ReceivedAfterDrained uint64 `json:"received_after_drained"`
 
+	// ToldDrained is set once an entry VM has told the leaving stand-in that it is drained.
+	ToldDrained bool `json:"told_drained"`
+
 	InFlight    int `json:"in_flight"`
 	MaxInFlight int `json:"max_in_flight"`
 	Queued      int `json:"queued"`
--- a/scripts/experiment-lib.sh
+++ b/scripts/experiment-lib.sh
@@ -3,9 +3,17 @@
 work=$(mktemp -d)
 names=()
 pids=()
+# Control members end last, because entry VMs end their membership there.
 stop_cluster() {
-  [ "${#pids[@]}" = 0 ] || kill "${pids[@]}" 2>/dev/null || true
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  local part n
+  for part in '^(entry|fleet)-' '^control-'; do
+    for n in "${!names[@]}"; do
+      [[ ! ${names[$n]} =~ $part ]] || kill "${pids[$n]}" 2>/dev/null || true
+    done
+    for n in "${!names[@]}"; do
+      [[ ! ${names[$n]} =~ $part ]] || wait "${pids[$n]}" 2>/dev/null || true
+    done
+  done
   names=()
   pids=()
 }
