--- a/internal/load/cluster.go
+++ b/internal/load/cluster.go
@@ -9,7 +9,7 @@
 	"github.com/BurntSushi/toml"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
-	"github.com/wisteriamux/wisteriamux/internal/settings"
+	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/standin"
 )
 
@@ -75,7 +75,7 @@
 	for name, file := range fleetFiles(shape, cluster, size) {
 		files[name] = encodeTOML(file)
 	}
-	files["inventory.toml"] = encodeTOML(settings.Operator{Inventory: shape.Inventory(), Rules: shape.Rules})
+	files["inventory.toml"] = encodeTOML(operatorFile{Inventory: shape.Inventory(), Rules: shape.Rules})
 	described, err := json.MarshalIndent(cluster, "", " ")
 	if err != nil {
 		return fault.New(fault.Internal, "load.cluster", "%w", err)
@@ -84,6 +84,12 @@
 	return writeFiles(dir, files)
 }
 
+// operatorFile is the file form of settings.Operator, which leaves its rules out when it is encoded.
+type operatorFile struct {
+	model.Inventory
+	Rules []model.Rule `toml:"rule"`
+}
+
 func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
 func controlFiles(dir string, shape Shape, cluster Cluster) map[string][]byte {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -216,6 +216,8 @@
 		operator, err := settings.LoadOperator(filepath.Join(dir, "inventory.toml"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(operator.Inventory).To(Equal(shape.Inventory()))
+		Expect(operator.Rules).To(HaveLen(len(shape.Rules)), "without its rules a run would measure the defaults")
+		Expect(operator.Rules[0]).To(And(HaveField("WaitShare", shape.Rules[0].WaitShare), HaveField("PartialAllowed", shape.Rules[0].PartialAllowed)))
 		fleet, err := standin.LoadFleet(filepath.Join(dir, "fleet-arusha-depot.toml"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(fleet.Upstreams[0].ServiceTime).To(Equal(20 * time.Millisecond))
