slopes: measure view decoding, view memory and owners contacted

The cost of a new view at an entry VM is transfer, decoding and ownership; only the first and last were measured.

--- a/internal/load/slopes/inprocess.go
+++ b/internal/load/slopes/inprocess.go
@@ -1,8 +1,10 @@
 package slopes
 
 import (
+	"bytes"
 	"encoding/gob"
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"time"
 
@@ -19,6 +21,7 @@
 	memberSizes   = []int{8, 100, 400, 1_000, 2_800}
 	bookingSizes  = []int{10_000, 25_000, 50_000, 75_000, 100_000}
 	logSizes      = []int{1_000, 2_000, 4_000, 8_000}
+	shardSizes    = []int{50, 100, 200, 410}
 )
 
 const (
@@ -30,13 +33,16 @@
 	ownerInstance     = 17
 	senderInstance    = 18
 	firstBookingIndex = 100
+	ownersSeed        = 1
+	ownersQueries     = 200
 )
 
 // InProcess measures the slopes that need no other process.
 func InProcess() ([]Slope, error) {
 	var all []Slope
 	for _, measure := range []func() (Slope, error){
-		viewPerUpstream, viewPerMember, ownershipPerUpstream, ownershipPerMember, bookingMemory, bookingLog,
+		viewPerUpstream, viewPerMember, viewDecoding, viewMemory, ownershipPerUpstream, ownershipPerMember, ownersContacted,
+		bookingMemory, bookingLog,
 	} {
 		slope, err := measure()
 		if err != nil {
@@ -79,10 +85,10 @@
 }
 
 // countingWriter counts what is written to it.
-type countingWriter struct{ bytes int }
+type countingWriter struct{ total int }
 
 func (w *countingWriter) Write(data []byte) (int, error) {
-	w.bytes += len(data)
+	w.total += len(data)
 	return len(data), nil
 }
 
@@ -94,21 +100,21 @@
 	if err := encoder.Encode(controlrpc.ViewReply{}); err != nil {
 		return 0, fault.New(fault.Internal, "slopes.view", "%w", err)
 	}
-	before := count.bytes
+	before := count.total
 	if err := encoder.Encode(controlrpc.ViewReply{View: view}); err != nil {
 		return 0, fault.New(fault.Internal, "slopes.view", "%w", err)
 	}
-	return float64(count.bytes - before), nil
+	return float64(count.total - before), nil
 }
 
 func viewPerUpstream() (Slope, error) {
 	var points []Point
 	for _, size := range upstreamSizes {
-		bytes, err := viewBytes(syntheticView(fewMembers, size))
+		count, err := viewBytes(syntheticView(fewMembers, size))
 		if err != nil {
 			return Slope{}, err
 		}
-		points = append(points, Point{float64(size), bytes})
+		points = append(points, Point{float64(size), count})
 	}
 	return Fit("view bytes by upstreams", "bytes per upstream", "8 members, in process, gob", points), nil
 }
@@ -116,11 +122,11 @@
 func viewPerMember() (Slope, error) {
 	var points []Point
 	for _, size := range memberSizes {
-		bytes, err := viewBytes(syntheticView(size, fewUpstreams))
+		count, err := viewBytes(syntheticView(size, fewUpstreams))
 		if err != nil {
 			return Slope{}, err
 		}
-		points = append(points, Point{float64(size), bytes})
+		points = append(points, Point{float64(size), count})
 	}
 	return Fit("view bytes by members", "bytes per member", "115 upstreams, in process, gob", points), nil
 }
@@ -154,6 +160,81 @@
 	return Fit("ownership time by members", "us per member", "15,000 upstreams of 19 services, in process, shortest of 9", points), nil
 }
 
+// encodedView returns a view in the encoding of net/rpc.
+func encodedView(view model.View) ([]byte, error) {
+	var data bytes.Buffer
+	if err := gob.NewEncoder(&data).Encode(controlrpc.ViewReply{View: view}); err != nil {
+		return nil, fault.New(fault.Internal, "slopes.view", "%w", err)
+	}
+	return data.Bytes(), nil
+}
+
+func decodedView(data []byte) (controlrpc.ViewReply, error) {
+	var reply controlrpc.ViewReply
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&reply); err != nil {
+		return reply, fault.New(fault.Internal, "slopes.view", "%w", err)
+	}
+	return reply, nil
+}
+
+func viewDecoding() (Slope, error) {
+	var points []Point
+	for _, size := range upstreamSizes {
+		data, err := encodedView(syntheticView(fewMembers, size))
+		if err != nil {
+			return Slope{}, err
+		}
+		micros := fastest(func() { _, err = decodedView(data) })
+		if err != nil {
+			return Slope{}, err
+		}
+		points = append(points, Point{float64(size), micros})
+	}
+	return Fit("view decoding by upstreams", "us per upstream", "8 members, in process, gob, shortest of 9", points), nil
+}
+
+// viewMemory measures a decoded view with its owners, which an entry VM keeps.
+func viewMemory() (Slope, error) {
+	var points []Point
+	for _, size := range upstreamSizes {
+		data, err := encodedView(syntheticView(fewMembers, size))
+		if err != nil {
+			return Slope{}, err
+		}
+		before := heapBytes()
+		reply, err := decodedView(data)
+		if err != nil {
+			return Slope{}, err
+		}
+		owners := ownership.Assign(reply.View)
+		points = append(points, Point{float64(size), (heapBytes() - before) / 1e3})
+		runtime.KeepAlive(owners)
+		runtime.KeepAlive(reply)
+		runtime.KeepAlive(data)
+	}
+	return Fit("entry VM memory by upstreams", "KB of heap per upstream", "decoded view and owners, in process, after GC", points), nil
+}
+
+// ownersContacted counts the owners of a search over the first shards of one service, with replicas drawn at random.
+func ownersContacted() (Slope, error) {
+	view := syntheticView(memberSizes[len(memberSizes)-1], upstreamSizes[len(upstreamSizes)-1])
+	owners := ownership.Assign(view)
+	random := rand.New(rand.NewPCG(ownersSeed, 0))
+	var points []Point
+	for _, size := range shardSizes {
+		contacted := 0
+		for range ownersQueries {
+			distinct := map[string]bool{}
+			for shard := range size {
+				distinct[owners[view.Upstreams[2*shard+random.IntN(2)].Name].ID] = true
+			}
+			contacted += len(distinct)
+		}
+		points = append(points, Point{float64(size), float64(contacted) / ownersQueries})
+	}
+	return Fit("owners contacted by shards", "owners per shard of a query", "2,800 members, 15,000 upstreams, 2 replicas, in process", points), nil
+}
+
 func bookingCommands(n int) (intent, outcome controlstate.Command) {
 	key := fmt.Sprintf("lot-2026-12-04-%08d", n)
 	intent.UnixMillis = 1_796_000_000_000 + int64(n)
@@ -224,7 +305,7 @@
 func bookingLog() (Slope, error) {
 	var points []Point
 	for _, size := range logSizes {
-		bytes := 0
+		total := 0
 		for n := range size {
 			intent, outcome := bookingCommands(n)
 			for _, command := range []controlstate.Command{intent, outcome} {
@@ -232,10 +313,10 @@
 				if err != nil {
 					return Slope{}, err
 				}
-				bytes += len(data)
+				total += len(data)
 			}
 		}
-		points = append(points, Point{float64(size), float64(bytes)})
+		points = append(points, Point{float64(size), float64(total)})
 	}
 	return Fit("log bytes by bookings", "bytes per booking", "intent and outcome, 64-byte responses, without record headers", points), nil
 }
--- a/internal/load/slopes/processes.go
+++ b/internal/load/slopes/processes.go
@@ -27,7 +27,7 @@
 var (
 	fanOuts      = []int{1, 10, 20, 35, 50}
 	queryRates   = []float64{50, 100, 200, 300}
-	heldQueries  = []int{5, 10, 20, 40}
+	heldQueries  = []int{2, 4, 7, 11}
 	leaseHolders = []int{25, 50, 100, 200, 400}
 	changeCounts = []int{10, 20, 40, 80}
 	viewCounts   = []int{500, 1_000, 2_000, 4_000}
