--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -220,6 +220,23 @@
 		Expect(time.Since(began)).To(BeNumerically(">=", 240*time.Millisecond))
 	})
 
+	DescribeTable("is slow while it is cold and in slow periods", func(change func(*standin.Config)) {
+		r := start(vm, func(c *standin.Config) {
+			c.ServiceTime = 2 * time.Millisecond
+			change(c)
+		})
+		Eventually(func() time.Duration {
+			began := time.Now()
+			Expect(r.search(context.Background(), 5*time.Second, 1, "q")).To(Succeed())
+			return time.Since(began)
+		}).Should(BeNumerically(">=", 100*time.Millisecond))
+	},
+		Entry("cold", func(c *standin.Config) { c.Cold = standin.Cold{Factor: 50, Length: time.Minute} }),
+		Entry("slow at random", func(c *standin.Config) {
+			c.Slow = standin.Slow{Factor: 50, Length: time.Minute, Every: 10 * time.Millisecond}
+		}),
+	)
+
 	It("accepts no more connections than its bound", func() {
 		r := start(vm, func(c *standin.Config) {
 			c.Announcement.Connections = 2
