--- a/internal/control/access.go
+++ b/internal/control/access.go
@@ -41,6 +41,11 @@
 	return a.service.View(args, reply)
 }
 
+// InForce is Service.InForce.
+func (a *EntryAccess) InForce(args controlrpc.InForceArgs, reply *controlrpc.InForceReply) error {
+	return a.service.InForce(args, reply)
+}
+
 // Propose is Service.Propose for the commands of an entry VM.
 func (a *EntryAccess) Propose(args controlrpc.ProposeArgs, reply *controlrpc.ProposeReply) error {
 	if !a.allows(args.Command) {
@@ -54,6 +59,8 @@
 	switch {
 	case operatorsOnly(command):
 		return false
+	case command.RetireMember != nil:
+		return command.RetireMember.ID == a.name
 	case command.ExpireMember != nil:
 		return command.ExpireMember.ID == a.name
 	case command.BookingIntent != nil:
@@ -72,7 +79,7 @@
 
 // entriesOnly holds for what only an entry VM can know.
 func entriesOnly(command controlstate.Command) bool {
-	return command.ExpireMember != nil || command.AnnounceUpstream != nil || command.BookingIntent != nil || command.BookingOutcome != nil
+	return command.RetireMember != nil || command.ExpireMember != nil || command.AnnounceUpstream != nil || command.BookingIntent != nil || command.BookingOutcome != nil
 }
 
 // OperatorAccess is what an operator with a certificate may call. Operators hold no leases and send no bookings.
--- a/internal/controlstate/commands.go
+++ b/internal/controlstate/commands.go
@@ -27,6 +27,7 @@
 	StartPlan        *StartPlan        `cbor:"12,keyasint,omitempty"`
 	OrderPlan        *OrderPlan        `cbor:"13,keyasint,omitempty"`
 	AdvancePlan      *AdvancePlan      `cbor:"14,keyasint,omitempty"`
+	RetireMember     *RetireMember     `cbor:"15,keyasint,omitempty"`
 }
 
 // ApplyConfig replaces the configuration if BaseVersion is the current version. ChangeID makes a resend idempotent.
@@ -42,6 +43,12 @@
 	Member model.Member
 }
 
+// RetireMember begins a planned stop of an instance: its upstreams move to other owners while it still serves.
+type RetireMember struct {
+	ID       string
+	Instance uint64
+}
+
 // ExpireMember removes an instance whose lease has ended.
 type ExpireMember struct {
 	ID       string
--- a/internal/controlstate/members.go
+++ b/internal/controlstate/members.go
@@ -20,12 +20,23 @@
 		return s.refuse(fault.New(fault.Unavailable, "member.join", "%d members are registered already", len(s.members)))
 	}
 	member.Instance = index
+	member.Leaving = false
 	s.members[member.ID] = member
 	result := s.changed(index)
 	result.Instance = index
 	return result
 }
 
+func (s *State) retireMember(index uint64, retire RetireMember) Result {
+	member := s.members[retire.ID]
+	if !s.isCurrentInstance(retire.ID, retire.Instance) || member.Leaving {
+		return s.unchanged()
+	}
+	member.Leaving = true
+	s.members[retire.ID] = member
+	return s.changed(index)
+}
+
 // expireMember removes exactly the instance that the command names, because the member may have joined again since.
 func (s *State) expireMember(index uint64, expire ExpireMember) Result {
 	if !s.isCurrentInstance(expire.ID, expire.Instance) {
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -96,6 +96,8 @@
 		return s.joinMember(index, *command.JoinMember)
 	case command.ExpireMember != nil:
 		return s.expireMember(index, *command.ExpireMember)
+	case command.RetireMember != nil:
+		return s.retireMember(index, *command.RetireMember)
 	case command.AnnounceUpstream != nil:
 		return s.announceUpstream(index, *command.AnnounceUpstream)
 	case command.SetUpstreamState != nil:
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -36,10 +36,12 @@
 	mu    sync.Mutex
 	state *controlstate.State
 	index uint64
+	// applied is the revision that each entry VM renewed with last.
+	applied map[string]uint64
 }
 
 func newFakeControl() *fakeControl {
-	control := &fakeControl{state: controlstate.New()}
+	control := &fakeControl{state: controlstate.New(), applied: map[string]uint64{}}
 	control.apply(controlstate.Command{ApplyConfig: &controlstate.ApplyConfig{ChangeID: "setup", Inventory: model.Inventory{
 		Regions:        []model.Region{{Name: "r"}},
 		FailureDomains: []model.FailureDomain{{Name: "halle-a", Region: "r"}, {Name: "halle-b", Region: "r"}},
@@ -120,6 +122,9 @@
 	if err := p.reach(); err != nil {
 		return controlrpc.RenewReply{}, err
 	}
+	p.mu.Lock()
+	p.applied[args.ID] = args.Applied
+	p.mu.Unlock()
 	view := p.view()
 	for _, member := range view.Members {
 		if member.ID == args.ID && member.Instance == args.Instance {
@@ -144,6 +149,29 @@
 	return result, result.Fault.AsError()
 }
 
+// inForce reports whether every member has applied the revision.
+func (c *fakeControl) inForce(revision uint64) bool {
+	members := c.view().Members
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, member := range members {
+		if c.applied[member.ID] < revision {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *port) WaitInForce(ctx context.Context, revision uint64) error {
+	for !p.inForce(revision) {
+		if ctx.Err() != nil || p.reach() != nil {
+			return fault.New(fault.Unavailable, "port", "revision %d is not in force", revision)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return nil
+}
+
 // testClock adds jumps to the system clocks.
 type testClock struct{ mono, wall atomic.Int64 }
 
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -354,12 +354,17 @@
 	if !ok || upstream.State != model.UpstreamReady {
 		return upstream, fault.New(fault.NotRun, "owner.admit", "upstream %s takes no new work", sub.Upstream)
 	}
-	if sub.Revision <= current.view.Revision && !o.owns(current, sub.Upstream) {
+	if sub.Revision <= current.view.Revision && !o.owns(current, sub.Upstream) && !o.handsOver(current, sub) {
 		return upstream, fault.New(fault.NotRun, "owner.admit", "upstream %s has another owner", sub.Upstream)
 	}
 	return upstream, nil
 }
 
+// handsOver reports whether the sender could not know yet that the upstream has moved to another owner.
+func (o *owner) handsOver(current *served, sub ownerrpc.SubRequest) bool {
+	return sub.Revision < current.view.Revision && current.handsOver(sub.Upstream, o.session.now())
+}
+
 func (o *owner) send(j *job, client *upstreamapi.Client, fresh bool, result *ownerrpc.SubResult) error {
 	deadline, _ := j.ctx.Deadline()
 	sub := j.sub
--- a/internal/entry/searchtest/search_test.go
+++ b/internal/entry/searchtest/search_test.go
@@ -101,6 +101,8 @@
 
 func (c *control) View(context.Context, uint64) (model.View, bool, error) { return c.view, false, nil }
 
+func (c *control) WaitInForce(context.Context, uint64) error { return nil }
+
 func (c *control) Propose(context.Context, controlstate.Command) (controlstate.Result, error) {
 	return controlstate.Result{}, nil
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -34,6 +34,9 @@
 	// the new membership, and the time of that exchange. A connection closed before would turn refusals into unknown
 	// outcomes.
 	peerLinger = renewInterval + 500*time.Millisecond
+	// retireTimeout bounds the wait for other owners, for a stop without a reachable control group. It is longer than
+	// the time until every entry VM has applied a change or lost its lease.
+	retireTimeout = 7 * time.Second
 	// replyTimeout bounds the wait for replies that are still being written when the connections are closed.
 	replyTimeout = time.Second
 )
@@ -222,15 +225,23 @@
 	}
 }
 
-// drain stops in an order that interrupts nothing: the balancer moves callers away, their requests finish, work of
-// peers at this owner finishes while new work is refused as not run, and then ownership moves at once.
+// drain stops in an order that interrupts nothing: the balancer moves callers away and their requests finish, ownership
+// moves while peers are still served, what they sent before finishes while new work is refused as not run, and then
+// this VM leaves.
 func (s *Server) drain() error {
 	s.draining.Store(true)
 	s.log.Info("draining", "lame_duck", s.config.LameDuck, "drain_timeout", s.config.DrainTimeout)
-	time.Sleep(s.config.LameDuck)
-	ctx, cancel := context.WithTimeout(context.Background(), s.config.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.config.LameDuck+s.config.DrainTimeout)
 	defer cancel()
+	retiring, cancelRetire := context.WithTimeout(ctx, s.config.LameDuck+retireTimeout)
+	defer cancelRetire()
+	moved := make(chan error, 1)
+	go func() { moved <- s.session.retire(retiring) }()
+	time.Sleep(s.config.LameDuck)
 	err := s.http.Shutdown(ctx)
+	if retireErr := <-moved; retireErr != nil {
+		s.log.Warn("ownership not moved before the stop", "code", fault.CodeOf(retireErr), "error", retireErr)
+	}
 	s.session.refuseNew()
 	err = errors.Join(err, s.finishWork(ctx))
 	s.leave()
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -15,7 +15,10 @@
 
 const (
 	renewInterval = time.Second
-	callTimeout   = 2 * time.Second
+	// handoverPeriod is how long a former owner takes work from entry VMs that have not applied the move yet. They apply
+	// it at their next renewal; until then both owners may use the slots, which costs queueing at the upstream only.
+	handoverPeriod = 2 * renewInterval
+	callTimeout    = 2 * time.Second
 )
 
 // Control is what the entry daemon needs of the control group.
@@ -24,6 +27,8 @@
 	Renew(ctx context.Context, args controlrpc.RenewArgs) (controlrpc.RenewReply, error)
 	View(ctx context.Context, known uint64) (model.View, bool, error)
 	Propose(ctx context.Context, command controlstate.Command) (controlstate.Result, error)
+	// WaitInForce returns once the revision is in force on every entry VM.
+	WaitInForce(ctx context.Context, revision uint64) error
 }
 
 // clock reads the monotonic and the wall clock. The monotonic clock of a VM does not advance while the whole VM is
@@ -64,6 +69,8 @@
 	owners    map[string]model.Member
 	upstreams map[string]model.Upstream
 	members   map[string]model.Member
+	// released holds the upstreams that moved to another owner lately, with the time of the move.
+	released map[string]time.Time
 }
 
 // isFenced reports whether the view shows that the instance of the member has ended. An instance above the revision
@@ -234,10 +241,35 @@
 		return fault.New(fault.Unavailable, "session.apply", "view of revision %d is older than the served revision %d",
 			view.Revision, s.current.view.Revision)
 	}
+	next.released = s.releasedBy(next)
 	s.current = next
 	return nil
 }
 
+// releasedBy returns the upstreams that this VM owns no more under the next view, with those of the handover period.
+// The caller holds mu.
+func (s *session) releasedBy(next *served) map[string]time.Time {
+	now := s.now()
+	released := map[string]time.Time{}
+	for name, at := range s.current.released {
+		if now.Sub(at) < handoverPeriod {
+			released[name] = at
+		}
+	}
+	for name, owner := range s.current.owners {
+		if owner.ID == s.member.ID && next.owners[name].ID != s.member.ID {
+			released[name] = now
+		}
+	}
+	return released
+}
+
+// handsOver reports whether the upstream moved away from this VM less than a handover period ago.
+func (s *served) handsOver(upstream string, now time.Time) bool {
+	at, ok := s.released[upstream]
+	return ok && now.Sub(at) < handoverPeriod
+}
+
 func (s *session) reset() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -252,6 +284,22 @@
 	s.closing = true
 }
 
+// retire moves the ownership of this VM's upstreams to others while it serves on, and returns once every entry VM
+// knows.
+func (s *session) retire(ctx context.Context) error {
+	instance := s.instanceID()
+	if instance == 0 {
+		return nil
+	}
+	retire := controlstate.RetireMember{ID: s.member.ID, Instance: instance}
+	result, err := s.control.Propose(ctx, controlstate.Command{RetireMember: &retire})
+	if err != nil {
+		return err
+	}
+	s.refresh()
+	return s.control.WaitInForce(ctx, result.Revision)
+}
+
 // leave ends the membership at once, so that ownership moves without waiting for the lease to end.
 func (s *session) leave(ctx context.Context) error {
 	s.mu.Lock()
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -89,6 +89,8 @@
 	Instance      uint64 `json:"instance"`
 	RPCAddress    string `json:"rpc_address"`
 	FailureDomain string `json:"failure_domain"`
+	// Leaving is set by a planned stop: the member serves on, but owns no upstreams.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // UpstreamState is the state of an upstream in the replicated view.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -18,7 +18,8 @@
 // two or more members are alive.
 func Assign(view model.View) map[string]model.Member {
 	owners := make(map[string]model.Member, len(view.Upstreams))
-	if len(view.Members) == 0 {
+	members := staying(view.Members)
+	if len(members) == 0 {
 		return owners
 	}
 	replicas := map[model.ShardID]int{}
@@ -26,7 +27,7 @@
 	for _, upstream := range view.Upstreams {
 		ranking, ok := ranked[upstream.Service]
 		if !ok {
-			ranking = rank(upstream.Service, view.Members)
+			ranking = rank(upstream.Service, members)
 			ranked[upstream.Service] = ranking
 		}
 		shard := upstream.ShardID()
@@ -37,6 +38,20 @@
 	return owners
 }
 
+// staying returns the members that do not leave; if all of them leave, all of them, because somebody must own.
+func staying(members []model.Member) []model.Member {
+	var rest []model.Member
+	for _, member := range members {
+		if !member.Leaving {
+			rest = append(rest, member)
+		}
+	}
+	if len(rest) == 0 {
+		return members
+	}
+	return rest
+}
+
 // rank orders the members by rendezvous hash, so that a change of membership moves few services.
 func rank(service string, members []model.Member) []model.Member {
 	ranking := append([]model.Member(nil), members...)
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -50,6 +50,18 @@
 		}
 	})
 
+	It("assigns nothing to a member that leaves, unless all of them leave", func() {
+		leaving := view(3, 20, 2)
+		leaving.Members[1].Leaving = true
+		for name, owner := range ownership.Assign(leaving) {
+			Expect(owner.ID).NotTo(Equal("entry-1"), name)
+		}
+		for i := range leaving.Members {
+			leaving.Members[i].Leaving = true
+		}
+		Expect(ownership.Assign(leaving)).To(HaveLen(40))
+	})
+
 	It("assigns nothing when no member is alive", func() {
 		Expect(ownership.Assign(view(0, 3, 2))).To(BeEmpty())
 	})
