Balance replicas of similar speed by their queues alone

With the owners' observations shared, all entry VMs followed small differences of the service time to the same replica: at rest, observed balancing was slower than a random choice. Upstreams within a factor of two now count as equally fast, so that the backlog decides between them.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -40,7 +40,10 @@
 	otherProbeInterval = 10 * time.Second
 	failurePenalty     = time.Second
 	// tieTolerance is the relative difference of two expected completion times below which the reported load decides.
-	tieTolerance   = 0.1
+	tieTolerance = 0.1
+	// sameFactor is the ratio of two means below which two upstreams count as equally fast. All entry VMs share the
+	// owners' observations, so that small differences would send all of them to the same replica.
+	sameFactor     = 2.0
 	defaultService = 5 * time.Millisecond
 	medianMaxAge   = 50 * time.Millisecond
 	slowQuantile   = 0.95
@@ -317,6 +320,9 @@
 	if idle := now.Sub(s.observed) - staleAfter; idle > 0 && peers > 0 && s.mean > 0 {
 		mean = peers + (mean-peers)*math.Exp(-idle.Seconds()/staleWindow.Seconds())
 	}
+	if peers > 0 && mean < sameFactor*peers && peers < sameFactor*mean {
+		mean = (mean + peers) / 2
+	}
 	return time.Duration(mean)
 }
 
