--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -126,4 +126,38 @@
 		}
 		Expect(b.tracker.Outlier(b.now, all[0])).To(BeTrue())
 	})
+
+	It("learns from the owner's report what its own few requests do not show", func() {
+		all := replicas(2)
+		b := newBench(balance.Observed, 1)
+		b.service["r0"], b.service["r1"] = 4*time.Millisecond, 4*time.Millisecond
+		b.run(20, all)
+		b.tracker.Report(b.now, "r0", 0, 40*time.Millisecond, 0)
+		Expect(b.tracker.Outlier(b.now, all[0])).To(BeTrue())
+		Expect(b.run(50, all)["r0"]).To(BeNumerically("<=", 1))
+	})
+
+	It("hedges a probe at once and others no later than three times the fastest mean, even without a p95", func() {
+		all := replicas(2)
+		b := newBench(balance.Observed, 1)
+		_, known := b.tracker.HedgeDelay(b.now, all[0], false)
+		Expect(known).To(BeFalse())
+		b.service["r0"], b.service["r1"] = 4*time.Millisecond, 4*time.Millisecond
+		b.run(20, all)
+		b.tracker.Report(b.now, "r0", 0, 40*time.Millisecond, 0)
+		probe, _ := b.tracker.HedgeDelay(b.now, all[0], false)
+		Expect(probe).To(Equal(time.Millisecond))
+		regular, _ := b.tracker.HedgeDelay(b.now, all[1], false)
+		Expect(regular).To(BeNumerically("~", 12*time.Millisecond, time.Millisecond))
+	})
+
+	It("sends no probe while the budget could not hedge it", func() {
+		all := replicas(2)
+		b := newBench(balance.Observed, 1)
+		b.service["r0"], b.service["r1"] = 4*time.Millisecond, 4*time.Millisecond
+		b.run(20, all)
+		b.tracker.Report(b.now, "r0", 0, 40*time.Millisecond, 0)
+		b.tracker.PauseProbes(true)
+		Expect(b.run(500, all)["r0"]).To(BeZero())
+	})
 })
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -56,4 +56,14 @@
 		}
 		Expect(b.Retry()).To(BeTrue(), "a long but stable queue allows retries")
 	})
+
+	It("keeps half of the hedges for slow periods", func() {
+		b := budget.New()
+		for range budget.HedgeBurst / 2 {
+			Expect(b.Plenty()).To(BeTrue())
+			Expect(b.Hedge(true)).To(BeTrue())
+		}
+		Expect(b.Hedge(true)).To(BeTrue())
+		Expect(b.Plenty()).To(BeFalse())
+	})
 })
