End the session of a lost sender without waiting for a new one

An owner looked for senders that no longer collect only when a new sender came, so that the searches of a lost entry VM kept their slots until their deadlines and their results stayed in memory.

--- a/internal/entry/ownerservice.go
+++ b/internal/entry/ownerservice.go
@@ -19,9 +19,11 @@
 type OwnerService struct {
 	owner *owner
 
-	// mu guards sessions.
+	// mu guards the fields below.
 	mu       sync.Mutex
 	sessions map[ownerrpc.Session]*inbound
+	// expired is the time of the last look for senders that no longer collect.
+	expired time.Time
 }
 
 // inbound holds the searches of one sender and their results until the sender collects them.
@@ -93,9 +95,12 @@
 	if !ok {
 		in = &inbound{ready: make(chan struct{}, 1), jobs: map[uint64]*job{}, early: map[uint64]bool{}, seen: now}
 		s.sessions[key] = in
-		s.expire(now)
 	}
 	in.touch(now)
+	if now.Sub(s.expired) > inboundExpiry {
+		s.expired = now
+		s.expire(now)
+	}
 	return in
 }
 
