--- a/internal/entry/announce_test.go
+++ b/internal/entry/announce_test.go
@@ -147,6 +147,39 @@
 	})
 })
 
+var _ = Describe("a draining upstream", func() {
+	It("is not drained while an earlier owner still has a request there (P7)", func() {
+		control := newFakeControl()
+		upstream := startUpstream(control, "u1", "settlement", 2)
+		upstream.hold = make(chan struct{})
+		first := startVM(control, "entry-1", nil)
+		answers := make(chan response, 1)
+		go func() { answers <- first.book("k", 20_000) }()
+		Eventually(upstream.waiting, 5).Should(Receive())
+		second := startVM(control, "entry-2", nil)
+		first.sync()
+		for i := 3; first.session.latest().owners["u1"].ID == "entry-1" && i < 10; i++ {
+			second = startVM(control, fmt.Sprint("entry-", i), nil)
+			first.sync()
+		}
+		control.drain("u1")
+		first.sync()
+		second.sync()
+		id := first.session.latest().owners["u1"].ID
+		Expect(id).To(Equal(second.config.ID))
+		Eventually(func() int {
+			second.renewals.mu.Lock()
+			defer second.renewals.mu.Unlock()
+			return len(second.renewals.own)
+		}, 5).Should(Equal(1))
+		second.clock.mono.Add(int64(drainSettle))
+		Consistently(func() model.UpstreamState { return control.upstream("u1").State }, "2500ms").Should(Equal(model.UpstreamDraining))
+		close(upstream.hold)
+		Expect((<-answers).status).To(Equal(http.StatusOK))
+		Eventually(func() model.UpstreamState { return control.upstream("u1").State }, 8).Should(Equal(model.UpstreamDrained))
+	})
+})
+
 var _ = Describe("the crash guard", func() {
 	It("lets 300 innocent requests beside one that crashes the upstream succeed, and quarantines that one", func() {
 		control := newFakeControl()
--- a/internal/entry/booking_test.go
+++ b/internal/entry/booking_test.go
@@ -60,6 +60,20 @@
 		Expect(upstream.ran("k")).To(Equal(1))
 	})
 
+	It("are refused from a sender that was fenced, however late its copy arrives (P5)", func() {
+		control := newFakeControl()
+		upstream := startUpstream(control, "u1", "settlement", 2)
+		owner, other := ownerOf("u1", pairOf(control)...)
+		args := ownerrpc.BookArgs{
+			Key: "k", Attempt: 1, Service: "settlement", Upstream: "u1", OwnerInstance: owner.session.instanceID(),
+			SenderID: other.config.ID, SenderInstance: other.session.instanceID(), Timeout: time.Second, Payload: []byte("1"),
+		}
+		control.expire(other.config.ID)
+		owner.sync()
+		Expect(owner.bookings.owner.book(args).Outcome).To(Equal(booking.OutcomeNotRun))
+		Expect(upstream.ran("k")).To(BeZero())
+	})
+
 	It("run once when they are resent through another entry VM at the same moment (P5)", func() {
 		control := newFakeControl()
 		upstream := startUpstream(control, "u1", "settlement", 2)
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -211,15 +211,17 @@
 	waiting chan struct{}
 	// hold blocks requests that have started until it is closed; nil blocks none.
 	hold chan struct{}
+	// ended releases held requests of a test that failed.
+	ended chan struct{}
 	// crashOn drops every connection when a body contains it.
 	crashOn string
 	delay   time.Duration
 }
 
 func startUpstream(control *fakeControl, name, service string, slots int) *fakeUpstream {
-	u := &fakeUpstream{runs: map[string]int{}, waiting: make(chan struct{}, 1000)}
+	u := &fakeUpstream{runs: map[string]int{}, waiting: make(chan struct{}, 1000), ended: make(chan struct{})}
 	u.Server = httptest.NewServer(http.HandlerFunc(u.serve))
-	DeferCleanup(func() { u.CloseClientConnections(); u.Close() })
+	DeferCleanup(func() { close(u.ended); u.CloseClientConnections(); u.Close() })
 	announcement := u.announcement(name, service)
 	announcement.Slots = slots
 	control.apply(controlstate.Command{AnnounceUpstream: &controlstate.AnnounceUpstream{Announcement: announcement}})
@@ -246,7 +248,10 @@
 	}
 	time.Sleep(u.delay)
 	if u.hold != nil {
-		<-u.hold
+		select {
+		case <-u.hold:
+		case <-u.ended:
+		}
 	}
 	if r.URL.Path == upstreamapi.PathSearch {
 		_, _ = io.WriteString(w, `{"version":1,"generation":0,"items":["found"]}`)
--- a/internal/entry/renewals.go
+++ b/internal/entry/renewals.go
@@ -22,7 +22,10 @@
 	renewingWithin = 3 * announceRenewMillis * time.Millisecond
 	// drainSettle is the longest time that another entry VM may serve from an older view and send to a draining
 	// upstream: the length of a lease and the time for which control extends the lease of a VM that is behind.
-	drainSettle  = 6 * time.Second
+	drainSettle = 6 * time.Second
+	// drainLimit exceeds the longest deadline of a request together with the wait for the outcome of a booking. After it
+	// no request can be in flight, also at a VM that does not answer.
+	drainLimit   = drainSettle + MaxTimeoutMillis*time.Millisecond + 2*outcomeWait
 	probeTimeout = 500 * time.Millisecond
 	// maxProbes bounds the connections that are tried at the same time, when a whole failure domain is silent.
 	maxProbes = 32
@@ -209,13 +212,36 @@
 	switch {
 	case upstream.State == model.UpstreamDraining && now-entry.since >= drainSettle && r.inFlight(upstream.Name) == 0:
 		entry.busy = true
-		go r.settle(entry, func() { r.propose(ctx, upstream, model.UpstreamDrained) })
+		overdue := now-entry.since >= drainLimit
+		go r.settle(entry, func() {
+			if overdue || r.isIdleElsewhere(ctx, upstream.Name) {
+				r.propose(ctx, upstream, model.UpstreamDrained)
+			}
+		})
 	case active && now-entry.renewed >= lostAfter:
 		entry.busy = true
 		go r.settle(entry, func() { r.checkLost(ctx, upstream, entry) })
 	}
 }
 
+// isIdleElsewhere asks the other entry VMs, since one of them may have owned the upstream when a request was sent.
+func (r *renewals) isIdleElsewhere(ctx context.Context, upstream string) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	for _, member := range r.session.latest().view.Members {
+		if member.ID == r.session.member.ID {
+			continue
+		}
+		var reply ownerrpc.InFlightReply
+		err := r.links.call(ctx, member.RPCAddress, "InFlight", ownerrpc.InFlightArgs{Upstream: upstream}, &reply)
+		if err != nil || reply.Count > 0 {
+			r.log.Info("upstream not drained yet", "upstream", upstream, "member", member.ID, "in_flight", reply.Count, "error", err)
+			return false
+		}
+	}
+	return true
+}
+
 func (r *renewals) settle(entry *watched, action func()) {
 	action()
 	r.mu.Lock()
--- a/internal/entry/resolve.go
+++ b/internal/entry/resolve.go
@@ -39,3 +39,9 @@
 	reply.Renewing = s.renewals.isRenewing(args)
 	return nil
 }
+
+// InFlight counts the requests of this VM at an upstream.
+func (s *BookingService) InFlight(args ownerrpc.InFlightArgs, reply *ownerrpc.InFlightReply) error {
+	reply.Count = s.renewals.inFlight(args.Upstream)
+	return nil
+}
--- a/internal/ownerrpc/booking.go
+++ b/internal/ownerrpc/booking.go
@@ -70,3 +70,13 @@
 type IdentityReply struct {
 	Renewing bool
 }
+
+// InFlightArgs asks a VM for its requests at an upstream, whoever owns the upstream now.
+type InFlightArgs struct {
+	Upstream string
+}
+
+// InFlightReply carries their number.
+type InFlightReply struct {
+	Count int
+}
