--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -30,11 +30,15 @@
 	minMeanWeight = 0.05
 	// staleAfter and staleWindow let the mean of an upstream without observations return to the median of its peers.
 	// Without that a replica that was slow for a moment would never be chosen, hence never be observed again.
-	staleAfter     = time.Second
-	staleWindow    = 3 * time.Second
-	outlierFactor  = 3.0
-	probeInterval  = 500 * time.Millisecond
-	failurePenalty = time.Second
+	staleAfter    = time.Second
+	staleWindow   = 3 * time.Second
+	outlierFactor = 3.0
+	// probeInterval is the time between probes of an outlier by its owner, whose observations reach all entry VMs. The
+	// other entry VMs probe rarely, in case the owner gets no query for the service. Frequent probes by all of them used
+	// up the hedge budget.
+	probeInterval      = time.Second
+	otherProbeInterval = 10 * time.Second
+	failurePenalty     = time.Second
 	// tieTolerance is the relative difference of two expected completion times below which the reported load decides.
 	tieTolerance   = 0.1
 	defaultService = 5 * time.Millisecond
@@ -50,6 +54,8 @@
 	Service       string
 	FailureDomain string
 	Slots         int
+	// Owned is set if this entry VM sends to the upstream itself.
+	Owned bool
 	// ReportedLoad is the load that the upstream claims. It lags, so it only breaks ties.
 	ReportedLoad float64
 }
@@ -99,6 +105,8 @@
 	groups    map[string]*group
 	requests  map[uint64]request
 	medians   map[string]median
+	// pauseProbes is set while the budget has no tokens to hedge probes.
+	pauseProbes bool
 }
 
 type median struct {
@@ -228,13 +236,51 @@
 	}
 }
 
-// HedgeDelay returns the p95 of the service's sub-requests; false until there are enough observations.
-func (t *Tracker) HedgeDelay(service string) (time.Duration, bool) {
-	g, ok := t.groups[service]
-	if !ok || g.p95 == 0 {
+// HedgeDelay returns how long a request to the upstream may take before a hedge: the p95 of the service's sub-requests,
+// but no longer than three times the mean of its fastest upstream. While a replica is slow, the p95 is that of the slow
+// replica, and a service with little traffic has no p95 yet. A probe of an outlier is hedged at once, so that no query
+// pays for it. False means that nothing is known of the service.
+//
+// With a scarce budget, the p95 does not count: what is left is for requests that are far slower than usual.
+func (t *Tracker) HedgeDelay(now time.Time, c Candidate, scarce bool) (time.Duration, bool) {
+	g := t.group(c.Service)
+	limit := time.Duration(outlierFactor * t.fastest(g))
+	if limit == 0 {
 		return 0, false
 	}
-	return max(g.p95, minHedgeDelay), true
+	if t.Outlier(now, c) {
+		return minHedgeDelay, true
+	}
+	if g.p95 > 0 && !scarce {
+		limit = min(limit, g.p95)
+	}
+	return max(limit, minHedgeDelay), true
+}
+
+// fastest returns the smallest mean service time among the upstreams of a service.
+func (t *Tracker) fastest(g *group) float64 {
+	smallest := 0.0
+	for _, member := range g.members {
+		if mean := t.upstreams[member].mean; mean > 0 && (smallest == 0 || mean < smallest) {
+			smallest = mean
+		}
+	}
+	return smallest
+}
+
+// Report records what the owner of an upstream knows of it from the requests of all entry VMs. A zero service time means
+// that the owner has not observed one.
+func (t *Tracker) Report(now time.Time, name string, backlog int, service, age time.Duration) {
+	s, ok := t.upstreams[name]
+	if !ok {
+		return
+	}
+	s.reported = backlog
+	s.reportedAt = now
+	if service > 0 {
+		s.mean = float64(service)
+		s.observed = now.Add(-age)
+	}
 }
 
 // peerMedian returns the median of the means of the other upstreams of the service; zero without observations.
@@ -371,10 +417,17 @@
 	return t.powerOfTwo(now, regular)
 }
 
+// PauseProbes stops or resumes probes of outliers.
+func (t *Tracker) PauseProbes(pause bool) { t.pauseProbes = pause }
+
 // takeProbe grants one request at a time to an outlier, so that its recovery is observed.
 func (t *Tracker) takeProbe(now time.Time, c Candidate) bool {
 	s := t.stats(now, c)
-	if len(s.inFlight) > 0 || now.Sub(s.lastProbe) < probeInterval {
+	interval := otherProbeInterval
+	if c.Owned {
+		interval = probeInterval
+	}
+	if t.pauseProbes || len(s.inFlight) > 0 || now.Sub(s.lastProbe) < interval {
 		return false
 	}
 	s.lastProbe = now
