Bound how long an owner remembers ended attempts

Cause: an owner that had forgotten a million attempts since its start would have refused bookings until its restart, found in review.

Only a digest that is dropped earlier, for want of room, makes the table refuse, and only until its time.

--- a/internal/booking/booking_test.go
+++ b/internal/booking/booking_test.go
@@ -100,7 +100,7 @@
 	runsOf     map[string]int
 }
 
-var limits = booking.Limits{Attempts: 6, Bytes: 1 << 20, Forgotten: 8, Retention: time.Minute}
+var limits = booking.Limits{Attempts: 6, Bytes: 1 << 20, Forgotten: 8, ForgottenFor: 26 * time.Hour, Retention: time.Minute}
 
 func newWorld(t *rapid.T, mutant mutant) *world {
 	w := &world{
@@ -403,7 +403,7 @@
 
 var _ = Describe("Table", func() {
 	It("never takes a dropped attempt for one that was not received, however many it forgets", func() {
-		table := booking.NewTable(booking.Limits{Attempts: 10, Bytes: 1 << 20, Forgotten: 1, Retention: time.Minute})
+		table := booking.NewTable(booking.Limits{Attempts: 10, Bytes: 1 << 20, Forgotten: 1, ForgottenFor: 26 * time.Hour, Retention: time.Minute})
 		for i := range 3 {
 			key, now := fmt.Sprint(i), int64(i)*int64(time.Hour)
 			table.Step(booking.TableEvent{Kind: booking.TableReceive, Key: key, Attempt: 1, NowNanos: now})
@@ -414,6 +414,21 @@
 		Expect(table.Step(booking.TableEvent{Kind: booking.TableReceive, Key: "0", Attempt: 1, NowNanos: late}).Send).To(BeFalse())
 	})
 
+	It("takes bookings again once a dropped attempt can no longer be open, and a key that control has dropped", func() {
+		table := booking.NewTable(booking.Limits{Attempts: 10, Bytes: 1 << 20, Forgotten: 1, ForgottenFor: 26 * time.Hour, Retention: time.Minute})
+		for i := range 3 {
+			key, now := fmt.Sprint(i), int64(i)*int64(time.Hour)
+			table.Step(booking.TableEvent{Kind: booking.TableReceive, Key: key, Attempt: 1, NowNanos: now})
+			table.Step(booking.TableEvent{Kind: booking.TableFinish, Key: key, Attempt: 1, NowNanos: now, Outcome: booking.OutcomeDone})
+		}
+		receive := func(hours int) bool {
+			now := int64(hours) * int64(time.Hour)
+			return table.Step(booking.TableEvent{Kind: booking.TableReceive, Key: "0", Attempt: 1, NowNanos: now}).Send
+		}
+		Expect(receive(25)).To(BeFalse())
+		Expect(receive(29)).To(BeTrue())
+	})
+
 	It("refuses bookings instead of growing without bound", func() {
 		table := booking.NewTable(booking.Limits{Attempts: 1, Bytes: 1 << 20, Forgotten: 1, Retention: time.Minute})
 		Expect(table.Step(booking.TableEvent{Kind: booking.TableReceive, Key: "a", Attempt: 1}).Send).To(BeTrue())
--- a/internal/booking/table.go
+++ b/internal/booking/table.go
@@ -6,6 +6,8 @@
 	"crypto/sha256"
 	"strconv"
 	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 )
 
 // Outcome is what is known about one attempt.
@@ -29,15 +31,21 @@
 	// Attempts bounds the attempts with their responses, Bytes the sum of the responses.
 	Attempts int
 	Bytes    int
-	// Forgotten bounds the attempts that are remembered by their digest only.
-	Forgotten int
+	// Forgotten bounds the attempts that are remembered by their digest only, and ForgottenFor the time from their end.
+	// ForgottenFor must exceed the time for which control can hold the intent of an attempt open.
+	Forgotten    int
+	ForgottenFor time.Duration
 	// Retention is how long an attempt is kept after its end. It must exceed every deadline.
 	Retention time.Duration
 }
 
-// DefaultLimits hold the attempts of one owner. A forgotten attempt costs 16 bytes, so that a million cost 16 MB.
+// DefaultLimits hold the attempts of one owner. Control bounds the keys of a group to a million and ends an open intent
+// after controlstate.BookingRetention; two hours are added for its sweep, which runs only with further commands.
 func DefaultLimits() Limits {
-	return Limits{Attempts: 100_000, Bytes: 64 << 20, Forgotten: 1_000_000, Retention: 10 * time.Minute}
+	return Limits{
+		Attempts: 100_000, Bytes: 64 << 20, Retention: 10 * time.Minute,
+		Forgotten: 1_000_000, ForgottenFor: controlstate.BookingRetention + 2*time.Hour,
+	}
 }
 
 // TableKind is the kind of a TableEvent.
@@ -105,9 +113,15 @@
 	ended []attemptID
 	// forgotten holds attempts beyond their retention, oldest first in order.
 	forgotten map[attemptID]struct{}
-	order     []attemptID
-	// lossy is set once a forgotten attempt was dropped. From then on an unknown attempt may have been received.
-	lossy bool
+	order     []forgottenAttempt
+	// lossyUntil ends the time in which an unknown attempt may have been received, because a forgotten one was dropped
+	// before its time.
+	lossyUntil int64
+}
+
+type forgottenAttempt struct {
+	id    attemptID
+	until int64
 }
 
 // NewTable returns an empty table.
@@ -142,7 +156,7 @@
 		t.end(id, &attemptRecord{outcome: OutcomeNotRun, ended: event.NowNanos})
 		return TableResult{Outcome: OutcomeNotRun, Reason: "the intent names another instance of the owner"}
 	}
-	if t.lossy {
+	if t.isLossy(event.NowNanos) {
 		return TableResult{Outcome: OutcomeNotRun, Reason: "the owner has dropped attempts and takes no bookings"}
 	}
 	if len(t.attempts) >= t.limits.Attempts || t.bytes >= t.limits.Bytes {
@@ -179,7 +193,7 @@
 	if event.Instance > event.Current {
 		return TableResult{Found: true, Outcome: OutcomeUnreachable, Reason: "the owner has not joined as that instance yet"}
 	}
-	if event.Instance < event.Current || t.lossy {
+	if event.Instance < event.Current || t.isLossy(event.NowNanos) {
 		return TableResult{Found: true, Outcome: OutcomeGone, Reason: "the attempt belongs to an instance without records"}
 	}
 	return TableResult{Outcome: OutcomeNotRun}
@@ -200,7 +214,7 @@
 
 func (t *Table) end(id attemptID, record *attemptRecord) {
 	if len(t.attempts) >= t.limits.Attempts {
-		t.forget(id)
+		t.forget(id, record.ended)
 		return
 	}
 	t.attempts[id] = record
@@ -212,22 +226,31 @@
 		id := t.ended[0]
 		record := t.attempts[id]
 		if now-record.ended < int64(t.limits.Retention) {
-			return
+			break
 		}
 		t.bytes -= len(record.response)
 		delete(t.attempts, id)
 		t.ended = t.ended[1:]
-		t.forget(id)
+		t.forget(id, record.ended)
+	}
+	for len(t.order) > 0 && now >= t.order[0].until {
+		t.dropOldest()
 	}
 }
 
-// forget keeps the digest of an attempt, so that it is never taken for one that was not received.
-func (t *Table) forget(id attemptID) {
+// forget keeps the digest of an attempt, so that it is not taken for one that was never received.
+func (t *Table) forget(id attemptID, ended int64) {
 	t.forgotten[id] = struct{}{}
-	t.order = append(t.order, id)
+	t.order = append(t.order, forgottenAttempt{id: id, until: ended + int64(t.limits.ForgottenFor)})
 	if len(t.order) > t.limits.Forgotten {
-		delete(t.forgotten, t.order[0])
-		t.order = t.order[1:]
-		t.lossy = true
+		t.lossyUntil = max(t.lossyUntil, t.order[0].until)
+		t.dropOldest()
 	}
 }
+
+func (t *Table) dropOldest() {
+	delete(t.forgotten, t.order[0].id)
+	t.order = t.order[1:]
+}
+
+func (t *Table) isLossy(now int64) bool { return now < t.lossyUntil }
