Move ownership before a planned stop, and redirect instead of retrying

Cause: at a planned stop of an entry VM its owner refused sub-requests of peers that could not know of the move yet; the refusals used up the retry budget (10%), and 12 of 1,244 searches ended incomplete (test/processes, 3 entry VMs). Half of the upstreams leaving at once had the same effect (2 of 3,283).

Burn steers a drain only from 5 bad requests on: 1 bad request of 8 at 99.9% read as a rate of 125 and paused the plan.

Ruled out: a larger retry budget, which adds load during a spike. The spec that expected a refusal while an owner stops now expects that the stopping owner refuses a late copy and that the new owner runs the booking once.

Open: 9 of 1,182 innocent searches end incomplete while a crashing request takes both replicas of a shard down.

--- a/internal/burn/burn.go
+++ b/internal/burn/burn.go
@@ -72,9 +72,11 @@
 	// Attained is the share of good requests since the first sample; 1 without requests.
 	Attained float64 `json:"attained"`
 	// BudgetLeft is the share of the error budget that is left; negative when it is overspent.
-	BudgetLeft float64      `json:"budget_left"`
-	Recent     float64      `json:"recent_burn"`
-	Windows    []WindowRate `json:"windows"`
+	BudgetLeft float64 `json:"budget_left"`
+	Recent     float64 `json:"recent_burn"`
+	// RecentBad is the number of bad requests in the recent window.
+	RecentBad uint64       `json:"recent_bad"`
+	Windows   []WindowRate `json:"windows"`
 }
 
 // Report is the state of all objectives.
@@ -136,7 +138,9 @@
 		row.Attained = float64(counts.Good) / float64(counts.Total)
 		row.BudgetLeft = 1 - rate(objective, counts)
 	}
-	row.Recent = h.over(objective, RecentWindow)
+	recent := h.growth(objective, RecentWindow)
+	row.Recent = rate(objective, recent)
+	row.RecentBad = recent.Total - recent.Good
 	for _, window := range Windows() {
 		long, short := h.over(objective, window.Long), h.over(objective, window.Short)
 		row.Windows = append(row.Windows, WindowRate{
@@ -148,6 +152,11 @@
 
 // over returns the burn rate over the period that ends at the newest sample.
 func (h *History) over(objective Objective, period time.Duration) float64 {
+	return rate(objective, h.growth(objective, period))
+}
+
+// growth returns the growth of the counters over the period that ends at the newest sample.
+func (h *History) growth(objective Objective, period time.Duration) Counts {
 	newest := h.samples[len(h.samples)-1]
 	start := newest.At.Add(-period)
 	base := h.samples[0]
@@ -157,7 +166,7 @@
 		}
 		base = sample
 	}
-	return rate(objective, minus(newest.Counts[objective], base.Counts[objective]))
+	return minus(newest.Counts[objective], base.Counts[objective])
 }
 
 // minus returns the growth of the counters. A counter that fell belongs to a restarted process and counts from zero.
@@ -184,11 +193,15 @@
 // smallestBudget stands in for a target of 1, whose budget of zero would make every rate infinite.
 const smallestBudget = 1e-6
 
-// Worst returns the highest recent burn rate, with its objective.
+// minSteeringFailures is the number of bad requests in the recent window below which an objective does not steer. With
+// a target of 99.9% a single bad request among a few would otherwise look like a hundredfold burn.
+const minSteeringFailures = 5
+
+// Worst returns the highest recent burn rate that rests on enough failures to steer by, with its objective.
 func (r Report) Worst() (float64, Objective) {
 	worst, at := 0.0, Objective{}
 	for _, row := range r.Rows {
-		if row.Recent > worst {
+		if row.RecentBad >= minSteeringFailures && row.Recent > worst {
 			worst, at = row.Recent, row.Objective
 		}
 	}
@@ -236,6 +249,7 @@
 		r.BudgetLeft = 1 - rate(r.Objective, r.Counts)
 	}
 	r.Recent = max(r.Recent, other.Recent)
+	r.RecentBad += other.RecentBad
 	for i := range min(len(r.Windows), len(other.Windows)) {
 		worst := &r.Windows[i]
 		worst.Window = other.Windows[i].Window
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -51,6 +51,17 @@
 		Expect(history.Report().Rows[0].Recent).To(BeZero())
 	})
 
+	It("does not steer by a single failure among few requests", func() {
+		add(0, 0, 0)
+		add(time.Second, 7, 8)
+		worst, _ := history.Report().Worst()
+		Expect(worst).To(BeZero())
+		add(2*time.Second, 7, 12)
+		worst, at := history.Report().Worst()
+		Expect(worst).To(BeNumerically(">", 10))
+		Expect(at).To(Equal(objective))
+	})
+
 	It("adds the counters of several VMs", func() {
 		part := map[burn.Objective]burn.Counts{objective: {Good: 9, Total: 10}}
 		merged := burn.Merge(start, []map[burn.Objective]burn.Counts{part, part})
--- a/internal/entry/lease_test.go
+++ b/internal/entry/lease_test.go
@@ -11,7 +11,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/wisteriamux/wisteriamux/internal/booking"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
 )
 
 var _ = Describe("a lease", func() {
@@ -103,11 +105,20 @@
 		Eventually(upstream.waiting, 5).Should(Receive())
 		owner.stop()
 		Eventually(func() error { _, err := owner.session.leased(); return err }, 5).ShouldNot(Succeed())
-		Expect(other.book("new", 1000).status).To(Equal(http.StatusServiceUnavailable))
+		late := ownerrpc.BookArgs{
+			Key: "late", Attempt: 1, Service: "settlement", Upstream: "u1", OwnerInstance: owner.session.instanceID(),
+			SenderID: other.session.member.ID, SenderInstance: other.session.instanceID(), Timeout: time.Second,
+		}
+		Expect(owner.bookings.owner.book(late).Outcome).To(Equal(booking.OutcomeNotRun), "a peer with an old view still asks the stopping owner")
+		go func() { answers <- other.book("new", 5000) }()
+		Eventually(upstream.waiting, 5).Should(Receive())
 		close(upstream.hold)
 		Expect((<-answers).status).To(Equal(http.StatusOK))
+		Expect((<-answers).status).To(Equal(http.StatusOK))
 		Eventually(owner.done, 5).Should(Receive(BeNil()))
-		Expect(upstream.ran("new")).To(BeZero())
+		Expect(upstream.ran("late")).To(BeZero())
+		Expect(upstream.ran("accepted")).To(Equal(1))
+		Expect(upstream.ran("new")).To(Equal(1), "its new owner runs it")
 	})
 })
 
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -352,10 +352,10 @@
 	}
 	upstream, ok := current.upstreams[sub.Upstream]
 	if !ok || upstream.State != model.UpstreamReady {
-		return upstream, fault.New(fault.NotRun, "owner.admit", "upstream %s takes no new work", sub.Upstream)
+		return upstream, fault.New(fault.Moved, "owner.admit", "upstream %s takes no new work", sub.Upstream)
 	}
 	if sub.Revision <= current.view.Revision && !o.owns(current, sub.Upstream) && !o.handsOver(current, sub) {
-		return upstream, fault.New(fault.NotRun, "owner.admit", "upstream %s has another owner", sub.Upstream)
+		return upstream, fault.New(fault.Moved, "owner.admit", "upstream %s has another owner", sub.Upstream)
 	}
 	return upstream, nil
 }
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -85,6 +85,10 @@
 	for _, result := range q.mailbox.take() {
 		q.server.tier.done(time.Now(), result)
 		delete(q.owners, result.ID)
+		if result.Fault != nil && result.Fault.Code == fault.Moved {
+			// The owner serves a newer view than this VM.
+			q.server.session.refresh()
+		}
 		q.feed(eventOf(result))
 	}
 }
--- a/internal/fanout/machine.go
+++ b/internal/fanout/machine.go
@@ -189,7 +189,7 @@
 		return
 	}
 	code := r.Code
-	if code != fault.NotRun && code != fault.OverShare {
+	if code != fault.NotRun && code != fault.OverShare && code != fault.Moved {
 		m.mayHaveRun = true
 	}
 	generation := m.plan.Snapshot.Generations[s.target.Shard.Service]
@@ -249,6 +249,9 @@
 	if len(s.pending) > 0 {
 		return
 	}
+	if code == fault.Moved && m.redirect(now, s) {
+		return
+	}
 	if code != fault.OverShare && !crashedAgain && m.retry(now, s, s.untried()) {
 		return
 	}
@@ -259,6 +262,17 @@
 	m.miss(s, string(code))
 }
 
+// redirect sends the shard to a replica that it has not tried, without a token of the retry budget: an upstream that
+// leaves or changes its owner refuses many requests at once, and none of them put load on an upstream.
+func (m *Machine) redirect(now time.Time, s *shard) bool {
+	replicas := s.untried()
+	if len(replicas) == 0 || !now.Before(s.waitAt) {
+		return false
+	}
+	m.attempt(now, s, replicas, false)
+	return true
+}
+
 func (m *Machine) retry(now time.Time, s *shard, replicas []model.Upstream) bool {
 	if len(replicas) == 0 || s.retries >= maxRetries || !now.Before(s.waitAt) || !m.policy.Retry(now) {
 		return false
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -29,15 +29,17 @@
 	NotLeader        Code = "not_leader"
 	LeaseLost        Code = "lease_lost"
 	Fenced           Code = "fenced"
-	SnapshotRetired  Code = "snapshot_retired"
-	UpstreamFailed   Code = "upstream_failed"
-	UpstreamCrashed  Code = "upstream_crashed"
-	Cancelled        Code = "cancelled"
-	Unavailable      Code = "unavailable"
-	StorageFailed    Code = "storage_failed"
-	Corrupt          Code = "corrupt"
-	Settings         Code = "settings"
-	Internal         Code = "internal"
+	// Moved means that the owner did not run the request, because the upstream leaves or has another owner now.
+	Moved           Code = "moved"
+	SnapshotRetired Code = "snapshot_retired"
+	UpstreamFailed  Code = "upstream_failed"
+	UpstreamCrashed Code = "upstream_crashed"
+	Cancelled       Code = "cancelled"
+	Unavailable     Code = "unavailable"
+	StorageFailed   Code = "storage_failed"
+	Corrupt         Code = "corrupt"
+	Settings        Code = "settings"
+	Internal        Code = "internal"
 )
 
 // Error is a failure with its code, the operation that failed and an optional cause.
--- a/test/processes/tier_test.go
+++ b/test/processes/tier_test.go
@@ -86,7 +86,9 @@
 	for _, e := range t.entries {
 		Eventually(func() int { return health(e) }, readyTimeout, poll).Should(Equal(http.StatusOK))
 	}
-	Eventually(func() int { return t.search(t.entries[0], "ready").status }, readyTimeout, poll).Should(Equal(http.StatusOK))
+	ready, cancelReady := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancelReady()
+	Expect(t.client.WaitInForce(ready, t.view().Revision)).To(Succeed())
 	return t
 }
 
