--- a/cmd/wmux-load/experiment.go
+++ b/cmd/wmux-load/experiment.go
@@ -76,6 +76,7 @@
 	flags.DurationVar(&config.Hold, "hold", 10*time.Second, "length of the steady part of each scenario")
 	flags.DurationVar(&config.Deadline, "deadline", 390*time.Millisecond, "callers' deadline")
 	flags.Float64Var(&config.Resend, "resend", 0.2, "share of bookings sent again through another entry VM")
+	flags.BoolVar(&config.SpareReplica, "spare-replica", false, "slow down no shard's last replica")
 	flags.Uint64Var(&config.Seed, "seed", 1, "seed of arrivals and slow upstreams")
 	return command
 }
