--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -36,10 +36,12 @@
 	mu    sync.Mutex
 	state *controlstate.State
 	index uint64
+	// applied is the revision that each entry VM renewed with last.
+	applied map[string]uint64
 }
 
 func newFakeControl() *fakeControl {
-	control := &fakeControl{state: controlstate.New()}
+	control := &fakeControl{state: controlstate.New(), applied: map[string]uint64{}}
 	control.apply(controlstate.Command{ApplyConfig: &controlstate.ApplyConfig{ChangeID: "setup", Inventory: model.Inventory{
 		Regions:        []model.Region{{Name: "r"}},
 		FailureDomains: []model.FailureDomain{{Name: "halle-a", Region: "r"}, {Name: "halle-b", Region: "r"}},
@@ -120,6 +122,9 @@
 	if err := p.reach(); err != nil {
 		return controlrpc.RenewReply{}, err
 	}
+	p.mu.Lock()
+	p.applied[args.ID] = args.Applied
+	p.mu.Unlock()
 	view := p.view()
 	for _, member := range view.Members {
 		if member.ID == args.ID && member.Instance == args.Instance {
@@ -144,6 +149,29 @@
 	return result, result.Fault.AsError()
 }
 
+// inForce reports whether every member has applied the revision.
+func (c *fakeControl) inForce(revision uint64) bool {
+	members := c.view().Members
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, member := range members {
+		if c.applied[member.ID] < revision {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *port) WaitInForce(ctx context.Context, revision uint64) error {
+	for !p.inForce(revision) {
+		if ctx.Err() != nil || p.reach() != nil {
+			return fault.New(fault.Unavailable, "port", "revision %d is not in force", revision)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return nil
+}
+
 // testClock adds jumps to the system clocks.
 type testClock struct{ mono, wall atomic.Int64 }
 
@@ -211,15 +239,17 @@
 	waiting chan struct{}
 	// hold blocks requests that have started until it is closed; nil blocks none.
 	hold chan struct{}
+	// ended releases held requests of a test that failed.
+	ended chan struct{}
 	// crashOn drops every connection when a body contains it.
 	crashOn string
 	delay   time.Duration
 }
 
 func startUpstream(control *fakeControl, name, service string, slots int) *fakeUpstream {
-	u := &fakeUpstream{runs: map[string]int{}, waiting: make(chan struct{}, 1000)}
+	u := &fakeUpstream{runs: map[string]int{}, waiting: make(chan struct{}, 1000), ended: make(chan struct{})}
 	u.Server = httptest.NewServer(http.HandlerFunc(u.serve))
-	DeferCleanup(func() { u.CloseClientConnections(); u.Close() })
+	DeferCleanup(func() { close(u.ended); u.CloseClientConnections(); u.Close() })
 	announcement := u.announcement(name, service)
 	announcement.Slots = slots
 	control.apply(controlstate.Command{AnnounceUpstream: &controlstate.AnnounceUpstream{Announcement: announcement}})
@@ -246,7 +276,10 @@
 	}
 	time.Sleep(u.delay)
 	if u.hold != nil {
-		<-u.hold
+		select {
+		case <-u.hold:
+		case <-u.ended:
+		}
 	}
 	if r.URL.Path == upstreamapi.PathSearch {
 		_, _ = io.WriteString(w, `{"version":1,"generation":0,"items":["found"]}`)
