--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -238,7 +238,7 @@
 	count := max(1, int(float64(len(names))*slowShare))
 	for ctx.Err() == nil {
 		random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-		for _, name := range c.slowed(names, count) {
+		for _, name := range c.Slowed(names, count) {
 			if err := fleets.Slow(ctx, name, slowFactor, slowLength); err != nil && ctx.Err() == nil {
 				return err
 			}
@@ -248,8 +248,8 @@
 	return nil
 }
 
-// slowed returns the first names, as many as asked for, without the last replica of a shard if that is to be spared.
-func (c ExperimentConfig) slowed(names []string, count int) []string {
+// Slowed returns the first names, as many as asked for, without the last replica of a shard if that is to be spared.
+func (c ExperimentConfig) Slowed(names []string, count int) []string {
 	if !c.SpareReplica {
 		return names[:count]
 	}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -202,6 +202,15 @@
 		}
 	})
 
+	It("leaves a normal replica of each shard when it is to be spared, so that a hedge can answer", func() {
+		shape, err := load.ShapeOf("safari")
+		Expect(err).NotTo(HaveOccurred())
+		names := []string{"desk-01-s0-r0", "desk-01-s0-r1", "desk-02-s0-r0", "slate-s1-r1"}
+		Expect(load.ExperimentConfig{Shape: shape}.Slowed(names, 3)).To(Equal(names[:3]))
+		spared := load.ExperimentConfig{Shape: shape, SpareReplica: true}.Slowed(names, 3)
+		Expect(spared).To(Equal([]string{"desk-01-s0-r0", "desk-02-s0-r0", "slate-s1-r1"}))
+	})
+
 	It("writes settings that the daemons can read", func() {
 		shape, err := load.ShapeOf("safari")
 		Expect(err).NotTo(HaveOccurred())
