Append to a follower's log without copying it

Cause: bookings per second fell as the log grew. entryLog.merge truncated the log before every append, and truncate copies it, so each append on a follower cost as much as the log is long.

Change: truncate only when an entry conflicts. wmux-load bookings measures the durable part of a booking (intent and outcome) at a control group.

--- a/cmd/wmux-load/main.go
+++ b/cmd/wmux-load/main.go
@@ -24,7 +24,7 @@
 
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "wmux-load", Short: "Generate load and report latency and coverage", SilenceUsage: true}
-	root.AddCommand(searchCommand(), shapeCommand(), experimentCommand(), compareCommand(), slopesCommand())
+	root.AddCommand(searchCommand(), bookingsCommand(), shapeCommand(), experimentCommand(), compareCommand(), slopesCommand())
 	return root
 }
 
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -126,7 +126,9 @@
 		if entry.Index <= l.commit {
 			return fault.New(fault.Corrupt, "raft.append", "entry %d of term %d conflicts with a committed one", entry.Index, entry.Term)
 		}
-		l.truncate(entry.Index)
+		if entry.Index <= l.last().Index {
+			l.truncate(entry.Index)
+		}
 		return l.append(entries[i:])
 	}
 	return nil
