Admit searches that refuse partial answers with room for their slowest shard

The gate compares the expected wait of the most loaded shard with the whole deadline, but such a search fails with the slowest of its shards.

Change: it must be expected to finish within 0.75 of its deadline.

--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -71,11 +71,19 @@
 
 func (s *Server) nextSubRequest() uint64 { return s.nextID.Add(1) }
 
+// strictShare is the share of the deadline within which a query that refuses partial answers must be expected to finish.
+// Such a query fails with the slowest of its shards, and the estimate knows only the expected wait of the most loaded.
+const strictShare = 0.75
+
 // waitLimit returns the shortest wait that the rules leave.
 func waitLimit(rules map[string]model.Rule, timeout time.Duration) time.Duration {
 	limit := timeout
 	for _, rule := range rules {
-		limit = min(limit, time.Duration(rule.WaitShare*float64(timeout)))
+		share := rule.WaitShare
+		if !rule.PartialAllowed {
+			share = min(share, strictShare)
+		}
+		limit = min(limit, time.Duration(share*float64(timeout)))
 	}
 	return limit
 }
