Show rules in wmuxctl config show again, and share its view commands

Found while reading the command line for repeated code; a round trip of the written form is tested now and fails on the earlier code. Four commands that only show the view share one constructor.

--- a/cmd/wmuxctl/config.go
+++ b/cmd/wmuxctl/config.go
@@ -160,24 +160,16 @@
 }
 
 func configShowCommand(shared *options) *cobra.Command {
-	return &cobra.Command{
-		Use:     "show",
-		Short:   "Print the current inventory with rules in the format of apply",
-		Example: "  wmuxctl config show > inventory.toml",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return shared.withControl(cmd, func(s session) error {
-				view, _, err := s.View(s.ctx, 0)
-				if err != nil {
-					return err
-				}
-				return shared.print(view.Config, func(w io.Writer) {
-					_, _ = fmt.Fprintf(w, "# version %d\n", view.Config.Version)
-					_ = toml.NewEncoder(w).Encode(settings.Operator{Inventory: view.Config.Inventory, Rules: view.Config.Rules})
-				})
-			})
-		},
-	}
+	command := viewCommand(shared, func(view model.View) error {
+		return shared.print(view.Config, func(w io.Writer) {
+			_, _ = fmt.Fprintf(w, "# version %d\n", view.Config.Version)
+			_ = toml.NewEncoder(w).Encode(settings.Operator{Inventory: view.Config.Inventory, Rules: view.Config.Rules})
+		})
+	})
+	command.Use = "show"
+	command.Short = "Print the current inventory with rules in the format of apply"
+	command.Example = "  wmuxctl config show > inventory.toml"
+	return command
 }
 
 func configDiffCommand(shared *options) *cobra.Command {
--- a/cmd/wmuxctl/main.go
+++ b/cmd/wmuxctl/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/security"
 )
 
@@ -72,6 +73,22 @@
 	}
 }
 
+// viewCommand returns a command without arguments that shows the current view. The caller sets its name and help.
+func viewCommand(shared *options, show func(view model.View) error) *cobra.Command {
+	return &cobra.Command{
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return shared.withControl(cmd, func(s session) error {
+				view, _, err := s.View(s.ctx, 0)
+				if err != nil {
+					return err
+				}
+				return show(view)
+			})
+		},
+	}
+}
+
 // session is one command's connection to the control group.
 type session struct {
 	*controlrpc.Client
--- a/cmd/wmuxctl/quarantine.go
+++ b/cmd/wmuxctl/quarantine.go
@@ -7,6 +7,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/model"
 )
 
 func quarantineCommand(shared *options) *cobra.Command {
@@ -16,25 +17,17 @@
 }
 
 func quarantineListCommand(shared *options) *cobra.Command {
-	return &cobra.Command{
-		Use:     "list",
-		Short:   "List the fingerprints whose requests are refused",
-		Example: "  wmuxctl quarantine list",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return shared.withControl(cmd, func(s session) error {
-				view, _, err := s.View(s.ctx, 0)
-				if err != nil {
-					return err
-				}
-				var rows [][]any
-				for _, quarantine := range view.Quarantines {
-					rows = append(rows, []any{quarantine.Fingerprint, quarantine.Until.Format(time.RFC3339)})
-				}
-				return shared.printTable(view.Quarantines, "FINGERPRINT|UNTIL", rows)
-			})
-		},
-	}
+	command := viewCommand(shared, func(view model.View) error {
+		var rows [][]any
+		for _, quarantine := range view.Quarantines {
+			rows = append(rows, []any{quarantine.Fingerprint, quarantine.Until.Format(time.RFC3339)})
+		}
+		return shared.printTable(view.Quarantines, "FINGERPRINT|UNTIL", rows)
+	})
+	command.Use = "list"
+	command.Short = "List the fingerprints whose requests are refused"
+	command.Example = "  wmuxctl quarantine list"
+	return command
 }
 
 // quarantineChange is the result of clear for programs.
--- a/cmd/wmuxctl/services.go
+++ b/cmd/wmuxctl/services.go
@@ -19,22 +19,14 @@
 }
 
 func servicesCommand(shared *options) *cobra.Command {
-	return &cobra.Command{
-		Use:     "services",
-		Short:   "List the services with their rule, their shards and the states of their upstreams",
-		Example: "  wmuxctl services",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return shared.withControl(cmd, func(s session) error {
-				view, _, err := s.View(s.ctx, 0)
-				if err != nil {
-					return err
-				}
-				summaries := summarise(view)
-				return shared.printTable(summaries, "SERVICE|KIND|SHARDS COVERED|READY|DRAINING|DRAINED|LOST|MAX SHRINK|PARTIAL", serviceRows(summaries))
-			})
-		},
-	}
+	command := viewCommand(shared, func(view model.View) error {
+		summaries := summarise(view)
+		return shared.printTable(summaries, "SERVICE|KIND|SHARDS COVERED|READY|DRAINING|DRAINED|LOST|MAX SHRINK|PARTIAL", serviceRows(summaries))
+	})
+	command.Use = "services"
+	command.Short = "List the services with their rule, their shards and the states of their upstreams"
+	command.Example = "  wmuxctl services"
+	return command
 }
 
 func summarise(view model.View) []serviceSummary {
--- a/cmd/wmuxctl/upstreams.go
+++ b/cmd/wmuxctl/upstreams.go
@@ -10,28 +10,20 @@
 )
 
 func upstreamsCommand(shared *options) *cobra.Command {
-	return &cobra.Command{
-		Use:     "upstreams",
-		Short:   "List the announced upstreams",
-		Example: "  wmuxctl upstreams --json",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return shared.withControl(cmd, func(s session) error {
-				view, _, err := s.View(s.ctx, 0)
-				if err != nil {
-					return err
-				}
-				var rows [][]any
-				for _, u := range view.Upstreams {
-					rows = append(rows, []any{
-						u.Name, u.Service, fmt.Sprintf("%d/%d", u.Shard, u.ShardCount), u.FailureDomain,
-						fmt.Sprintf("%d-%d", u.MinVersion, u.MaxVersion), u.Slots, u.State,
-					})
-				}
-				return shared.printTable(view.Upstreams, "UPSTREAM|SERVICE|SHARD|FAILURE DOMAIN|VERSIONS|SLOTS|STATE", rows)
+	command := viewCommand(shared, func(view model.View) error {
+		var rows [][]any
+		for _, u := range view.Upstreams {
+			rows = append(rows, []any{
+				u.Name, u.Service, fmt.Sprintf("%d/%d", u.Shard, u.ShardCount), u.FailureDomain,
+				fmt.Sprintf("%d-%d", u.MinVersion, u.MaxVersion), u.Slots, u.State,
 			})
-		},
-	}
+		}
+		return shared.printTable(view.Upstreams, "UPSTREAM|SERVICE|SHARD|FAILURE DOMAIN|VERSIONS|SLOTS|STATE", rows)
+	})
+	command.Use = "upstreams"
+	command.Short = "List the announced upstreams"
+	command.Example = "  wmuxctl upstreams --json"
+	return command
 }
 
 func drainCommand(shared *options) *cobra.Command {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -54,7 +54,7 @@
 // Operator holds the inventory and the rules that an operator applies.
 type Operator struct {
 	model.Inventory
-	Rules []model.Rule `toml:"-"`
+	Rules []model.Rule `toml:"rule"`
 }
 
 // operatorFile is the file form of Operator. Rules are decoded over their defaults, so that a rule that only sets an
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,11 +1,13 @@
 package settings_test
 
 import (
+	"bytes"
 	"errors"
 	"os"
 	"path/filepath"
 	"testing"
 
+	"github.com/BurntSushi/toml"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -54,6 +56,17 @@
 		Expect(loaded.Rules[0].LatencyObjectiveMillis).To(Equal(200))
 	})
 
+	It("reads back what wmuxctl config show writes, rules included", func() {
+		first, err := operator("[[service]]\nname = \"clerk-01\"\nkind = \"search\"\n[[rule]]\nservice = \"clerk-*\"\nmax_shrink = 0.25\n")
+		Expect(err).NotTo(HaveOccurred())
+		var shown bytes.Buffer
+		Expect(toml.NewEncoder(&shown).Encode(first)).To(Succeed())
+		second, err := operator(shown.String())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second).To(Equal(first))
+		Expect(second.Rules).To(HaveLen(1))
+	})
+
 	It("refuses an unknown key of a rule instead of ignoring it", func() {
 		_, err := operator("[[rule]]\nservice = \"*\"\nmax_shrnk = 0.1\n")
 		Expect(problems(err)).To(ConsistOf(And(HaveField("Key", "rule.max_shrnk"), HaveField("Line", 3))))
