Share the start of the binaries and log identities as the tables print them

Cause: four binaries repeated the handling of signals, and only one of them ended at once on a second signal; control logged its identity in decimal while wmuxctl prints it in hexadecimal. internal/cli holds the start now.

--- a/cmd/wmux-control/main.go
+++ b/cmd/wmux-control/main.go
@@ -2,24 +2,14 @@
 package main
 
 import (
-	"context"
-	"os"
-	"os/signal"
-	"syscall"
-
 	"github.com/spf13/cobra"
 
+	"github.com/wisteriamux/wisteriamux/internal/cli"
 	"github.com/wisteriamux/wisteriamux/internal/raftnode"
 	"github.com/wisteriamux/wisteriamux/internal/settings"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := command().ExecuteContext(ctx); err != nil {
-		os.Exit(1)
-	}
-}
+func main() { cli.Main(command()) }
 
 func command() *cobra.Command {
 	root := &cobra.Command{
--- a/cmd/wmux-control/run.go
+++ b/cmd/wmux-control/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"os"
@@ -52,7 +53,7 @@
 	peers := &endpoint{service: service, raft: node.Service(), log: log}
 	go peers.accept(secured)
 	go service.Run(ctx)
-	log.Info("started", "rpc_address", loaded.RPCAddress, "identity", node.Status().ID)
+	log.Info("started", "rpc_address", loaded.RPCAddress, "identity", fmt.Sprintf("%016x", node.Status().ID))
 	select {
 	case <-ctx.Done():
 		return stop(node, loaded.ID, log)
--- a/cmd/wmux-entry/main.go
+++ b/cmd/wmux-entry/main.go
@@ -5,13 +5,12 @@
 	"context"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/wisteriamux/wisteriamux/internal/balance"
+	"github.com/wisteriamux/wisteriamux/internal/cli"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/entry"
 	"github.com/wisteriamux/wisteriamux/internal/netcut"
@@ -21,18 +20,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/trace"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	// A second signal ends the process at once, because the handler of the first one is removed.
-	go func() {
-		<-ctx.Done()
-		stop()
-	}()
-	if err := command().ExecuteContext(ctx); err != nil {
-		os.Exit(1)
-	}
-}
+func main() { cli.Main(command()) }
 
 func command() *cobra.Command {
 	var path string
--- a/cmd/wmux-load/main.go
+++ b/cmd/wmux-load/main.go
@@ -2,25 +2,16 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"github.com/wisteriamux/wisteriamux/internal/cli"
 	"github.com/wisteriamux/wisteriamux/internal/load"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := command().ExecuteContext(ctx); err != nil {
-		os.Exit(1)
-	}
-}
+func main() { cli.Main(command()) }
 
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "wmux-load", Short: "Generate load and report latency and coverage", SilenceUsage: true}
--- a/cmd/wmux-upstream/main.go
+++ b/cmd/wmux-upstream/main.go
@@ -2,27 +2,19 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"github.com/wisteriamux/wisteriamux/internal/cli"
 	"github.com/wisteriamux/wisteriamux/internal/standin"
 	"github.com/wisteriamux/wisteriamux/internal/telemetry"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := command().ExecuteContext(ctx); err != nil {
-		os.Exit(1)
-	}
-}
+func main() { cli.Main(command()) }
 
 func command() *cobra.Command {
 	var config standin.Config
