--- a/test/processes/tier_test.go
+++ b/test/processes/tier_test.go
@@ -101,6 +101,10 @@
 	Expect(err).NotTo(HaveOccurred())
 	settings := fmt.Sprintf("id = %q\nfailure_domain = \"halle-a\"\ncaller_address = %q\nrpc_address = %q\ncontrol_addresses = %s\nlame_duck_ms = 300\nfault_rules_file = %q\n",
 		e.name, e.address, fmt.Sprintf("%s:%d", host, peerPort), addresses, e.rules)
+	// WMUX_TRACE_DIR records traces for internal/trace/testdata.
+	if dir := os.Getenv("WMUX_TRACE_DIR"); dir != "" {
+		settings += fmt.Sprintf("trace_file = %q\n", filepath.Join(dir, e.name+".trace"))
+	}
 	Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
 	e.args = []string{"--settings", path}
 	e.start("wmux-entry")
