Evaluate burn once per sample instead of at every renewal

Cause: each renewal (every 1 s) built the whole burn report, which scanned all samples for every objective and window, although burn changes only with a sample (every 5 s). Found in the read-through.

Change: the base of a window is found by binary search, since samples are in order of time, and the worst rate is kept with the sample. Results are the same; no check changes.

--- a/internal/burn/burn.go
+++ b/internal/burn/burn.go
@@ -90,7 +90,7 @@
 	samples []Sample
 }
 
-// Add appends a sample and drops those that no window reaches.
+// Add appends a sample, which must not be older than the last one, and drops those that no window reaches.
 func (h *History) Add(sample Sample) {
 	h.samples = append(h.samples, sample)
 	horizon := sample.At.Add(-longestWindow())
@@ -159,13 +159,8 @@
 func (h *History) growth(objective Objective, period time.Duration) Counts {
 	newest := h.samples[len(h.samples)-1]
 	start := newest.At.Add(-period)
-	base := h.samples[0]
-	for _, sample := range h.samples {
-		if sample.At.After(start) {
-			break
-		}
-		base = sample
-	}
+	after := sort.Search(len(h.samples), func(i int) bool { return h.samples[i].At.After(start) })
+	base := h.samples[max(after-1, 0)]
 	return minus(newest.Counts[objective], base.Counts[objective])
 }
 
--- a/internal/entry/objectives.go
+++ b/internal/entry/objectives.go
@@ -32,7 +32,9 @@
 	// mu guards the fields below.
 	mu      sync.Mutex
 	history burn.History
-	demand  map[string]float64
+	// burn is the worst burn rate at the newest sample. Renewals are more frequent than samples.
+	burn   float64
+	demand map[string]float64
 }
 
 func newObjectives(metrics *telemetry.Metrics, session *session, inFlightAt func(string) int) *objectives {
@@ -50,6 +52,7 @@
 		if sample, err := o.metrics.Sample(ctx, time.Now()); err == nil {
 			o.mu.Lock()
 			o.history.Add(sample)
+			o.burn, _ = o.history.Report().Worst()
 			o.mu.Unlock()
 		}
 		select {
@@ -75,8 +78,7 @@
 		o.demand[service] += demandDecay * (float64(slots) - o.demand[service])
 		reported[service] = o.demand[service]
 	}
-	worst, _ := o.history.Report().Worst()
-	return controlrpc.Load{Burn: worst, Demand: reported}
+	return controlrpc.Load{Burn: o.burn, Demand: reported}
 }
 
 // busySlots counts the requests in flight at the owned upstreams, by service.
