--- a/cmd/wmux-control/run.go
+++ b/cmd/wmux-control/run.go
@@ -11,7 +11,9 @@
 	"github.com/spf13/cobra"
 
 	"github.com/wisteriamux/wisteriamux/internal/control"
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/formation"
 	"github.com/wisteriamux/wisteriamux/internal/netcut"
 	"github.com/wisteriamux/wisteriamux/internal/raftnode"
 	"github.com/wisteriamux/wisteriamux/internal/security"
@@ -43,16 +45,32 @@
 		return fault.New(fault.Unavailable, "control.listen", "%w", err)
 	}
 	defer func() { _ = listener.Close() }()
+	if err := found(loaded, log); err != nil {
+		return err
+	}
 	machine := control.NewMachine()
 	node, err := openNode(loaded, machine, rules, transport, log)
 	if err != nil {
 		return err
 	}
-	service := control.NewService(loaded.ID, machine, node, time.Now).WithGroup(control.NewRaftGroup(node)).WithLog(log)
+	group := control.NewRaftGroup(node)
+	if loaded.Formation == formationSeeds {
+		group = group.Formed()
+	}
+	service := control.NewService(loaded.ID, machine, node, time.Now).WithGroup(group).WithLog(log)
 	secured := transport.Listener(rules.Listener(listener), security.RoleControl, security.RoleEntry, security.RoleOperator)
 	peers := &endpoint{service: service, raft: node.Service(), log: log}
 	go peers.accept(secured)
 	go service.Run(ctx)
+	client := controlrpc.NewClient(clientAddresses(loaded), transport.Dialer(rules.Dialer(dialFrom(loaded, rules != nil)), security.RoleControl))
+	defer client.Close()
+	if loaded.Formation == formationSeeds {
+		joiner := formation.Joiner{Node: node, Client: client, Name: loaded.ID, Address: loaded.RPCAddress, Seeds: loaded.Peers(), Log: log}
+		go joiner.Run(ctx)
+	}
+	if err := serveDirectory(ctx, loaded, machine, client, log); err != nil {
+		return err
+	}
 	log.Info("started", "rpc_address", loaded.RPCAddress, "identity", fmt.Sprintf("%016x", node.Status().ID))
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/cmd/wmux-router/run.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/router"
+	"github.com/wisteriamux/wisteriamux/internal/settings"
+	"github.com/wisteriamux/wisteriamux/internal/telemetry"
+	"github.com/wisteriamux/wisteriamux/platform"
+)
+
+const (
+	headerTimeout = 3 * time.Second
+	// idleTimeout exceeds what callers are allowed to stay idle, so that this side does not close first.
+	idleTimeout = 60 * time.Second
+	// extraReserve is the part of the allowed extra requests that is used, the rest covers the difference between this
+	// VM's count and the upstreams'.
+	extraReserve = 0.95
+)
+
+func run(ctx context.Context, loaded settings.Router) error {
+	log := telemetry.NewLeveledLogger(os.Stderr, "wmux-router", loaded.ID, loaded.LogLevel)
+	callers, err := listen(loaded.CallerAddress)
+	if err != nil {
+		return err
+	}
+	health, err := listen(loaded.HealthAddress)
+	if err != nil {
+		return err
+	}
+	seeds := loaded.ControlAddresses()
+	control := controlrpc.NewClient(seeds, controlrpc.PlainDialer)
+	defer control.Close()
+	r := router.New(router.Config{
+		ID: loaded.ID, FailureDomain: loaded.FailureDomain, Seeds: seeds,
+		ExtraShare: extraReserve * loaded.ExtraShare, ExtraFloor: loaded.ExtraFloor,
+		AnswerMargin: time.Duration(loaded.AnswerMarginMillis) * time.Millisecond,
+	}, control, platform.Codec{}, log)
+	following, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go r.Follow(following)
+	go r.Sweep(following)
+
+	var stopping atomic.Bool
+	ready := func() bool { return !stopping.Load() && r.View().Ready() }
+	serve(health, platform.NewReadyHandler(ready), log)
+	server := serve(callers, platform.NewFrontHandler(r, stopping.Load, log), log)
+	log.Info("started", "caller_address", loaded.CallerAddress, "health_address", loaded.HealthAddress)
+	<-ctx.Done()
+	stopping.Store(true)
+	log.Info("stopping", "lame_duck_ms", loaded.LameDuckMillis, "drain_ms", loaded.DrainMillis)
+	// The balancer needs a few questions to notice; until then it sends new connections.
+	time.Sleep(time.Duration(loaded.LameDuckMillis) * time.Millisecond)
+	draining, cancel := context.WithTimeout(context.Background(), time.Duration(loaded.DrainMillis)*time.Millisecond)
+	defer cancel()
+	if err := server.Shutdown(draining); err != nil {
+		log.Warn("requests cut", "error", err)
+	}
+	log.Info("stopped")
+	return nil
+}
+
+func listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fault.New(fault.Unavailable, "router.listen", "%w", err)
+	}
+	return listener, nil
+}
+
+func serve(listener net.Listener, handler http.Handler, log *slog.Logger) *http.Server {
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+	}
+	go func() {
+		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			log.Error("listener failed", "address", listener.Addr().String(), "error", err)
+		}
+	}()
+	return server
+}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -32,6 +32,12 @@
 	b.tokens = math.Min(b.burst, b.tokens+b.share)
 }
 
+// Limit changes the number of tokens that can be saved up.
+func (b *Bucket) Limit(burst float64) {
+	b.burst = burst
+	b.tokens = math.Min(b.tokens, burst)
+}
+
 // Take spends one token if there is one.
 func (b *Bucket) Take() bool {
 	if b.tokens < 1 {
--- a/internal/control/raftgroup.go
+++ b/internal/control/raftgroup.go
@@ -11,11 +11,19 @@
 // RaftGroup is the Group of a raftnode.Node.
 type RaftGroup struct {
 	node *raftnode.Node
+	// formed is set when the group forms and repairs itself, so that former voters may return.
+	formed bool
 }
 
 // NewRaftGroup returns the Group of the node.
 func NewRaftGroup(node *raftnode.Node) RaftGroup { return RaftGroup{node: node} }
 
+// Formed returns the Group with the rules of a group that forms itself from seeds.
+func (g RaftGroup) Formed() RaftGroup {
+	g.formed = true
+	return g
+}
+
 // Members implements Group.
 func (g RaftGroup) Members() []controlrpc.GroupMember {
 	var members []controlrpc.GroupMember
@@ -34,6 +42,9 @@
 
 // Add implements Group.
 func (g RaftGroup) Add(ctx context.Context, name, address string) error {
+	if g.formed {
+		return g.node.RejoinMember(ctx, name, address)
+	}
 	return g.node.AddMember(ctx, name, address)
 }
 
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -26,11 +26,15 @@
 	machine    *Machine
 	replicator Replicator
 	group      Group
-	barriers   *barrierGroup
-	leases     *leaseTable
-	loads      *loadTable
-	now        func() time.Time
-	log        *slog.Logger
+	// formed is set when the group admits, replaces and removes members by itself.
+	formed    bool
+	barriers  *barrierGroup
+	leases    *leaseTable
+	loads     *loadTable
+	instances *presence
+	watchers  *presence
+	now       func() time.Time
+	log       *slog.Logger
 }
 
 // NewService returns the control service of the member.
@@ -43,6 +47,8 @@
 		barriers:   &barrierGroup{barrier: replicator.ReadBarrier},
 		leases:     newLeaseTable(),
 		loads:      newLoadTable(),
+		instances:  newPresence(),
+		watchers:   newPresence(),
 		now:        now,
 		log:        slog.New(slog.DiscardHandler),
 	}
@@ -51,6 +57,9 @@
 // WithGroup sets the control group that operators can change.
 func (s *Service) WithGroup(group Group) *Service {
 	s.group = group
+	if formed, ok := group.(RaftGroup); ok {
+		s.formed = formed.formed
+	}
 	return s
 }
 
@@ -91,6 +100,7 @@
 		return err
 	}
 	s.leases.enterTerm(s.replicator.Term(), s.now())
+	s.instances.enterTerm(s.replicator.Term(), s.now())
 	return nil
 }
 
@@ -106,6 +116,8 @@
 		return
 	}
 	s.advancePlan(ctx)
+	s.expireInstances(ctx)
+	s.pruneGroup(ctx)
 	view := s.machine.View()
 	for _, member := range view.Members {
 		if _, left := s.leases.remaining(member, s.now()); left <= 0 {
--- a/internal/controlrpc/client.go
+++ b/internal/controlrpc/client.go
@@ -160,7 +160,7 @@
 			return *answer, err
 		}
 		c.advance(address)
-		if pauseErr := pause(ctx, attempt/len(c.addresses)); pauseErr != nil {
+		if pauseErr := pause(ctx, attempt/len(c.Addresses())); pauseErr != nil {
 			var none R
 			return none, fault.New(fault.Unavailable, "control."+method, "no control leader answered: %w", err)
 		}
--- /dev/null
+++ b/internal/controlrpc/routes.go
@@ -0,0 +1,144 @@
+package controlrpc
+
+import (
+	"context"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/registry"
+	"github.com/wisteriamux/wisteriamux/internal/route"
+)
+
+// MaxWatch bounds how long the leader holds a watch. It stays below the time after which a client gives up on a member,
+// so that a leader that is frozen or isolated is noticed within one watch.
+const MaxWatch = 600 * time.Millisecond
+
+// WatchArgs asks for what changed after the revision Known, and waits for a change for up to WaitMillis.
+type WatchArgs struct {
+	Known      uint64
+	WaitMillis int64
+	// Watcher identifies the process, so that the leader can count the processes that share budgets.
+	Watcher string
+}
+
+// WatchReply carries what changed.
+type WatchReply struct {
+	Fault    *fault.Wire
+	Revision uint64
+	// Table is set when the table of routes came into force after Known.
+	Table     *route.Table
+	Instances registry.Delta
+	// Members are the addresses of the control members.
+	Members []string
+	// Watchers is the number of processes that watched lately.
+	Watchers int
+}
+
+// PutRoutesArgs orders a table of routes.
+type PutRoutesArgs struct {
+	Table  route.Table
+	Source []byte
+}
+
+// PutRoutesReply carries the version in force.
+type PutRoutesReply struct {
+	Fault   *fault.Wire
+	Version uint64
+}
+
+// ReadRoutesArgs asks for the table of routes, confirmed by a quorum.
+type ReadRoutesArgs struct{}
+
+// ReadRoutesReply carries the table as it was ordered. Version 0 means that there is none.
+type ReadRoutesReply struct {
+	Fault   *fault.Wire
+	Version uint64
+	Table   route.Table
+	Source  []byte
+}
+
+// ReportArgs carries a report about an upstream.
+type ReportArgs struct {
+	Report registry.Report
+}
+
+// HeardArgs tells which upstreams another member has heard of since its last call.
+type HeardArgs struct {
+	IDs []string
+}
+
+// AdmitArgs asks for membership in the control group.
+type AdmitArgs struct {
+	// ID is the identity of the data directory in hexadecimal.
+	ID      string
+	Name    string
+	Address string
+}
+
+// Ack acknowledges a call without a result.
+type Ack struct {
+	Fault *fault.Wire
+}
+
+func (r WatchReply) failure() *fault.Wire      { return r.Fault }
+func (r PutRoutesReply) failure() *fault.Wire  { return r.Fault }
+func (r ReadRoutesReply) failure() *fault.Wire { return r.Fault }
+func (r Ack) failure() *fault.Wire             { return r.Fault }
+
+// Watch returns what changed after a revision.
+func (c *Client) Watch(ctx context.Context, args WatchArgs) (WatchReply, error) {
+	return call[WatchReply](ctx, c, "Watch", args)
+}
+
+// PutRoutes orders a table of routes and returns the version in force.
+func (c *Client) PutRoutes(ctx context.Context, table route.Table, source []byte) (uint64, error) {
+	reply, err := callWithin[PutRoutesReply](ctx, c, groupTimeout, "PutRoutes", PutRoutesArgs{Table: table, Source: source})
+	return reply.Version, err
+}
+
+// ReadRoutes returns the table of routes, confirmed by a quorum.
+func (c *Client) ReadRoutes(ctx context.Context) (ReadRoutesReply, error) {
+	return call[ReadRoutesReply](ctx, c, "ReadRoutes", ReadRoutesArgs{})
+}
+
+// Report applies a report about an upstream and returns when it is durable on a quorum.
+func (c *Client) Report(ctx context.Context, report registry.Report) error {
+	_, err := call[Ack](ctx, c, "Report", ReportArgs{Report: report})
+	return err
+}
+
+// Heard tells the leader which upstreams are alive.
+func (c *Client) Heard(ctx context.Context, ids []string) error {
+	_, err := call[Ack](ctx, c, "Heard", HeardArgs{IDs: ids})
+	return err
+}
+
+// Admit asks the leader for membership.
+func (c *Client) Admit(ctx context.Context, args AdmitArgs) error {
+	_, err := callWithin[Ack](ctx, c, groupTimeout, "Admit", args)
+	return err
+}
+
+// SetAddresses replaces the addresses that the client tries. Connections to the others stay open until they fail.
+func (c *Client) SetAddresses(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current := c.addresses[c.preferred%len(c.addresses)]
+	c.addresses = append([]string(nil), addresses...)
+	c.preferred = 0
+	for i, address := range c.addresses {
+		if address == current {
+			c.preferred = i
+		}
+	}
+}
+
+// Addresses returns the addresses that the client tries.
+func (c *Client) Addresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.addresses...)
+}
--- a/internal/controlstate/commands.go
+++ b/internal/controlstate/commands.go
@@ -7,6 +7,8 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/registry"
+	"github.com/wisteriamux/wisteriamux/internal/route"
 )
 
 // Command is one entry of the replicated log. Exactly one of the pointers is set.
@@ -28,6 +30,8 @@
 	OrderPlan        *OrderPlan        `cbor:"13,keyasint,omitempty"`
 	AdvancePlan      *AdvancePlan      `cbor:"14,keyasint,omitempty"`
 	RetireMember     *RetireMember     `cbor:"15,keyasint,omitempty"`
+	PutRoutes        *PutRoutes        `cbor:"16,keyasint,omitempty"`
+	ReportInstance   *ReportInstance   `cbor:"17,keyasint,omitempty"`
 }
 
 // ApplyConfig replaces the configuration if BaseVersion is the current version. ChangeID makes a resend idempotent.
@@ -124,6 +128,19 @@
 	All         bool
 }
 
+// PutRoutes puts a checked table of routes in force if its version is the highest so far. A lower or equal version
+// changes nothing and is no failure, so that a resend gets the same answer as the first order.
+type PutRoutes struct {
+	Table route.Table
+	// Source is the document that the table was read from. It is kept, so that a read returns what was sent.
+	Source []byte
+}
+
+// ReportInstance applies a report about an upstream.
+type ReportInstance struct {
+	Report registry.Report
+}
+
 // Tick moves the time of the state forward, so that quarantines and bookings expire on an idle group.
 type Tick struct{}
 
@@ -132,7 +149,7 @@
 	// Revision is the revision after the command. A resent ApplyConfig gets the revision of its first execution.
 	Revision uint64
 	Fault    *fault.Wire
-	// Version is the configuration version after ApplyConfig.
+	// Version is the configuration version after ApplyConfig or PutRoutes.
 	Version uint64
 	// Instance is the instance granted by JoinMember.
 	Instance uint64
--- /dev/null
+++ b/internal/controlstate/routes.go
@@ -0,0 +1,43 @@
+package controlstate
+
+import (
+	"github.com/wisteriamux/wisteriamux/internal/registry"
+	"github.com/wisteriamux/wisteriamux/internal/route"
+)
+
+// Routes is the register of the table of routes.
+type Routes struct {
+	Table  route.Table `cbor:"1,keyasint"`
+	Source []byte      `cbor:"2,keyasint,omitempty"`
+	// Since is the log index at which the table came into force.
+	Since uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// putRoutes checks the table again, because a member must never hold what another member would refuse.
+func (s *State) putRoutes(index uint64, put PutRoutes) Result {
+	if err := put.Table.Check(); err != nil {
+		return s.refuse(err)
+	}
+	if put.Table.Version <= s.routes.Table.Version {
+		result := s.unchanged()
+		result.Version = s.routes.Table.Version
+		return result
+	}
+	s.routes = Routes{Table: put.Table, Source: put.Source, Since: index}
+	result := s.changed(index)
+	result.Version = put.Table.Version
+	return result
+}
+
+func (s *State) reportInstance(index uint64, report ReportInstance) Result {
+	if !s.instances.Apply(report.Report, index) {
+		return s.unchanged()
+	}
+	return s.changed(index)
+}
+
+// Routes returns the table of routes in force.
+func (s *State) Routes() Routes { return s.routes }
+
+// Instances returns the registered upstream processes. The caller must not change the table.
+func (s *State) Instances() *registry.Table { return s.instances }
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -6,6 +6,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/planner"
+	"github.com/wisteriamux/wisteriamux/internal/registry"
 )
 
 // snapshotFormat is the version of the snapshot's encoding. A member refuses a format that it does not know.
@@ -23,6 +24,8 @@
 	Bookings    []Booking           `cbor:"8,keyasint"`
 	Quarantines []snapshotDeadline  `cbor:"9,keyasint"`
 	Execution   *planner.Execution  `cbor:"10,keyasint,omitempty"`
+	Routes      Routes              `cbor:"11,keyasint,omitempty"`
+	Instances   registry.Image      `cbor:"12,keyasint,omitempty"`
 }
 
 type snapshotUpstream struct {
@@ -48,6 +51,8 @@
 		Members:   view.Members,
 		Bookings:  make([]Booking, 0, s.bookings.order.Len()),
 		Execution: s.execution,
+		Routes:    s.routes,
+		Instances: s.instances.Image(),
 	}
 	for _, id := range s.changes.order {
 		content.Changes = append(content.Changes, s.changes.byID[id])
@@ -93,6 +98,8 @@
 	s.revision = c.Revision
 	s.config = c.Config
 	s.execution = c.Execution
+	s.routes = c.Routes
+	s.instances = registry.Restore(c.Instances)
 	for _, change := range c.Changes {
 		s.changes.remember(change, s.limits.changes)
 	}
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -6,6 +6,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/planner"
+	"github.com/wisteriamux/wisteriamux/internal/registry"
 )
 
 // State is the replicated state. The caller serialises all calls. Every field but cached and limits is part of the
@@ -27,6 +28,9 @@
 	// execution is the newest drain execution, or nil.
 	execution *planner.Execution
 
+	routes    Routes
+	instances *registry.Table
+
 	// cached is the view of the current revision, or nil until it is asked for.
 	cached *model.View
 }
@@ -69,6 +73,7 @@
 		leaving:     map[string]string{},
 		bookings:    newBookingTable(),
 		quarantines: map[string]int64{},
+		instances:   registry.New(),
 	}
 }
 
@@ -116,6 +121,10 @@
 		return s.orderPlan(*command.OrderPlan)
 	case command.AdvancePlan != nil:
 		return s.advancePlan(*command.AdvancePlan)
+	case command.PutRoutes != nil:
+		return s.putRoutes(index, *command.PutRoutes)
+	case command.ReportInstance != nil:
+		return s.reportInstance(index, *command.ReportInstance)
 	case command.Tick != nil:
 		return s.unchanged()
 	}
--- /dev/null
+++ b/internal/gather/gather.go
@@ -0,0 +1,168 @@
+// Package gather decides about one search over many shards: when a shard is asked a second time, and whether to answer
+// with the shards that are in or to wait for the others. It performs no I/O, and time is an argument.
+package gather
+
+import "time"
+
+// Plan is what a search is allowed.
+type Plan struct {
+	Shards int
+	// Least is the number of shards that an answer needs.
+	Least int
+	// Attempts is the number of upstreams that each shard may be asked at.
+	Attempts int
+	// Start is when the search began. Goal is until when an answer counts in full, End when the caller stops waiting.
+	Start time.Time
+	Goal  time.Time
+	End   time.Time
+	// HedgeAfter is how long the first attempt at a shard may take before a second one is sent.
+	HedgeAfter time.Duration
+}
+
+// Outcome is how an attempt at a shard ended.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	// Part is a complete part of the answer.
+	Part Outcome = iota
+	// Failure is any other end of an attempt.
+	Failure
+)
+
+// Verdict is what to do with the search.
+type Verdict int
+
+// The verdicts.
+const (
+	// Wait for more parts.
+	Wait Verdict = iota
+	// Finish answers with the parts that are in.
+	Finish
+	// GiveUp answers with a failure.
+	GiveUp
+)
+
+type shard struct {
+	sentAt   time.Time
+	attempts int
+	pending  int
+	in       bool
+	// closed is set when no further attempt can be made.
+	closed bool
+}
+
+// Search is the state of one search. It is not safe for concurrent use.
+type Search struct {
+	plan   Plan
+	shards []shard
+	in     int
+	open   int
+}
+
+// New returns a search with all shards open.
+func New(plan Plan) *Search {
+	return &Search{plan: plan, shards: make([]shard, plan.Shards), open: plan.Shards}
+}
+
+// Sent records an attempt at a shard.
+func (s *Search) Sent(now time.Time, at int) {
+	sh := &s.shards[at]
+	sh.sentAt = now
+	sh.attempts++
+	sh.pending++
+}
+
+// Unsendable records that no further attempt at the shard is possible.
+func (s *Search) Unsendable(at int) {
+	s.shards[at].closed = true
+	s.settle(at)
+}
+
+// Ended records the end of an attempt and tells whether another one should be sent at once.
+func (s *Search) Ended(at int, outcome Outcome) (again bool) {
+	sh := &s.shards[at]
+	sh.pending--
+	if sh.in {
+		return false
+	}
+	if outcome == Part {
+		sh.in = true
+		s.in++
+		s.open--
+		return false
+	}
+	if !sh.closed && sh.attempts < s.plan.Attempts {
+		return sh.pending == 0
+	}
+	s.settle(at)
+	return false
+}
+
+// settle closes the shard when nothing is pending there.
+func (s *Search) settle(at int) {
+	sh := &s.shards[at]
+	if sh.in || sh.pending > 0 || sh.attempts < 0 {
+		return
+	}
+	sh.closed = true
+	sh.attempts = -1
+	s.open--
+}
+
+// In reports whether the part of the shard is in.
+func (s *Search) In(at int) bool { return s.shards[at].in }
+
+// Count returns the number of parts that are in.
+func (s *Search) Count() int { return s.in }
+
+// Due returns the shards whose first attempt has taken too long.
+func (s *Search) Due(now time.Time) []int {
+	var due []int
+	for i := range s.shards {
+		if s.hedgeable(i) && !now.Before(s.shards[i].sentAt.Add(s.plan.HedgeAfter)) {
+			due = append(due, i)
+		}
+	}
+	return due
+}
+
+func (s *Search) hedgeable(at int) bool {
+	sh := &s.shards[at]
+	return !sh.in && !sh.closed && sh.pending > 0 && sh.attempts < s.plan.Attempts
+}
+
+// Judge decides whether to answer. Until the goal every further part raises the worth of the answer, which grows with
+// the square of the coverage. After the goal an answer is worth a small fraction whatever its coverage, so that it
+// leaves as soon as the coverage suffices, and frees the upstreams.
+func (s *Search) Judge(now time.Time) Verdict {
+	enough := s.in > 0 && s.in >= s.plan.Least
+	switch {
+	case s.open == 0 && enough:
+		return Finish
+	case s.in+s.open < max(1, s.plan.Least):
+		return GiveUp
+	case !now.Before(s.plan.Goal) && enough:
+		return Finish
+	case !now.Before(s.plan.End):
+		return GiveUp
+	}
+	return Wait
+}
+
+// Wake returns when the search must be judged again at the latest.
+func (s *Search) Wake(now time.Time) time.Time {
+	wake := s.plan.End
+	if now.Before(s.plan.Goal) {
+		wake = s.plan.Goal
+	}
+	for i := range s.shards {
+		if !s.hedgeable(i) {
+			continue
+		}
+		if at := s.shards[i].sentAt.Add(s.plan.HedgeAfter); at.After(now) && at.Before(wake) {
+			wake = at
+		}
+	}
+	return wake
+}
--- a/internal/raftnode/admin.go
+++ b/internal/raftnode/admin.go
@@ -17,6 +17,16 @@
 // synced. AddMember returns when the change is committed; a member that belongs to the group already is no error. The
 // earlier identity of a wiped member must be removed first.
 func (n *Node) AddMember(ctx context.Context, name, address string) error {
+	return n.addMember(ctx, name, address, false)
+}
+
+// RejoinMember is AddMember for a group whose members all come from one formation. A former voter may then return with
+// its log: what it acknowledged as a voter is still there, and a conflicting tail is replaced like on any follower.
+func (n *Node) RejoinMember(ctx context.Context, name, address string) error {
+	return n.addMember(ctx, name, address, true)
+}
+
+func (n *Node) addMember(ctx context.Context, name, address string, formerVoter bool) error {
 	identity, isVoter, err := n.identify(ctx, name, address)
 	if err != nil {
 		return err
@@ -32,7 +42,7 @@
 					"%s is a member with identity %x; remove it first", name, member.ID)
 			}
 		}
-		if isVoter {
+		if isVoter && !formerVoter {
 			// Its log may contradict this group's log.
 			return raft.Position{}, true, fault.New(fault.Conflict, "raftnode.add",
 				"%s votes in another group; empty its data directory first", name)
--- a/internal/raftnode/store.go
+++ b/internal/raftnode/store.go
@@ -1,9 +1,13 @@
 package raftnode
 
 import (
+	"cmp"
 	"crypto/rand"
 	"encoding/binary"
 	"os"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/raft"
@@ -29,6 +33,52 @@
 	})
 }
 
+// Seed is a founding voter of a group.
+type Seed struct {
+	Name    string
+	Address string
+}
+
+// BootstrapGroup initialises an empty data directory as one of the founding voters of a group. Every founder derives
+// the same membership and the same identities from the same list, so that founders that start in any order, or apart
+// from each other, can only form one group: every election needs a majority of that list. The identities are bound to
+// this first start; a founder that loses its disk returns with a random identity and is no voter.
+func BootstrapGroup(config Config, seeds []Seed) error {
+	config = config.withDefaults()
+	if err := config.check(); err != nil {
+		return err
+	}
+	var group raft.Membership
+	var identity uint64
+	for _, seed := range seeds {
+		id := seedIdentity(seed)
+		if seed.Name == config.Name {
+			identity = id
+		}
+		group.Members = append(group.Members, raft.Member{ID: id, Name: seed.Name, Address: seed.Address, Voter: true})
+	}
+	if identity == 0 {
+		return fault.New(fault.Settings, "raftnode.bootstrap", "%s is not among the seeds", config.Name)
+	}
+	slices.SortFunc(group.Members, func(a, b raft.Member) int { return cmp.Compare(a.ID, b.ID) })
+	first := raft.Entry{Index: 1, Term: 1, Kind: raft.EntryMembership, Data: raft.EncodeMembership(group)}
+	return createLog(config, wal.Checkpoint{
+		Identity: identity,
+		State:    raft.HardState{Term: 1, Commit: 1},
+		Entries:  []raft.Entry{first},
+	})
+}
+
+// HasLog reports whether the data directory belongs to a member already.
+func HasLog(config Config) (bool, error) {
+	config = config.withDefaults()
+	return wal.Exists(config.FS, config.logPath())
+}
+
+func seedIdentity(seed Seed) uint64 {
+	return max(1, xxhash.Sum64String("seed|"+seed.Name+"|"+seed.Address))
+}
+
 // createLog creates the log of a data directory that has none.
 func createLog(config Config, checkpoint wal.Checkpoint) error {
 	exists, err := wal.Exists(config.FS, config.logPath())
--- /dev/null
+++ b/internal/router/follow.go
@@ -0,0 +1,122 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+)
+
+const (
+	// watchTimeout ends one round of tries, so that a lost control group is logged.
+	watchTimeout = 4 * time.Second
+	// sweepInterval is the time between two searches for idle connections that expire.
+	sweepInterval = time.Second
+)
+
+// Control is the control group as the router sees it.
+type Control interface {
+	Watch(ctx context.Context, args controlrpc.WatchArgs) (controlrpc.WatchReply, error)
+	SetAddresses(addresses []string)
+}
+
+// Follow keeps the view current until the context ends. While the control group does not answer, the router serves on
+// with the last view: a table of routes that was in force is better for callers than none, and upstreams that have left
+// refuse by themselves.
+func (r *Router) Follow(ctx context.Context) {
+	connected := true
+	for ctx.Err() == nil {
+		reply, err := r.watchOnce(ctx)
+		if err != nil {
+			if connected && ctx.Err() == nil {
+				r.log.Warn("control group lost", "revision", r.View().Revision, "code", fault.CodeOf(err), "error", err)
+				connected = false
+			}
+			continue
+		}
+		if !connected {
+			r.log.Info("control group regained", "revision", reply.Revision)
+			connected = true
+		}
+		r.control.SetAddresses(r.withSeeds(reply.Members))
+		r.adopt(reply)
+	}
+}
+
+func (r *Router) watchOnce(ctx context.Context) (controlrpc.WatchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	args := controlrpc.WatchArgs{Known: r.View().Revision, WaitMillis: controlrpc.MaxWatch.Milliseconds(), Watcher: r.config.ID}
+	return r.control.Watch(ctx, args)
+}
+
+// withSeeds keeps the addresses of the settings behind those of the members, in case all of those are replaced.
+func (r *Router) withSeeds(members []string) []string {
+	known := map[string]bool{}
+	for _, address := range members {
+		known[address] = true
+	}
+	for _, address := range r.config.Seeds {
+		if !known[address] {
+			members = append(members, address)
+		}
+	}
+	return members
+}
+
+func (r *Router) adopt(reply controlrpc.WatchReply) {
+	before := r.View()
+	if reply.Revision < before.Revision {
+		return
+	}
+	view, obsolete := r.builder.apply(reply, time.Now())
+	r.view.Store(view)
+	for _, pool := range obsolete {
+		pool.Close()
+	}
+	if view.watchers != before.watchers {
+		r.shareBudgets(view.watchers)
+	}
+	if reply.Revision == before.Revision {
+		return
+	}
+	r.forget(view)
+	version := uint64(0)
+	if view.Routes != nil {
+		version = view.Routes.Table.Version
+	}
+	r.log.Info("view adopted", "revision", view.Revision, "from", before.Revision, "routes_version", version,
+		"upstreams", view.Upstreams(), "changed", len(reply.Instances.Changed), "removed", len(reply.Instances.Removed))
+}
+
+// forget drops the observations of upstreams that are gone.
+func (r *Router) forget(view *View) {
+	known := map[string]bool{}
+	for _, members := range view.byService {
+		for _, member := range members {
+			known[member.instance.ID] = true
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.Retain(func(id string) bool { return known[id] })
+}
+
+// Sweep closes idle connections that expire, until the context ends.
+func (r *Router) Sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, members := range r.View().byService {
+				for _, member := range members {
+					member.pool.Sweep(now)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/forward.go
@@ -0,0 +1,145 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/route"
+	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
+)
+
+// forwardHedgeShare is the part of the objective after which an idempotent request is sent a second time.
+const forwardHedgeShare = 0.55
+
+// result is the end of one attempt to forward.
+type result struct {
+	answer *upstreamconn.Answer
+	err    error
+}
+
+// forwarding is one forwarded request in progress. One goroutine runs it.
+type forwarding struct {
+	router  *Router
+	view    *View
+	route   *route.Route
+	service string
+	request *Request
+	end     time.Time
+	results chan result
+	asked   []*upstream
+	pending int
+	// ran is set when an upstream may have run the request.
+	ran  bool
+	last *upstreamconn.Answer
+}
+
+// Forward sends the request to one upstream of the route and returns its answer. An idempotent request is sent again
+// after a failure or a long silence; any other only after an upstream stated that it did not run it, or if it was never
+// sent. A failure with code NotRun means that it ran nowhere.
+func (r *Router) Forward(ctx context.Context, view *View, rt *route.Route, request *Request) (*upstreamconn.Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	_, end, _ := r.times(rt, request)
+	f := &forwarding{
+		router: r, view: view, route: rt, service: r.pick(rt), request: request, end: end,
+		results: make(chan result, max(1, rt.Attempts)),
+	}
+	f.send(ctx, false)
+	return f.await(ctx)
+}
+
+// pick returns the service of a request. Among weighted services the one that is furthest behind its share is next, so
+// that even short spans of requests keep the shares.
+func (r *Router) pick(rt *route.Route) string {
+	if len(rt.Split) == 0 {
+		return rt.Service
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.stats(rt)
+	total := 0.0
+	best := ""
+	for _, share := range rt.Split {
+		s.split[share.Service] += share.Weight
+		total += share.Weight
+		if share.Weight > 0 && (best == "" || s.split[share.Service] > s.split[best]) {
+			best = share.Service
+		}
+	}
+	s.split[best] -= total
+	return best
+}
+
+func (f *forwarding) send(ctx context.Context, extra bool) bool {
+	if len(f.asked) >= max(1, f.route.Attempts) {
+		return false
+	}
+	a := f.router.choose(f.view, f.route, f.service, f.asked, extra)
+	if a == nil {
+		return false
+	}
+	f.asked = append(f.asked, a.upstream)
+	f.pending++
+	go func() {
+		answer, err := f.router.run(ctx, f.route, a, f.request, f.end)
+		f.results <- result{answer, err}
+	}()
+	return true
+}
+
+func (f *forwarding) await(ctx context.Context) (*upstreamconn.Answer, error) {
+	timer := time.NewTimer(f.hedgeDelay())
+	defer timer.Stop()
+	ending := time.NewTimer(time.Until(f.end))
+	defer ending.Stop()
+	for f.pending > 0 {
+		select {
+		case done := <-f.results:
+			f.pending--
+			if answer := f.take(ctx, done); answer != nil {
+				return answer, nil
+			}
+		case <-timer.C:
+			f.send(ctx, true)
+		case <-ending.C:
+			return nil, fault.New(fault.Incomplete, "router.forward", "no answer in time from %d upstreams", len(f.asked))
+		case <-ctx.Done():
+			return nil, fault.New(fault.Cancelled, "router.forward", "caller left: %w", ctx.Err())
+		}
+	}
+	return f.outcome()
+}
+
+func (f *forwarding) hedgeDelay() time.Duration {
+	if !f.route.Idempotent || f.route.Objective <= 0 {
+		return time.Until(f.end) + time.Hour
+	}
+	return time.Duration(forwardHedgeShare * float64(f.route.Objective))
+}
+
+// take returns the answer if it is final, and otherwise sends another attempt if that is allowed.
+func (f *forwarding) take(ctx context.Context, done result) *upstreamconn.Answer {
+	notRun := !arrived(done.answer, done.err) || (done.answer != nil && done.answer.NotRun)
+	f.ran = f.ran || !notRun
+	if done.answer != nil && !done.answer.NotRun {
+		if done.answer.Status < 500 {
+			return done.answer
+		}
+		f.last = done.answer
+	}
+	if f.pending == 0 && (notRun || f.route.Idempotent) && (!f.ran || f.route.Idempotent) {
+		f.send(ctx, arrived(done.answer, done.err))
+	}
+	return nil
+}
+
+func (f *forwarding) outcome() (*upstreamconn.Answer, error) {
+	switch {
+	case f.last != nil:
+		return f.last, nil
+	case !f.ran:
+		return nil, fault.New(fault.NotRun, "router.forward", "none of %d upstreams took the request", len(f.asked))
+	}
+	return nil, fault.New(fault.UpstreamFailed, "router.forward", "%d upstreams failed", len(f.asked))
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,269 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/budget"
+	"github.com/wisteriamux/wisteriamux/internal/replica"
+	"github.com/wisteriamux/wisteriamux/internal/route"
+	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
+)
+
+const (
+	// hedgeQuantile is the share of sub-requests that answer before a hedge. The budget allows about a quarter of extra
+	// requests; some of it is for retries.
+	hedgeQuantile = 0.9
+	minHedgeDelay = 4 * time.Millisecond
+	// maxHedgeShare is the part of the objective after which a hedge comes too late to help.
+	maxHedgeShare = 0.4
+	// defaultExpected is the answer time of a route without observations.
+	defaultExpected = 20 * time.Millisecond
+	// expectedShare is the weight of one observation in the decaying mean of a route's answer time.
+	expectedShare = 0.05
+	// silentAfter is the age at which an abandoned request shows that its connection may be silent for good. Upstreams
+	// pause for up to 200 ms.
+	silentAfter = 350 * time.Millisecond
+	// floorShare is the part of the retry floor that the VMs together save up, the rest being a reserve for VMs that
+	// come and go.
+	floorShare = 0.8
+)
+
+// Config holds the settings of a Router.
+type Config struct {
+	// ID names this process towards the control group.
+	ID            string
+	FailureDomain string
+	Seeds         []string
+	// ExtraShare is the part of a service's requests that may be sent in addition, and ExtraFloor the number of extra
+	// requests that all VMs together may send besides, in one budget window.
+	ExtraShare float64
+	ExtraFloor float64
+	// AnswerMargin is taken off the objective for the way back to the caller.
+	AnswerMargin time.Duration
+}
+
+// Router serves requests. It is safe for concurrent use.
+type Router struct {
+	config  Config
+	control Control
+	log     *slog.Logger
+	builder *viewBuilder
+	view    atomic.Pointer[View]
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	tracker *replica.Tracker
+	budgets map[string]*budget.Bucket
+	routes  map[string]*routeStats
+	counts  Counts
+}
+
+// Counts are totals since the start.
+type Counts struct {
+	Requests, Attempts, Hedges, Retries, NoBudget int64
+}
+
+// routeStats is what is observed of one route.
+type routeStats struct {
+	expected float64
+	slow     replica.Quantile
+	// longest is the greatest time limit that a caller of the route named. A smaller one tells that the caller has
+	// waited for an earlier attempt already.
+	longest time.Duration
+	// split holds the running totals of weighted services.
+	split map[string]float64
+}
+
+// New returns a router without a view. Follow and Sweep must run for it to serve.
+func New(config Config, control Control, codec upstreamconn.Codec, log *slog.Logger) *Router {
+	r := &Router{
+		config: config, control: control, log: log,
+		builder: &viewBuilder{domain: config.FailureDomain, codec: codec, upstreams: map[string]*upstream{}},
+		tracker: replica.New(rand.Uint64()), budgets: map[string]*budget.Bucket{}, routes: map[string]*routeStats{},
+	}
+	r.view.Store(&View{})
+	return r
+}
+
+// View returns the current view.
+func (r *Router) View() *View { return r.view.Load() }
+
+// Counts returns the totals.
+func (r *Router) Counts() Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counts
+}
+
+// Request is a caller's request.
+type Request struct {
+	upstreamconn.Request
+	// Received is when the request was complete, and Limit the time that the caller waits from then on.
+	Received time.Time
+	Limit    time.Duration
+}
+
+// stats requires mu.
+func (r *Router) stats(rt *route.Route) *routeStats {
+	s, ok := r.routes[rt.Name]
+	if !ok {
+		s = &routeStats{expected: float64(defaultExpected), slow: replica.Quantile{Share: hedgeQuantile}, split: map[string]float64{}}
+		r.routes[rt.Name] = s
+	}
+	return s
+}
+
+// burst is this VM's part of the extra requests that all VMs together may send beyond the share.
+func (r *Router) burst(watchers int) float64 {
+	return max(1, floorShare*r.config.ExtraFloor/float64(max(1, watchers)))
+}
+
+// shareBudgets bounds the saved tokens after the number of VMs has changed.
+func (r *Router) shareBudgets(watchers int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, b := range r.budgets {
+		b.Limit(r.burst(watchers))
+	}
+}
+
+// bucket requires mu.
+func (r *Router) bucket(service string) *budget.Bucket {
+	b, ok := r.budgets[service]
+	if !ok {
+		b = budget.NewBucket(r.config.ExtraShare, r.burst(r.View().watchers))
+		r.budgets[service] = b
+	}
+	return b
+}
+
+// times returns when the answer should leave, when it must, and how long to wait before a hedge.
+func (r *Router) times(rt *route.Route, request *Request) (goal, end time.Time, hedge time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.stats(rt)
+	s.longest = max(s.longest, min(request.Limit, rt.Timeout))
+	limit := min(request.Limit, rt.Timeout)
+	waited := s.longest - limit
+	end = request.Received.Add(limit - r.config.AnswerMargin)
+	goal = end
+	if rt.Objective > 0 && rt.Objective > waited+r.config.AnswerMargin {
+		goal = request.Received.Add(rt.Objective - waited - r.config.AnswerMargin)
+	}
+	if goal.After(end) {
+		goal = end
+	}
+	hedge = max(s.slow.Value(), minHedgeDelay)
+	if rt.Objective > 0 {
+		hedge = min(hedge, time.Duration(maxHedgeShare*float64(rt.Objective)))
+	}
+	return goal, end, hedge
+}
+
+// attempt is one request at one upstream.
+type attempt struct {
+	upstream *upstream
+	ticket   uint64
+	sent     time.Time
+	cancel   context.CancelFunc
+}
+
+// choose returns an upstream of the service that was not asked before, and records the attempt. An extra attempt needs
+// a token of the service's budget.
+func (r *Router) choose(view *View, rt *route.Route, service string, asked []*upstream, extra bool) *attempt {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	candidates := view.candidates[service]
+	at := r.tracker.Choose(now, candidates, func(id string) bool {
+		for _, u := range asked {
+			if u.instance.ID == id {
+				return true
+			}
+		}
+		return false
+	})
+	if at < 0 {
+		return nil
+	}
+	bucket := r.bucket(service)
+	switch {
+	case !extra:
+		bucket.Earn()
+	case !bucket.Take():
+		r.counts.NoBudget++
+		return nil
+	}
+	r.counts.Attempts++
+	chosen := view.byService[service][at]
+	expected := time.Duration(r.stats(rt).expected)
+	return &attempt{upstream: chosen, sent: now, ticket: r.tracker.Sent(now, chosen.instance.ID, expected)}
+}
+
+// run executes an attempt and records its result.
+func (r *Router) run(ctx context.Context, rt *route.Route, a *attempt, request *Request, end time.Time) (*upstreamconn.Answer, error) {
+	sub := request.Request
+	sub.Instance = a.upstream.instance.ID
+	sub.Remaining = request.Received.Add(min(request.Limit, rt.Timeout)).Sub(a.sent)
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	answer, err := a.upstream.pool.Do(ctx, &sub)
+	r.record(rt, a, answer, err, ctx.Err() != nil)
+	return answer, err
+}
+
+func (r *Router) record(rt *route.Route, a *attempt, answer *upstreamconn.Answer, err error, abandoned bool) {
+	now := time.Now()
+	result := resultOf(answer, err, abandoned)
+	took := now.Sub(a.sent)
+	r.mu.Lock()
+	r.tracker.Done(now, a.upstream.instance.ID, a.ticket, result)
+	s := r.stats(rt)
+	switch result {
+	case replica.Answered:
+		s.expected += (float64(took) - s.expected) * expectedShare
+		s.slow.Add(took)
+	case replica.Abandoned:
+		if took > s.slow.Value() {
+			s.slow.Add(took)
+		}
+	}
+	r.mu.Unlock()
+	if result == replica.Abandoned && took > silentAfter {
+		a.upstream.pool.Flush()
+	}
+	if result != replica.Answered && result != replica.Abandoned {
+		r.log.Debug("attempt failed", "upstream", a.upstream.instance.ID, "route", rt.Name, "took_ms", took.Milliseconds(), "error", err)
+	}
+}
+
+func resultOf(answer *upstreamconn.Answer, err error, abandoned bool) replica.Result {
+	var failed *upstreamconn.Failure
+	switch {
+	case err != nil && abandoned:
+		return replica.Abandoned
+	case errors.As(err, &failed) && failed.Unreachable:
+		return replica.Unreachable
+	case err != nil:
+		return replica.Failed
+	case answer.Misdirected:
+		return replica.Misdirected
+	case answer.NotRun:
+		return replica.Refused
+	case answer.Status >= 500:
+		return replica.Failed
+	}
+	return replica.Answered
+}
+
+// arrived reports whether an upstream may have seen the attempt, which then counts against the budget.
+func arrived(answer *upstreamconn.Answer, err error) bool {
+	var failed *upstreamconn.Failure
+	return answer != nil || !errors.As(err, &failed) || failed.Sent
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,7 +3,9 @@
 
 import (
 	"errors"
+	"net"
 	"os"
+	"strconv"
 
 	"github.com/BurntSushi/toml"
 
@@ -47,10 +49,70 @@
 	// SnapshotEntries is the number of log entries after which the log is compacted. The default is high because each
 	// snapshot encodes the whole table of bookings, which stops the log meanwhile.
 	SnapshotEntries uint64 `toml:"snapshot_entries" validate:"min=10,max=10000000"`
+	// Formation tells how the group gets its members: an operator adds them, or the group forms from the seeds.
+	Formation string `toml:"formation" validate:"oneof=operator seeds"`
+	// Seeds are addresses of control VMs. Only their hosts count: all members serve RPC on the same port.
+	Seeds []string `toml:"seeds" validate:"max=16,dive,ip_port"`
+	// FirstStart is set when the whole system starts for the first time, with empty disks. The seeds then found the group.
+	FirstStart bool `toml:"first_start"`
+	// DirectoryAddress is where upstreams and operators of routes are served over HTTP; empty serves none.
+	DirectoryAddress string `toml:"directory_address" validate:"omitempty,ip_port"`
+	// MetricsAddress is where metrics are served over HTTP; empty serves none.
+	MetricsAddress string `toml:"metrics_address" validate:"omitempty,ip_port"`
 	// FaultRulesFile names the rules of internal/netcut. It is set only in fault tests.
 	FaultRulesFile string `toml:"fault_rules_file"`
 }
 
+// Router holds the settings of wmux-router.
+type Router struct {
+	ID            string `toml:"id" validate:"required,max=64"`
+	FailureDomain string `toml:"failure_domain" validate:"required,max=64"`
+	CallerAddress string `toml:"caller_address" validate:"ip_port"`
+	// HealthAddress is where the balancer asks whether this VM takes callers.
+	HealthAddress string `toml:"health_address" validate:"ip_port"`
+	// MetricsAddress is where metrics are served over HTTP; empty serves none.
+	MetricsAddress string `toml:"metrics_address" validate:"omitempty,ip_port"`
+	// Seeds are addresses of control VMs. Only their hosts count: all members serve RPC on ControlPort.
+	Seeds       []string `toml:"seeds" validate:"min=1,max=16,dive,ip_port"`
+	ControlPort int      `toml:"control_port" validate:"min=1,max=65535"`
+	// ExtraShare is the part of a service's requests that all VMs together may send in addition as hedges and retries,
+	// and ExtraFloor the number that they may send besides in one budget window.
+	ExtraShare float64 `toml:"extra_share" validate:"min=0,max=1"`
+	ExtraFloor float64 `toml:"extra_floor" validate:"min=0,max=100000"`
+	// AnswerMarginMillis is how long before a caller's objective an answer leaves, in ms.
+	AnswerMarginMillis int `toml:"answer_margin_ms" validate:"min=0,max=1000"`
+	// LameDuckMillis is how long the health check fails before the listener closes, in ms.
+	LameDuckMillis int `toml:"lame_duck_ms" validate:"min=0,max=60000"`
+	// DrainMillis bounds the wait for requests in flight at a stop, in ms.
+	DrainMillis int `toml:"drain_ms" validate:"min=100,max=600000"`
+	// LogLevel is the least level of events that are logged.
+	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error"`
+}
+
+// ControlAddresses returns the RPC addresses of the seeds.
+func (r Router) ControlAddresses() []string { return withPort(r.Seeds, r.ControlPort) }
+
+// Peers returns the RPC addresses of the seeds. The port is that of this member.
+func (c Control) Peers() []string {
+	_, port, err := net.SplitHostPort(c.RPCAddress)
+	number, convErr := strconv.Atoi(port)
+	if err != nil || convErr != nil {
+		// Load refuses settings without a port.
+		return nil
+	}
+	return withPort(c.Seeds, number)
+}
+
+func withPort(addresses []string, port int) []string {
+	var out []string
+	for _, address := range addresses {
+		if host, _, err := net.SplitHostPort(address); err == nil {
+			out = append(out, net.JoinHostPort(host, strconv.Itoa(port)))
+		}
+	}
+	return out
+}
+
 // Operator holds the inventory and the rules that an operator applies.
 type Operator struct {
 	model.Inventory
@@ -73,7 +135,14 @@
 
 // LoadControl reads the settings of wmux-control.
 func LoadControl(path string) (Control, error) {
-	loaded := Control{SnapshotEntries: 10_000}
+	loaded := Control{SnapshotEntries: 10_000, Formation: "operator"}
+	err := load(path, &loaded)
+	return loaded, err
+}
+
+// LoadRouter reads the settings of wmux-router.
+func LoadRouter(path string) (Router, error) {
+	loaded := Router{ExtraShare: 0.1, ExtraFloor: 10, AnswerMarginMillis: 10, LameDuckMillis: 2_300, DrainMillis: 3_000, LogLevel: "info"}
 	err := load(path, &loaded)
 	return loaded, err
 }
