Let clients of the control group learn its members from any member

SIGHUP ended the routers with code 129. Ruled out: the control group, which had a leader 0.3 s after the restart. A member that does not lead now names the members, the leader first; SIGHUP reloads the seeds.

--- a/cmd/wmux-router/main.go
+++ b/cmd/wmux-router/main.go
@@ -21,7 +21,7 @@
 			if err != nil {
 				return err
 			}
-			return run(cmd.Context(), loaded)
+			return run(cmd.Context(), *path, loaded)
 		},
 	}, &cobra.Command{
 		Use: "check", Short: "Check the settings file without starting", Example: "  wmux-router check --settings router.toml",
--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wisteriamux/wisteriamux/internal/cli"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/router"
@@ -27,7 +28,7 @@
 	extraReserve = 0.95
 )
 
-func run(ctx context.Context, loaded settings.Router) error {
+func run(ctx context.Context, path string, loaded settings.Router) error {
 	log := telemetry.NewLeveledLogger(os.Stderr, "wmux-router", loaded.ID, loaded.LogLevel)
 	callers, err := listen(loaded.CallerAddress)
 	if err != nil {
@@ -50,6 +51,7 @@
 	go r.Follow(following)
 	go r.Sweep(following)
 
+	cli.OnReload(func() { reload(path, r, log) })
 	var stopping atomic.Bool
 	ready := func() bool { return !stopping.Load() && r.View().Ready() }
 	serve(health, platform.NewReadyHandler(ready), log)
@@ -69,6 +71,17 @@
 	return nil
 }
 
+// reload adopts the seeds of a changed settings file. Everything else takes effect at the next start.
+func reload(path string, r *router.Router, log *slog.Logger) {
+	loaded, err := settings.LoadRouter(path)
+	if err != nil {
+		log.Warn("changed settings refused", "code", fault.CodeOf(err), "error", err)
+		return
+	}
+	r.SetSeeds(loaded.ControlAddresses())
+	log.Info("settings reloaded", "seeds", len(loaded.Seeds))
+}
+
 func listen(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -8,6 +8,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/formation"
+	"github.com/wisteriamux/wisteriamux/internal/raftnode"
 	"github.com/wisteriamux/wisteriamux/internal/registry"
 )
 
@@ -27,7 +28,21 @@
 	return nil
 }
 
+// memberAddresses lists the members of the group, the leader first.
+func (s *Service) memberAddresses() []string {
+	var addresses []string
+	for _, member := range s.group.Members() {
+		if member.Role == string(raftnode.RoleLeader) {
+			addresses = append([]string{member.Address}, addresses...)
+			continue
+		}
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
+
 func (s *Service) watch(args controlrpc.WatchArgs, reply *controlrpc.WatchReply) error {
+	reply.Members = s.memberAddresses()
 	if err := s.leads(); err != nil {
 		return err
 	}
@@ -41,9 +56,7 @@
 		return err
 	}
 	s.machine.delta(args.Known, reply)
-	for _, member := range s.group.Members() {
-		reply.Members = append(reply.Members, member.Address)
-	}
+	reply.Members = s.memberAddresses()
 	reply.Watchers = s.watchers.count(watcherWindow, s.now())
 	return nil
 }
@@ -186,6 +199,7 @@
 
 // Admit adds a member to a group that forms itself, and removes the member that it replaces.
 func (s *Service) Admit(args controlrpc.AdmitArgs, reply *controlrpc.Ack) error {
+	reply.Members = s.memberAddresses()
 	reply.Fault = fault.ToWire(s.changeGroup(func(ctx context.Context) error { return s.admit(ctx, args) }))
 	return nil
 }
--- a/internal/controlrpc/client.go
+++ b/internal/controlrpc/client.go
@@ -160,6 +160,9 @@
 			return *answer, err
 		}
 		c.advance(address)
+		if hint, ok := any(*answer).(referral); ok && fault.Is(err, fault.NotLeader) {
+			c.learn(hint.members())
+		}
 		if pauseErr := pause(ctx, attempt/len(c.Addresses())); pauseErr != nil {
 			var none R
 			return none, fault.New(fault.Unavailable, "control."+method, "no control leader answered: %w", err)
--- a/internal/controlrpc/routes.go
+++ b/internal/controlrpc/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
@@ -28,7 +29,8 @@
 	// Table is set when the table of routes came into force after Known.
 	Table     *route.Table
 	Instances registry.Delta
-	// Members are the addresses of the control members.
+	// Members are the addresses of the control members, the leader first. A member that does not lead fills them in too,
+	// so that a client that knows a few members finds the others.
 	Members []string
 	// Watchers is the number of processes that watched lately.
 	Watchers int
@@ -78,6 +80,8 @@
 // Ack acknowledges a call without a result.
 type Ack struct {
 	Fault *fault.Wire
+	// Members are those of WatchReply, in the answer to Admit.
+	Members []string
 }
 
 func (r WatchReply) failure() *fault.Wire      { return r.Fault }
@@ -85,6 +89,14 @@
 func (r ReadRoutesReply) failure() *fault.Wire { return r.Fault }
 func (r Ack) failure() *fault.Wire             { return r.Fault }
 
+// referral is implemented by replies that name the members of the group.
+type referral interface {
+	members() []string
+}
+
+func (r WatchReply) members() []string { return r.Members }
+func (r Ack) members() []string        { return r.Members }
+
 // Watch returns what changed after a revision.
 func (c *Client) Watch(ctx context.Context, args WatchArgs) (WatchReply, error) {
 	return call[WatchReply](ctx, c, "Watch", args)
@@ -136,6 +148,20 @@
 	}
 }
 
+// learn adds the members that a referral names, and tries its first one next.
+func (c *Client) learn(members []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, address := range members {
+		if !slices.Contains(c.addresses, address) {
+			c.addresses = append(c.addresses, address)
+		}
+	}
+	if len(members) > 0 {
+		c.preferred = slices.Index(c.addresses, members[0])
+	}
+}
+
 // Addresses returns the addresses that the client tries.
 func (c *Client) Addresses() []string {
 	c.mu.Lock()
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -57,7 +57,7 @@
 	for _, address := range members {
 		known[address] = true
 	}
-	for _, address := range r.config.Seeds {
+	for _, address := range *r.seeds.Load() {
 		if !known[address] {
 			members = append(members, address)
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,6 +56,8 @@
 	builder *viewBuilder
 	view    atomic.Pointer[View]
 
+	seeds atomic.Pointer[[]string]
+
 	// mu guards the fields below.
 	mu      sync.Mutex
 	tracker *replica.Tracker
@@ -88,12 +90,16 @@
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*budget.Bucket{}, routes: map[string]*routeStats{},
 	}
 	r.view.Store(&View{})
+	r.seeds.Store(&config.Seeds)
 	return r
 }
 
 // View returns the current view.
 func (r *Router) View() *View { return r.view.Load() }
 
+// SetSeeds replaces the addresses at which the control group is looked for when its known members are gone.
+func (r *Router) SetSeeds(seeds []string) { r.seeds.Store(&seeds) }
+
 // Counts returns the totals.
 func (r *Router) Counts() Counts {
 	r.mu.Lock()
@@ -171,7 +177,6 @@
 	upstream *upstream
 	ticket   uint64
 	sent     time.Time
-	cancel   context.CancelFunc
 }
 
 // choose returns an upstream of the service that was not asked before, and records the attempt. An extra attempt needs
