Serve provisional views after a restart of all VMs

Cause: after a loss of power everywhere, entry VMs waited for an elected leader (0.3 to 1 s after the restart). Ruled out: the start of the processes (20 to 350 ms). In that time a VM counts as out of touch, and later views replace it.

--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -56,7 +56,8 @@
 	ready := func() bool { return !stopping.Load() && r.View().Ready() }
 	serve(health, platform.NewReadyHandler(ready), log)
 	server := serve(callers, platform.NewFrontHandler(r, stopping.Load, log), log)
-	log.Info("started", "caller_address", loaded.CallerAddress, "health_address", loaded.HealthAddress)
+	log.Info("started", "caller_address", loaded.CallerAddress, "health_address", loaded.HealthAddress,
+		"extra_share", loaded.ExtraShare, "extra_floor", loaded.ExtraFloor, "answer_margin_ms", loaded.AnswerMarginMillis)
 	<-ctx.Done()
 	stopping.Store(true)
 	log.Info("stopping", "lame_duck_ms", loaded.LameDuckMillis, "drain_ms", loaded.DrainMillis)
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -44,7 +44,7 @@
 func (s *Service) watch(args controlrpc.WatchArgs, reply *controlrpc.WatchReply) error {
 	reply.Members = s.memberAddresses()
 	if err := s.leads(); err != nil {
-		return err
+		return s.provisional(args, reply, err)
 	}
 	s.watchers.hear(args.Watcher, s.now())
 	s.awaitChange(args)
@@ -61,6 +61,18 @@
 	return nil
 }
 
+// provisional answers a process that knows nothing from the committed state of this member, so that entry VMs serve
+// again before a leader is elected when all VMs have restarted at once. The state may lag behind what a quorum holds;
+// the process watches on and gets the rest from the leader.
+func (s *Service) provisional(args controlrpc.WatchArgs, reply *controlrpc.WatchReply, notLeader error) error {
+	if args.Known != 0 || s.machine.routes().Table.Version == 0 {
+		return notLeader
+	}
+	s.machine.delta(args.Known, reply)
+	reply.Provisional = true
+	return nil
+}
+
 func (s *Service) awaitChange(args controlrpc.WatchArgs) {
 	changed := s.machine.Changed()
 	if s.machine.Revision() != args.Known {
--- a/internal/controlrpc/routes.go
+++ b/internal/controlrpc/routes.go
@@ -32,6 +32,8 @@
 	// Members are the addresses of the control members, the leader first. A member that does not lead fills them in too,
 	// so that a client that knows a few members finds the others.
 	Members []string
+	// Provisional is set if the answer comes from a member that does not lead, and no quorum confirmed it.
+	Provisional bool
 	// Watchers is the number of processes that watched lately.
 	Watchers int
 }
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -87,7 +87,7 @@
 		version = view.Routes.Table.Version
 	}
 	r.log.Info("view adopted", "revision", view.Revision, "from", before.Revision, "routes_version", version,
-		"upstreams", view.Upstreams(), "changed", len(reply.Instances.Changed), "removed", len(reply.Instances.Removed))
+		"upstreams", view.Upstreams(), "provisional", reply.Provisional, "changed", len(reply.Instances.Changed), "removed", len(reply.Instances.Removed))
 }
 
 // forget drops the observations of upstreams that are gone.
