Weigh refusals and crowded connections in the choice of replicas

Cause: an upstream that sheds part of its requests was avoided for 60 ms only, and a VM used more connections than its part. Dialling a seed without power held a restarted router for 500 ms. Ruled out: the retry budget (0.2 of the requests).

--- a/internal/controlrpc/client.go
+++ b/internal/controlrpc/client.go
@@ -13,7 +13,9 @@
 )
 
 const (
-	dialTimeout = 500 * time.Millisecond
+	// dialTimeout is ten times the round trip between regions. A VM without power does not answer, and all members are
+	// tried in turn.
+	dialTimeout = 200 * time.Millisecond
 	retryPause  = 50 * time.Millisecond
 	// attemptTimeout bounds the wait for one member. A frozen or silently isolated leader keeps its connections open,
 	// so only the time tells the client to try the next member.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -47,6 +47,12 @@
 	errorPenalty   = 20.0
 	backoffPenalty = 100.0
 	errorShare     = 0.25
+	// refusalPenalty is the cost of an upstream that refuses every request: a refusal takes a round trip and a token of
+	// the retry budget.
+	refusalPenalty = 4.0
+	// crowdedPenalty orders an upstream at which this VM has as many requests as its part of the connections behind
+	// others that do not stand still.
+	crowdedPenalty = 6.0
 	errorMemory    = 4 * time.Second
 	// coldPenalty is the extra answer time of an upstream that says it is cold.
 	coldPenalty = 0.6
@@ -64,6 +70,8 @@
 	Slots int
 	// Local is set if the upstream is in the failure domain of this VM.
 	Local bool
+	// MaxInFlight is how many requests this VM may have there at once, 0 for any number.
+	MaxInFlight int
 	// ColdUntil is when the upstream said that it becomes warm.
 	ColdUntil time.Time
 }
@@ -78,6 +86,8 @@
 	observed  time.Time
 	errors    float64
 	failedAt  time.Time
+	refusals  float64
+	refusedAt time.Time
 	backoff   time.Duration
 	downUntil time.Time
 	inFlight  map[uint64]flight
@@ -139,6 +149,7 @@
 		s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
 		s.downUntil = now.Add(s.backoff)
 	case Refused:
+		s.noteRefusal(now, 1)
 		s.downUntil = now.Add(refusedBackoff)
 	case Misdirected:
 		s.downUntil = now.Add(misdirectedBackoff)
@@ -147,7 +158,18 @@
 	}
 }
 
+// noteRefusal records whether the upstream took a request, 1 for a refusal.
+func (s *stats) noteRefusal(now time.Time, refused float64) {
+	s.refusals = s.refusalRate(now)*(1-errorShare) + refused*errorShare
+	s.refusedAt = now
+}
+
+func (s *stats) refusalRate(now time.Time) float64 {
+	return s.refusals * math.Exp(-float64(now.Sub(s.refusedAt))/float64(errorMemory))
+}
+
 func (s *stats) observe(now time.Time, f flight, success float64) {
+	s.noteRefusal(now, 0)
 	s.errors = s.errorRate(now)*(1-errorShare) + (1-success)*errorShare
 	s.failedAt = now
 	if success > 0 {
@@ -195,7 +217,10 @@
 	s := t.stats(c.ID)
 	slots := math.Max(1, float64(c.Slots))
 	waiting := math.Max(0, float64(len(s.inFlight))+1-slots) / slots
-	cost := s.relativeTime(now)*(1+waiting) + errorPenalty*s.errorRate(now)
+	cost := s.relativeTime(now)*(1+waiting) + errorPenalty*s.errorRate(now) + refusalPenalty*s.refusalRate(now)
+	if c.MaxInFlight > 0 && len(s.inFlight) >= c.MaxInFlight {
+		cost += crowdedPenalty
+	}
 	if !c.Local {
 		cost += crossDomainPenalty
 	}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -46,6 +46,10 @@
 // control group counts anew, and too small a number would let each VM spend more than its part of the shared budget.
 const watchersMemory = 15 * time.Second
 
+// connectionShare is the part of an upstream's connections that the entry VMs use; the rest is for connections that are
+// being closed and for VMs that come.
+const connectionShare = 0.9
+
 // viewBuilder keeps the upstreams between two views. The follower alone uses it.
 type viewBuilder struct {
 	domain    string
@@ -92,6 +96,18 @@
 	return b.build(reply), obsolete
 }
 
+// connections is this VM's part of the connections that an upstream of the service accepts.
+func (b *viewBuilder) connections(service string) int {
+	if b.routes == nil {
+		return 0
+	}
+	known, ok := b.routes.Service(service)
+	if !ok || known.MaxConnections <= 0 {
+		return 0
+	}
+	return max(1, int(connectionShare*float64(known.MaxConnections))/b.watchers)
+}
+
 func (b *viewBuilder) put(instance registry.Instance, now time.Time) (obsolete []*upstreamconn.Pool) {
 	known, ok := b.upstreams[instance.ID]
 	next := &upstream{instance: instance, candidate: replica.Candidate{
@@ -122,6 +138,7 @@
 			continue
 		}
 		service := u.instance.Service
+		u.candidate.MaxInFlight = b.connections(service)
 		view.byService[service] = append(view.byService[service], u)
 		view.candidates[service] = append(view.candidates[service], u.candidate)
 	}
