Avoid an upstream that leaves requests unanswered for longer each time

Cause: a dark upstream was remembered only while a request waited there, so that it was chosen again and used up the hedge budget. Ruled out: dialling, which takes at most 400 ms.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -62,6 +62,10 @@
 	minBackoff         = 150 * time.Millisecond
 	maxBackoff         = 2 * time.Second
 	misdirectedBackoff = 2 * time.Second
+	// minSilence and maxSilence bound how long an upstream counts as standing still after a request to it was given up
+	// without an answer; the time doubles with each such request in a row. Pauses last up to 200 ms, losses seconds.
+	minSilence = 80 * time.Millisecond
+	maxSilence = time.Second
 )
 
 // Candidate is an upstream that may serve a request.
@@ -90,7 +94,10 @@
 	refusedAt time.Time
 	backoff   time.Duration
 	downUntil time.Time
-	inFlight  map[uint64]flight
+	silence   time.Duration
+	// silentUntil is until when the upstream counts as standing still.
+	silentUntil time.Time
+	inFlight    map[uint64]flight
 }
 
 // Tracker holds the observations of one VM. It is not safe for concurrent use.
@@ -141,8 +148,8 @@
 	switch result {
 	case Answered:
 		s.observe(now, f, 1)
-		s.backoff = 0
-		s.downUntil = time.Time{}
+		s.backoff, s.silence = 0, 0
+		s.downUntil, s.silentUntil = time.Time{}, time.Time{}
 	case Failed:
 		s.observe(now, f, 0)
 	case Unreachable:
@@ -179,9 +186,20 @@
 
 // abandon learns from a request that was given up only if it had taken longer than expected.
 func (s *stats) abandon(now time.Time, f flight) {
-	if age := now.Sub(f.sent); age > f.expected {
+	age := now.Sub(f.sent)
+	if age > f.expected {
 		s.learn(now, age, f.expected)
 	}
+	if f.overdue(now) {
+		s.silence = min(max(2*s.silence, minSilence), maxSilence)
+		s.silentUntil = now.Add(s.silence)
+	}
+}
+
+// overdue reports whether a request takes so long that its upstream probably stands still.
+func (f flight) overdue(now time.Time) bool {
+	age := now.Sub(f.sent)
+	return age > stuckFloor && float64(age) > stuckFactor*float64(f.expected)
 }
 
 func (s *stats) learn(now time.Time, took, expected time.Duration) {
@@ -204,8 +222,11 @@
 }
 
 func (s *stats) stuck(now time.Time) bool {
+	if now.Before(s.silentUntil) {
+		return true
+	}
 	for _, f := range s.inFlight {
-		if age := now.Sub(f.sent); age > stuckFloor && float64(age) > stuckFactor*float64(f.expected) {
+		if f.overdue(now) {
 			return true
 		}
 	}
