Find the usual time limit of callers by majority

Cause: one caller with a longer limit, such as a test of the configuration, made every later first attempt look like a second one. The objective then seemed to have passed, and searches waited for all shards until their end: p50 of lot searches was 250 ms at the peak, each with one shard missing.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -68,16 +68,14 @@
 
 // Counts are totals since the start.
 type Counts struct {
-	Requests, Attempts, Hedges, Retries, NoBudget int64
+	Attempts, Hedges, Retries, NoBudget int64
 }
 
 // routeStats is what is observed of one route.
 type routeStats struct {
 	expected float64
 	slow     replica.Quantile
-	// longest is the greatest time limit that a caller of the route named. A smaller one tells that the caller has
-	// waited for an earlier attempt already.
-	longest time.Duration
+	usual    usualLimit
 	// split holds the running totals of weighted services.
 	split map[string]float64
 }
@@ -154,9 +152,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.stats(rt)
-	s.longest = max(s.longest, min(request.Limit, rt.Timeout))
 	limit := min(request.Limit, rt.Timeout)
-	waited := s.longest - limit
+	s.usual.observe(request.Limit)
+	waited := s.usual.waited(request.Limit)
 	end = request.Received.Add(limit - r.config.AnswerMargin)
 	goal = end
 	if rt.Objective > 0 && rt.Objective > waited+r.config.AnswerMargin {
