--- a/cmd/wmux-control/run.go
+++ b/cmd/wmux-control/run.go
@@ -23,11 +23,14 @@
 
 const (
 	dialTimeout = 500 * time.Millisecond
+	// storageRetry is the time between two tries to open a data directory whose disk has failed.
+	storageRetry = 500 * time.Millisecond
 	// transferTimeout bounds a planned stop when no other voter can take over.
 	transferTimeout = 3 * time.Second
 )
 
-// run serves until the context ends or the node stops by itself, for example after a disk failure.
+// run serves until the context ends. After a failure of the disk the member stops and opens its data directory again
+// until that works: what it acknowledged is on the disk, and a full disk may have space again at any moment.
 func run(cmd *cobra.Command, loaded settings.Control) error {
 	ctx := cmd.Context()
 	log := telemetry.NewLogger(os.Stderr, "wmux-control", loaded.ID)
@@ -40,6 +43,28 @@
 	if err != nil {
 		return err
 	}
+	opened := false
+	for {
+		err := runMember(ctx, loaded, rules, transport, log, func() { opened = true })
+		if ctx.Err() != nil || !opened || !fault.Is(err, fault.StorageFailed) {
+			return err
+		}
+		log.Warn("disk failed, member opens again", "after_ms", storageRetry.Milliseconds(), "code", fault.CodeOf(err), "error", err)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(storageRetry):
+		}
+	}
+}
+
+// runMember runs the member until the context ends or the node stops by itself. It calls opened once the data directory
+// is open.
+func runMember(ctx context.Context, loaded settings.Control, rules *netcut.Rules, transport *security.Transport,
+	log *slog.Logger, opened func(),
+) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	listener, err := net.Listen("tcp", loaded.RPCAddress)
 	if err != nil {
 		return fault.New(fault.Unavailable, "control.listen", "%w", err)
@@ -53,6 +78,7 @@
 	if err != nil {
 		return err
 	}
+	opened()
 	group := control.NewRaftGroup(node)
 	if loaded.Formation == formationSeeds {
 		group = group.Formed()
@@ -60,6 +86,7 @@
 	service := control.NewService(loaded.ID, machine, node, time.Now).WithGroup(group).WithLog(log)
 	secured := transport.Listener(rules.Listener(listener), security.RoleControl, security.RoleEntry, security.RoleOperator)
 	peers := &endpoint{service: service, raft: node.Service(), log: log}
+	defer peers.close()
 	go peers.accept(secured)
 	go service.Run(ctx)
 	client := controlrpc.NewClient(clientAddresses(loaded), transport.Dialer(rules.Dialer(dialFrom(loaded, rules != nil)), security.RoleControl))
@@ -69,6 +96,7 @@
 		go joiner.Run(ctx)
 	}
 	if err := serveDirectory(ctx, loaded, machine, client, log); err != nil {
+		_ = node.Close()
 		return err
 	}
 	log.Info("started", "rpc_address", loaded.RPCAddress, "identity", fmt.Sprintf("%016x", node.Status().ID))
--- a/cmd/wmux-control/serve.go
+++ b/cmd/wmux-control/serve.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/rpc"
+	"sync"
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/control"
@@ -22,6 +23,40 @@
 	service *control.Service
 	raft    any
 	log     *slog.Logger
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	conns  map[net.Conn]bool
+	closed bool
+}
+
+// track remembers an open connection; it reports false once the endpoint is closed.
+func (e *endpoint) track(conn net.Conn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.conns == nil {
+		e.conns = map[net.Conn]bool{}
+	}
+	if !e.closed {
+		e.conns[conn] = true
+	}
+	return !e.closed
+}
+
+func (e *endpoint) forget(conn net.Conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.conns, conn)
+}
+
+// close ends every connection, so that peers do not keep talking to a member that has stopped.
+func (e *endpoint) close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closed = true
+	for conn := range e.conns {
+		_ = conn.Close()
+	}
 }
 
 func (e *endpoint) accept(listener net.Listener) {
@@ -35,6 +70,11 @@
 }
 
 func (e *endpoint) serve(conn net.Conn) {
+	if !e.track(conn) {
+		_ = conn.Close()
+		return
+	}
+	defer e.forget(conn)
 	server, err := e.serverFor(conn)
 	if err != nil {
 		e.log.Warn("connection refused", "remote", conn.RemoteAddr(), "code", fault.CodeOf(err), "error", err)
--- /dev/null
+++ b/internal/upstreamconn/upstreamconn_test.go
@@ -0,0 +1,237 @@
+package upstreamconn_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
+)
+
+func TestUpstreamconn(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Upstreamconn")
+}
+
+// codec is a minimal protocol: the request is named by the header Id.
+type codec struct{}
+
+func (codec) AppendHead(b []byte, r *upstreamconn.Request) []byte {
+	return fmt.Appendf(b, "%s %s HTTP/1.1\r\nHost: x\r\nId: %s\r\nContent-Length: %d\r\n", r.Method, r.Target, r.ID, len(r.Body))
+}
+
+func (codec) Inspect(a *upstreamconn.Answer) {
+	a.RequestID = a.Header.Get("Id")
+	if a.Header.Get("Keep") != "" {
+		a.KeepFor = time.Second
+	}
+}
+
+// upstream answers each request with what handle writes for it. It counts connections.
+type upstream struct {
+	address string
+	conns   atomic.Int64
+}
+
+func serve(handle func(conn net.Conn, request *http.Request)) *upstream {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	u := &upstream{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			u.conns.Add(1)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					handle(conn, request)
+				}
+			}()
+		}
+	}()
+	return u
+}
+
+func answer(conn net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func get(pool *upstreamconn.Pool, id string) (*upstreamconn.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	return pool.Do(ctx, &upstreamconn.Request{ID: id, Method: http.MethodGet, Target: "/"})
+}
+
+var _ = Describe("a pool", func() {
+	It("uses a connection again", func() {
+		u := serve(func(conn net.Conn, r *http.Request) { answer(conn, r.Header.Get("Id"), "x") })
+		pool := upstreamconn.NewPool(u.address, codec{})
+		for i := range 5 {
+			got, err := get(pool, fmt.Sprint(i))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(got.Body).To(BeEquivalentTo("x"))
+		}
+		Expect(u.conns.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("skips a late answer to an earlier request and never uses that connection again", func() {
+		u := serve(func(conn net.Conn, r *http.Request) {
+			answer(conn, "earlier", "wrong")
+			answer(conn, r.Header.Get("Id"), "right")
+		})
+		pool := upstreamconn.NewPool(u.address, codec{})
+		got, err := get(pool, "1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.Body).To(BeEquivalentTo("right"))
+		Expect(pool.Idle()).To(BeZero())
+	})
+
+	It("does not take a second answer for the answer to the next request", func() {
+		u := serve(func(conn net.Conn, r *http.Request) {
+			answer(conn, r.Header.Get("Id"), "right")
+			time.Sleep(20 * time.Millisecond)
+			answer(conn, r.Header.Get("Id"), "again")
+		})
+		pool := upstreamconn.NewPool(u.address, codec{})
+		_, err := get(pool, "1")
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(60 * time.Millisecond)
+		got, err := get(pool, "2")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.RequestID).To(Equal("2"))
+		Expect(u.conns.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("does not use a connection that the upstream has closed, so that nothing is sent that may be lost", func() {
+		u := serve(func(conn net.Conn, r *http.Request) {
+			answer(conn, r.Header.Get("Id"), "x")
+			_ = conn.Close()
+		})
+		pool := upstreamconn.NewPool(u.address, codec{})
+		for i := range 3 {
+			_, err := get(pool, fmt.Sprint(i))
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(30 * time.Millisecond)
+		}
+	})
+
+	It("takes an answer without a length whole when the connection closes, and not when it breaks", func() {
+		broken := false
+		u := serve(func(conn net.Conn, r *http.Request) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\n\r\npart")
+			if broken {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				time.Sleep(20 * time.Millisecond)
+			}
+			_ = conn.Close()
+		})
+		pool := upstreamconn.NewPool(u.address, codec{})
+		got, err := get(pool, "1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.Body).To(BeEquivalentTo("part"))
+		broken = true
+		_, err = get(pool, "2")
+		var failed *upstreamconn.Failure
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.Sent).To(BeTrue())
+	})
+
+	It("refuses an answer that is shorter than its length", func() {
+		u := serve(func(conn net.Conn, r *http.Request) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort")
+			_ = conn.Close()
+		})
+		_, err := get(upstreamconn.NewPool(u.address, codec{}), "1")
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("refuses bytes that are no answer", func() {
+		u := serve(func(conn net.Conn, _ *http.Request) { _, _ = io.WriteString(conn, "garbage\r\n\r\n") })
+		_, err := get(upstreamconn.NewPool(u.address, codec{}), "1")
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("closes a connection on which the rest of a body is due", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReaderSize(conn, 16))
+			answer(conn, "1", "early")
+			// The connection stays open, and the body is not read.
+			time.Sleep(time.Second)
+			_ = conn.Close()
+		}()
+		pool := upstreamconn.NewPool(listener.Addr().String(), codec{})
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		request := &upstreamconn.Request{ID: "1", Method: http.MethodPost, Target: "/", Body: []byte(strings.Repeat("x", 32<<20))}
+		got, err := pool.Do(ctx, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.Body).To(BeEquivalentTo("early"))
+		Expect(pool.Idle()).To(BeZero())
+	})
+
+	It("tells an unreachable upstream from one that may have received the request", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(listener.Close()).To(Succeed())
+		_, err = get(upstreamconn.NewPool(listener.Addr().String(), codec{}), "1")
+		var failed *upstreamconn.Failure
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.Unreachable).To(BeTrue())
+		Expect(failed.Sent).To(BeFalse())
+	})
+
+	It("ends a request with its context and closes the connection, so that the upstream stops", func() {
+		closed := make(chan struct{})
+		u := serve(func(conn net.Conn, _ *http.Request) {
+			_, _ = conn.Read(make([]byte, 1))
+			close(closed)
+		})
+		pool := upstreamconn.NewPool(u.address, codec{})
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err := pool.Do(ctx, &upstreamconn.Request{ID: "1", Method: http.MethodGet, Target: "/"})
+		Expect(err).To(HaveOccurred())
+		Eventually(closed).Should(BeClosed())
+		Expect(pool.Idle()).To(BeZero())
+	})
+
+	It("closes idle connections in time", func() {
+		u := serve(func(conn net.Conn, r *http.Request) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nKeep: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+		})
+		pool := upstreamconn.NewPool(u.address, codec{})
+		_, err := get(pool, "1")
+		Expect(err).NotTo(HaveOccurred())
+		pool.Sweep(time.Now())
+		Expect(pool.Idle()).To(Equal(1))
+		pool.Sweep(time.Now().Add(600 * time.Millisecond))
+		Expect(pool.Idle()).To(BeZero(), "half a second before the upstream closes it")
+	})
+})
