--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -28,21 +28,19 @@
 	return nil
 }
 
-// memberAddresses lists the members of the group, the leader first.
-func (s *Service) memberAddresses() []string {
-	var addresses []string
+// refer lists the members of the group, and the leader if this member knows one.
+func (s *Service) refer() (members []string, leader string) {
 	for _, member := range s.group.Members() {
+		members = append(members, member.Address)
 		if member.Role == string(raftnode.RoleLeader) {
-			addresses = append([]string{member.Address}, addresses...)
-			continue
+			leader = member.Address
 		}
-		addresses = append(addresses, member.Address)
 	}
-	return addresses
+	return members, leader
 }
 
 func (s *Service) watch(args controlrpc.WatchArgs, reply *controlrpc.WatchReply) error {
-	reply.Members = s.memberAddresses()
+	reply.Members, reply.Leader = s.refer()
 	if err := s.leads(); err != nil {
 		return s.provisional(args, reply, err)
 	}
@@ -56,7 +54,7 @@
 		return err
 	}
 	s.machine.delta(args.Known, reply)
-	reply.Members = s.memberAddresses()
+	reply.Members, reply.Leader = s.refer()
 	reply.Watchers = s.watchers.count(watcherWindow, s.now())
 	return nil
 }
@@ -211,7 +209,7 @@
 
 // Admit adds a member to a group that forms itself, and removes the member that it replaces.
 func (s *Service) Admit(args controlrpc.AdmitArgs, reply *controlrpc.Ack) error {
-	reply.Members = s.memberAddresses()
+	reply.Members, reply.Leader = s.refer()
 	reply.Fault = fault.ToWire(s.changeGroup(func(ctx context.Context) error { return s.admit(ctx, args) }))
 	return nil
 }
--- a/internal/controlrpc/client.go
+++ b/internal/controlrpc/client.go
@@ -151,6 +151,7 @@
 }
 
 func callWithin[R reply](ctx context.Context, c *Client, limit time.Duration, method string, args any) (R, error) {
+	followed := map[string]bool{}
 	for attempt := 0; ; attempt++ {
 		address := c.address()
 		answer := new(R)
@@ -163,7 +164,13 @@
 		}
 		c.advance(address)
 		if hint, ok := any(*answer).(referral); ok && fault.Is(err, fault.NotLeader) {
-			c.learn(hint.members())
+			members, leader := hint.refer()
+			c.learn(members)
+			// Members that are cut off may name each other, so that a leader is followed once and all are tried in turn then.
+			if leader != "" && !followed[leader] {
+				followed[leader] = true
+				c.prefer(leader)
+			}
 		}
 		if pauseErr := pause(ctx, attempt/len(c.Addresses())); pauseErr != nil {
 			var none R
--- a/internal/controlrpc/routes.go
+++ b/internal/controlrpc/routes.go
@@ -29,9 +29,10 @@
 	// Table is set when the table of routes came into force after Known.
 	Table     *route.Table
 	Instances registry.Delta
-	// Members are the addresses of the control members, the leader first. A member that does not lead fills them in too,
-	// so that a client that knows a few members finds the others.
+	// Members are the addresses of the control members, and Leader that of the leader or empty. A member that does not
+	// lead fills them in too, so that a client that knows a few members finds the others.
 	Members []string
+	Leader  string
 	// Provisional is set if the answer comes from a member that does not lead, and no quorum confirmed it.
 	Provisional bool
 	// Watchers is the number of processes that watched lately.
@@ -82,8 +83,9 @@
 // Ack acknowledges a call without a result.
 type Ack struct {
 	Fault *fault.Wire
-	// Members are those of WatchReply, in the answer to Admit.
+	// Members and Leader are those of WatchReply, in the answer to Admit.
 	Members []string
+	Leader  string
 }
 
 func (r WatchReply) failure() *fault.Wire      { return r.Fault }
@@ -93,11 +95,11 @@
 
 // referral is implemented by replies that name the members of the group.
 type referral interface {
-	members() []string
+	refer() (members []string, leader string)
 }
 
-func (r WatchReply) members() []string { return r.Members }
-func (r Ack) members() []string        { return r.Members }
+func (r WatchReply) refer() (members []string, leader string) { return r.Members, r.Leader }
+func (r Ack) refer() (members []string, leader string)        { return r.Members, r.Leader }
 
 // Watch returns what changed after a revision.
 func (c *Client) Watch(ctx context.Context, args WatchArgs) (WatchReply, error) {
@@ -150,7 +152,7 @@
 	}
 }
 
-// learn adds the members that a referral names, and tries its first one next.
+// learn adds the members that a referral names.
 func (c *Client) learn(members []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -159,8 +161,14 @@
 			c.addresses = append(c.addresses, address)
 		}
 	}
-	if len(members) > 0 {
-		c.preferred = slices.Index(c.addresses, members[0])
+}
+
+// prefer tries the address next if it is known.
+func (c *Client) prefer(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at := slices.Index(c.addresses, address); at >= 0 {
+		c.preferred = at
 	}
 }
 
