--- a/cmd/wmux-control/formed.go
+++ b/cmd/wmux-control/formed.go
@@ -62,19 +62,24 @@
 	if loaded.DirectoryAddress == "" {
 		return nil
 	}
-	listener, err := net.Listen("tcp", loaded.DirectoryAddress)
+	d := directory.New(machine, client, log)
+	go d.Run(ctx)
+	return serveHTTP(ctx, loaded.DirectoryAddress, platform.NewControlHandler(d, log), log)
+}
+
+// serveHTTP serves the handler until the context ends.
+func serveHTTP(ctx context.Context, address string, handler http.Handler, log *slog.Logger) error {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fault.New(fault.Unavailable, "control.listen", "%w", err)
 	}
-	d := directory.New(machine, client, log)
-	go d.Run(ctx)
 	server := &http.Server{
-		Handler: platform.NewControlHandler(d, log), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout,
+		Handler: handler, ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 	}
 	go func() {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			log.Error("directory stopped", "error", err)
+			log.Error("listener failed", "address", address, "error", err)
 		}
 	}()
 	go func() {
--- /dev/null
+++ b/cmd/wmux-control/metrics.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"github.com/wisteriamux/wisteriamux/internal/control"
+	"github.com/wisteriamux/wisteriamux/internal/raftnode"
+	"github.com/wisteriamux/wisteriamux/internal/settings"
+	"github.com/wisteriamux/wisteriamux/internal/telemetry"
+)
+
+// serveMetrics serves metrics if the settings name an address.
+func serveMetrics(ctx context.Context, loaded settings.Control, node *raftnode.Node, machine *control.Machine, log *slog.Logger) error {
+	if loaded.MetricsAddress == "" {
+		return nil
+	}
+	metrics, err := telemetry.NewMetrics("wmux-control")
+	if err != nil {
+		return err
+	}
+	gauges := map[string]func() int64{
+		"wisteriamux.control.term":      func() int64 { return int64(node.Status().Term) },
+		"wisteriamux.control.commit":    func() int64 { return int64(node.Status().Commit) },
+		"wisteriamux.control.applied":   func() int64 { return int64(node.Status().Applied) },
+		"wisteriamux.control.leads":     func() int64 { return asInt(node.Status().Role == raftnode.RoleLeader) },
+		"wisteriamux.control.members":   func() int64 { return int64(len(node.Members())) },
+		"wisteriamux.control.revision":  func() int64 { return int64(machine.Revision()) },
+		"wisteriamux.routes.version":    func() int64 { return int64(machine.RoutesVersion()) },
+		"wisteriamux.registry.upstream": func() int64 { return int64(machine.InstanceCount()) },
+	}
+	for name, read := range gauges {
+		if err := metrics.Gauge(name, "state of the control member", read); err != nil {
+			return err
+		}
+	}
+	paths := mux.NewRouter()
+	paths.Handle("/metrics", metrics.Handler()).Methods(http.MethodGet)
+	return serveHTTP(ctx, loaded.MetricsAddress, paths, log)
+}
+
+func asInt(value bool) int64 {
+	if value {
+		return 1
+	}
+	return 0
+}
--- a/cmd/wmux-control/run.go
+++ b/cmd/wmux-control/run.go
@@ -33,7 +33,9 @@
 // until that works: what it acknowledged is on the disk, and a full disk may have space again at any moment.
 func run(cmd *cobra.Command, loaded settings.Control) error {
 	ctx := cmd.Context()
-	log := telemetry.NewLogger(os.Stderr, "wmux-control", loaded.ID)
+	output := telemetry.NewBoundedWriter(os.Stderr)
+	defer output.Close()
+	log := telemetry.NewLogger(output, "wmux-control", loaded.ID)
 	rules, err := netcut.Open(loaded.FaultRulesFile, log)
 	if err != nil {
 		return err
@@ -99,6 +101,10 @@
 		_ = node.Close()
 		return err
 	}
+	if err := serveMetrics(ctx, loaded, node, machine, log); err != nil {
+		_ = node.Close()
+		return err
+	}
 	log.Info("started", "rpc_address", loaded.RPCAddress, "identity", fmt.Sprintf("%016x", node.Status().ID))
 	select {
 	case <-ctx.Done():
--- a/cmd/wmux-control/serve.go
+++ b/cmd/wmux-control/serve.go
@@ -96,7 +96,7 @@
 	}
 	switch peer.Role {
 	case security.RoleControl:
-		return register(nil, e.raft)
+		return register(control.NewMemberAccess(e.service), e.raft)
 	case security.RoleEntry:
 		return register(control.NewEntryAccess(e.service, peer.Name), nil)
 	case security.RoleOperator:
--- /dev/null
+++ b/cmd/wmux-router/metrics.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/wisteriamux/wisteriamux/internal/burn"
+	"github.com/wisteriamux/wisteriamux/internal/route"
+	"github.com/wisteriamux/wisteriamux/internal/router"
+	"github.com/wisteriamux/wisteriamux/internal/settings"
+	"github.com/wisteriamux/wisteriamux/internal/telemetry"
+	"github.com/wisteriamux/wisteriamux/platform"
+)
+
+// latencyTarget is the share of a route's requests that should be answered within its objective.
+const latencyTarget = 0.99
+
+// serveMetrics serves metrics if the settings name an address, and returns the function that counts requests, or nil.
+func serveMetrics(loaded settings.Router, r *router.Router, output *telemetry.BoundedWriter, log *slog.Logger) (platform.Observe, error) {
+	if loaded.MetricsAddress == "" {
+		return nil, nil
+	}
+	metrics, err := telemetry.NewMetrics("wmux-router")
+	if err != nil {
+		return nil, err
+	}
+	gauges := map[string]func() int64{
+		"wisteriamux.view.revision":     func() int64 { return int64(r.View().Revision) },
+		"wisteriamux.view.upstreams":    func() int64 { return int64(r.View().Upstreams()) },
+		"wisteriamux.attempts":          func() int64 { return r.Counts().Attempts },
+		"wisteriamux.attempts.extra":    func() int64 { return r.Counts().Extra },
+		"wisteriamux.attempts.unbudget": func() int64 { return r.Counts().NoBudget },
+		"wisteriamux.log.dropped":       output.Dropped,
+	}
+	for name, read := range gauges {
+		if err := metrics.Gauge(name, "total or state of the router", read); err != nil {
+			return nil, err
+		}
+	}
+	listener, err := listen(loaded.MetricsAddress)
+	if err != nil {
+		return nil, err
+	}
+	paths := mux.NewRouter()
+	paths.Handle("/metrics", metrics.Handler()).Methods(http.MethodGet)
+	serve(listener, paths, log)
+	return func(rt *route.Route, status int, took time.Duration) { count(metrics, rt, status, took) }, nil
+}
+
+func count(metrics *telemetry.Metrics, rt *route.Route, status int, took time.Duration) {
+	if rt == nil {
+		metrics.Request("none", strconv.Itoa(status), took)
+		return
+	}
+	metrics.Request(rt.Name, strconv.Itoa(status), took)
+	if rt.Objective <= 0 {
+		return
+	}
+	objective := burn.Objective{
+		Service: rt.Name, Kind: burn.Latency, Target: latencyTarget, ThresholdMillis: int(rt.Objective.Milliseconds()),
+	}
+	metrics.Objective(objective, status < http.StatusBadRequest && took <= rt.Objective)
+}
--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -25,11 +25,13 @@
 	idleTimeout = 60 * time.Second
 	// extraReserve is the part of the allowed extra requests that is used, the rest covers the difference between this
 	// VM's count and the upstreams'.
-	extraReserve = 0.95
+	extraReserve = 0.9
 )
 
 func run(ctx context.Context, path string, loaded settings.Router) error {
-	log := telemetry.NewLeveledLogger(os.Stderr, "wmux-router", loaded.ID, loaded.LogLevel)
+	output := telemetry.NewBoundedWriter(os.Stdout)
+	defer output.Close()
+	log := telemetry.NewLeveledLogger(output, "wmux-router", loaded.ID, loaded.LogLevel)
 	callers, err := listen(loaded.CallerAddress)
 	if err != nil {
 		return err
@@ -44,6 +46,7 @@
 	r := router.New(router.Config{
 		ID: loaded.ID, FailureDomain: loaded.FailureDomain, Seeds: seeds,
 		ExtraShare: extraReserve * loaded.ExtraShare, ExtraFloor: loaded.ExtraFloor,
+		ExtraWindow:  time.Duration(loaded.ExtraWindowSeconds * float64(time.Second)),
 		AnswerMargin: time.Duration(loaded.AnswerMarginMillis) * time.Millisecond,
 	}, control, platform.Codec{}, log)
 	following, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -55,7 +58,11 @@
 	var stopping atomic.Bool
 	ready := func() bool { return !stopping.Load() && r.View().Ready() }
 	serve(health, platform.NewReadyHandler(ready), log)
-	server := serve(callers, platform.NewFrontHandler(r, stopping.Load, log), log)
+	observe, err := serveMetrics(loaded, r, output, log)
+	if err != nil {
+		return err
+	}
+	server := serve(callers, platform.NewFrontHandler(r, stopping.Load, observe, log), log)
 	log.Info("started", "caller_address", loaded.CallerAddress, "health_address", loaded.HealthAddress,
 		"extra_share", loaded.ExtraShare, "extra_floor", loaded.ExtraFloor, "answer_margin_ms", loaded.AnswerMarginMillis)
 	<-ctx.Done()
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -32,6 +32,9 @@
 	b.tokens = math.Min(b.burst, b.tokens+b.share)
 }
 
+// Refill adds tokens that are due to time instead of traffic; a negative number takes some away.
+func (b *Bucket) Refill(tokens float64) { b.tokens = math.Max(0, math.Min(b.burst, b.tokens+tokens)) }
+
 // Limit changes the number of tokens that can be saved up.
 func (b *Bucket) Limit(burst float64) {
 	b.burst = burst
--- a/internal/control/access.go
+++ b/internal/control/access.go
@@ -57,7 +57,7 @@
 
 func (a *EntryAccess) allows(command controlstate.Command) bool {
 	switch {
-	case operatorsOnly(command):
+	case operatorsOnly(command), membersOnly(command):
 		return false
 	case command.RetireMember != nil:
 		return command.RetireMember.ID == a.name
@@ -74,9 +74,13 @@
 }
 
 func operatorsOnly(command controlstate.Command) bool {
-	return command.ApplyConfig != nil || command.ClearQuarantine != nil || command.OrderPlan != nil
+	return command.ApplyConfig != nil || command.ClearQuarantine != nil || command.OrderPlan != nil ||
+		command.PutRoutes != nil
 }
 
+// membersOnly holds for what upstreams tell the control members.
+func membersOnly(command controlstate.Command) bool { return command.ReportInstance != nil }
+
 // entriesOnly holds for what only an entry VM can know.
 func entriesOnly(command controlstate.Command) bool {
 	return command.RetireMember != nil || command.ExpireMember != nil || command.AnnounceUpstream != nil || command.BookingIntent != nil || command.BookingOutcome != nil
@@ -90,8 +94,8 @@
 
 // Propose is Service.Propose for the commands of an operator.
 func (a *OperatorAccess) Propose(args controlrpc.ProposeArgs, reply *controlrpc.ProposeReply) error {
-	if entriesOnly(args.Command) {
-		reply.Fault = fault.ToWire(fault.New(fault.Forbidden, "control.access", "only an entry VM may propose this command"))
+	if entriesOnly(args.Command) || membersOnly(args.Command) {
+		reply.Fault = fault.ToWire(fault.New(fault.Forbidden, "control.access", "an operator may not propose this command"))
 		return nil
 	}
 	return a.service.Propose(args, reply)
@@ -146,3 +150,54 @@
 func (a *OperatorAccess) GroupTransfer(args controlrpc.GroupTransferArgs, reply *controlrpc.GroupChangeReply) error {
 	return a.service.GroupTransfer(args, reply)
 }
+
+// Watch is Service.Watch.
+func (a *EntryAccess) Watch(args controlrpc.WatchArgs, reply *controlrpc.WatchReply) error {
+	return a.service.Watch(args, reply)
+}
+
+// Watch is Service.Watch.
+func (a *OperatorAccess) Watch(args controlrpc.WatchArgs, reply *controlrpc.WatchReply) error {
+	return a.service.Watch(args, reply)
+}
+
+// PutRoutes is Service.PutRoutes.
+func (a *OperatorAccess) PutRoutes(args controlrpc.PutRoutesArgs, reply *controlrpc.PutRoutesReply) error {
+	return a.service.PutRoutes(args, reply)
+}
+
+// ReadRoutes is Service.ReadRoutes.
+func (a *OperatorAccess) ReadRoutes(args controlrpc.ReadRoutesArgs, reply *controlrpc.ReadRoutesReply) error {
+	return a.service.ReadRoutes(args, reply)
+}
+
+// MemberAccess is what another control member may call: it passes on what upstreams and operators of routes sent to it.
+type MemberAccess struct{ service *Service }
+
+// NewMemberAccess returns the access of a control member.
+func NewMemberAccess(service *Service) *MemberAccess { return &MemberAccess{service: service} }
+
+// PutRoutes is Service.PutRoutes.
+func (a *MemberAccess) PutRoutes(args controlrpc.PutRoutesArgs, reply *controlrpc.PutRoutesReply) error {
+	return a.service.PutRoutes(args, reply)
+}
+
+// ReadRoutes is Service.ReadRoutes.
+func (a *MemberAccess) ReadRoutes(args controlrpc.ReadRoutesArgs, reply *controlrpc.ReadRoutesReply) error {
+	return a.service.ReadRoutes(args, reply)
+}
+
+// Report is Service.Report.
+func (a *MemberAccess) Report(args controlrpc.ReportArgs, reply *controlrpc.Ack) error {
+	return a.service.Report(args, reply)
+}
+
+// Heard is Service.Heard.
+func (a *MemberAccess) Heard(args controlrpc.HeardArgs, reply *controlrpc.Ack) error {
+	return a.service.Heard(args, reply)
+}
+
+// Admit is Service.Admit.
+func (a *MemberAccess) Admit(args controlrpc.AdmitArgs, reply *controlrpc.Ack) error {
+	return a.service.Admit(args, reply)
+}
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -44,7 +44,9 @@
 	if err := s.leads(); err != nil {
 		return s.provisional(args, reply, err)
 	}
-	s.watchers.hear(args.Watcher, s.now())
+	if args.Watcher != "" {
+		s.watchers.hear(args.Watcher, s.now())
+	}
 	s.awaitChange(args)
 	// The barrier comes after the wait, so that the answer is current when it leaves.
 	if err := s.leadOnce(); err != nil {
@@ -110,6 +112,12 @@
 	return m.state.Instances().Instances()
 }
 
+// RoutesVersion returns the version of the table of routes in force, 0 without one.
+func (m *Machine) RoutesVersion() uint64 { return m.routes().Table.Version }
+
+// InstanceCount returns the number of registered upstreams.
+func (m *Machine) InstanceCount() int { return len(m.instances()) }
+
 func (m *Machine) routes() controlstate.Routes {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/internal/controlrpc/routes.go
+++ b/internal/controlrpc/routes.go
@@ -18,7 +18,7 @@
 type WatchArgs struct {
 	Known      uint64
 	WaitMillis int64
-	// Watcher identifies the process, so that the leader can count the processes that share budgets.
+	// Watcher identifies an entry VM, so that the leader can count those that share budgets. Others leave it empty.
 	Watcher string
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -136,7 +136,8 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	reply, err := d.client.ReadRoutes(ctx)
-	if err != nil {
+	// A table that was ordered over net/rpc has no document.
+	if err != nil || len(reply.Source) == 0 {
 		return reply, err
 	}
 	reply.Source, err = unpack(reply.Source)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -28,6 +28,24 @@
 	Abandoned
 )
 
+// String returns the result as it is logged.
+func (r Result) String() string {
+	switch r {
+	case Answered:
+		return "answered"
+	case Failed:
+		return "failed"
+	case Unreachable:
+		return "unreachable"
+	case Refused:
+		return "refused"
+	case Misdirected:
+		return "misdirected"
+	default:
+		return "abandoned"
+	}
+}
+
 const (
 	// speedShare is the weight of one observation in the decaying mean of the relative answer time.
 	speedShare = 0.2
--- /dev/null
+++ b/internal/route/diff.go
@@ -0,0 +1,61 @@
+package route
+
+import (
+	"fmt"
+	"reflect"
+	"sort"
+)
+
+// Change is one difference between two tables.
+type Change struct {
+	// Kind is added, removed or changed.
+	Kind   string `json:"kind"`
+	Object string `json:"object"`
+	Name   string `json:"name"`
+}
+
+// String returns the change as one line.
+func (c Change) String() string { return fmt.Sprintf("%s %s %q", c.Kind, c.Object, c.Name) }
+
+// Diff lists what the next table changes, routes before services, each by name.
+func Diff(current, next Table) []Change {
+	routes := func(t Table) map[string]any {
+		all := map[string]any{}
+		for _, r := range t.Routes {
+			all[r.Name] = r
+		}
+		return all
+	}
+	services := func(t Table) map[string]any {
+		all := map[string]any{}
+		for _, s := range t.Services {
+			all[s.Name] = s
+		}
+		return all
+	}
+	changes := append(diff("route", routes(current), routes(next)), diff("service", services(current), services(next))...)
+	if current.Limits != next.Limits {
+		changes = append(changes, Change{Kind: "changed", Object: "limits"})
+	}
+	return changes
+}
+
+func diff(object string, current, next map[string]any) []Change {
+	var changes []Change
+	for name, value := range next {
+		before, ok := current[name]
+		switch {
+		case !ok:
+			changes = append(changes, Change{Kind: "added", Object: object, Name: name})
+		case !reflect.DeepEqual(before, value):
+			changes = append(changes, Change{Kind: "changed", Object: object, Name: name})
+		}
+	}
+	for name := range current {
+		if _, ok := next[name]; !ok {
+			changes = append(changes, Change{Kind: "removed", Object: object, Name: name})
+		}
+	}
+	sort.Slice(changes, func(i, j int) bool { return changes[i].Name < changes[j].Name })
+	return changes
+}
--- /dev/null
+++ b/internal/router/budget_test.go
@@ -0,0 +1,57 @@
+package router
+
+import (
+	"log/slog"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/registry"
+	"github.com/wisteriamux/wisteriamux/internal/route"
+)
+
+var _ = Describe("the shared budget of extra attempts", func() {
+	const (
+		routers  = 7
+		floor    = 54.0
+		ratio    = 0.2
+		requests = 800
+		window   = 10 * time.Second
+	)
+	rt := &route.Route{Name: "r", Idempotent: true, Attempts: 2, Timeout: time.Second, Shards: []string{"s"}}
+
+	// start returns a router that has run for a while, at most one window.
+	start := func(uptime time.Duration) *Router {
+		r := New(Config{ID: "x", ExtraShare: 0.9 * ratio, ExtraFloor: floor, ExtraWindow: window}, nil, nil, slog.New(slog.DiscardHandler))
+		r.adopt(controlrpc.WatchReply{Revision: 1, Watchers: routers, Instances: registry.Delta{Whole: true, Changed: []registry.Instance{
+			{ID: "a", Service: "s", Address: "127.0.0.1:1", Slots: 2, State: registry.Ready},
+			{ID: "b", Service: "s", Address: "127.0.0.1:2", Slots: 2, State: registry.Ready},
+		}}})
+		r.started = time.Now().Add(-uptime)
+		return r
+	}
+
+	// spend sends requests, each with as many extra attempts as the budget grants.
+	spend := func(r *Router, count int) int {
+		extra := 0
+		for range count {
+			Expect(r.choose(r.View(), rt, "s", nil, false)).NotTo(BeNil())
+			if r.choose(r.View(), rt, "s", nil, true) != nil {
+				extra++
+			}
+		}
+		return extra
+	}
+
+	It("holds over all VMs although each of them restarts in the window", func() {
+		extra := 0
+		for range routers {
+			extra += spend(start(window), requests/routers/2)
+			extra += spend(start(window/2), requests/routers/2)
+		}
+		Expect(extra).To(BeNumerically("<=", ratio*requests+floor))
+		Expect(extra).To(BeNumerically(">", ratio*requests/2), "hedges need the budget")
+	})
+})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,9 +29,9 @@
 	// silentAfter is the age at which an abandoned request shows that its connection may be silent for good. Upstreams
 	// pause for up to 200 ms.
 	silentAfter = 350 * time.Millisecond
-	// floorShare is the part of the retry floor that the VMs together save up, the rest being a reserve for VMs that
-	// come and go.
-	floorShare = 0.8
+	// floorShare is the part of the retry floor that the VMs together may save up, and also the part that they get anew in
+	// each window: in any window at most both are spent, and the rest is a reserve.
+	floorShare = 0.4
 )
 
 // Config holds the settings of a Router.
@@ -44,6 +44,8 @@
 	// requests that all VMs together may send besides, in one budget window.
 	ExtraShare float64
 	ExtraFloor float64
+	// ExtraWindow is the budget window.
+	ExtraWindow time.Duration
 	// AnswerMargin is taken off the objective, besides the round trip to the caller, for putting the answer together.
 	AnswerMargin time.Duration
 }
@@ -55,22 +57,24 @@
 	log     *slog.Logger
 	builder *viewBuilder
 	view    atomic.Pointer[View]
+	started time.Time
 
 	seeds atomic.Pointer[[]string]
 
 	// mu guards the fields below.
 	mu      sync.Mutex
 	tracker *replica.Tracker
-	budgets map[string]*budget.Bucket
+	budgets map[string]*serviceBudget
 	routes  map[string]*routeStats
 	// roundTrip is that to callers.
 	roundTrip roundTrip
 	counts    Counts
 }
 
-// Counts are totals since the start.
+// Counts are totals since the start: attempts at upstreams, those beyond the first of a request, and those that were not
+// made for lack of budget.
 type Counts struct {
-	Attempts, Hedges, Retries, NoBudget int64
+	Attempts, Extra, NoBudget int64
 }
 
 // routeStats is what is observed of one route.
@@ -87,7 +91,7 @@
 	r := &Router{
 		config: config, control: control, log: log,
 		builder: &viewBuilder{domain: config.FailureDomain, codec: codec, upstreams: map[string]*upstream{}},
-		tracker: replica.New(rand.Uint64()), budgets: map[string]*budget.Bucket{}, routes: map[string]*routeStats{},
+		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
 	}
 	r.view.Store(&View{})
 	r.seeds.Store(&config.Seeds)
@@ -125,7 +129,14 @@
 	return s
 }
 
-// burst is this VM's part of the extra requests that all VMs together may send beyond the share.
+// serviceBudget bounds the extra attempts at one service.
+type serviceBudget struct {
+	bucket *budget.Bucket
+	// filled is until when the tokens due to time have been added.
+	filled time.Time
+}
+
+// burst is this VM's part of the extra requests that all VMs together may save up beyond the share.
 func (r *Router) burst(watchers int) float64 {
 	return max(1, floorShare*r.config.ExtraFloor/float64(max(1, watchers)))
 }
@@ -135,18 +146,25 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, b := range r.budgets {
-		b.Limit(r.burst(watchers))
+		b.bucket.Limit(r.burst(watchers))
 	}
 }
 
-// bucket requires mu.
-func (r *Router) bucket(service string) *budget.Bucket {
+// budget returns the budget of the service with the tokens that are due. A process begins without tokens: the window
+// still holds what its predecessor spent. It requires mu.
+func (r *Router) budget(service string, now time.Time) *budget.Bucket {
+	burst := r.burst(r.View().watchers)
 	b, ok := r.budgets[service]
 	if !ok {
-		b = budget.NewBucket(r.config.ExtraShare, r.burst(r.View().watchers))
+		b = &serviceBudget{bucket: budget.NewBucket(r.config.ExtraShare, burst), filled: r.started}
+		b.bucket.Refill(-burst)
 		r.budgets[service] = b
 	}
-	return b
+	if r.config.ExtraWindow > 0 {
+		b.bucket.Refill(burst * float64(now.Sub(b.filled)) / float64(r.config.ExtraWindow))
+	}
+	b.filled = now
+	return b.bucket
 }
 
 // times returns when the answer should leave, when it must, and how long to wait before a hedge.
@@ -199,7 +217,7 @@
 	if at < 0 {
 		return nil
 	}
-	bucket := r.bucket(service)
+	bucket := r.budget(service, now)
 	switch {
 	case !extra:
 		bucket.Earn()
@@ -207,6 +225,9 @@
 		r.counts.NoBudget++
 		return nil
 	}
+	if extra {
+		r.counts.Extra++
+	}
 	r.counts.Attempts++
 	chosen := view.byService[service][at]
 	expected := time.Duration(r.stats(rt).expected)
@@ -221,11 +242,11 @@
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	answer, err := a.upstream.pool.Do(ctx, &sub)
-	r.record(rt, a, answer, err, ctx.Err() != nil)
+	r.record(rt, request, a, answer, err, ctx.Err() != nil)
 	return answer, err
 }
 
-func (r *Router) record(rt *route.Route, a *attempt, answer *upstreamconn.Answer, err error, abandoned bool) {
+func (r *Router) record(rt *route.Route, request *Request, a *attempt, answer *upstreamconn.Answer, err error, abandoned bool) {
 	now := time.Now()
 	result := resultOf(answer, err, abandoned)
 	took := now.Sub(a.sent)
@@ -246,7 +267,9 @@
 		a.upstream.pool.Flush()
 	}
 	if result != replica.Answered && result != replica.Abandoned {
-		r.log.Debug("attempt failed", "upstream", a.upstream.instance.ID, "route", rt.Name, "took_ms", took.Milliseconds(), "error", err)
+		r.log.Info("attempt failed", "request", request.ID, "route", rt.Name, "service", a.upstream.instance.Service,
+			"upstream", a.upstream.instance.ID, "upstream_since", a.upstream.instance.Since, "result", result.String(),
+			"took_ms", took.Milliseconds(), "error", err)
 	}
 }
 
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -17,7 +17,9 @@
 	Stamps  []string
 	Missing int
 	Records []byte
-	Hedges  int
+	// Absent names the shards without a part.
+	Absent []string
+	Hedges int
 }
 
 // part is the end of one attempt at a shard.
@@ -151,11 +153,13 @@
 func (s *search) finish() *Gathered {
 	g := &Gathered{Missing: len(s.answers) - s.state.Count(), Hedges: s.hedges}
 	parts := make([][]byte, 0, s.state.Count())
-	for _, answer := range s.answers {
-		if answer != nil {
-			g.Stamps = append(g.Stamps, answer.Stamp)
-			parts = append(parts, answer.Body)
+	for shard, answer := range s.answers {
+		if answer == nil {
+			g.Absent = append(g.Absent, s.route.Shards[shard])
+			continue
 		}
+		g.Stamps = append(g.Stamps, answer.Stamp)
+		parts = append(parts, answer.Body)
 	}
 	g.Records = gather.Merge(parts, s.route.Top)
 	return g
--- /dev/null
+++ b/internal/settings/routes.go
@@ -0,0 +1,112 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/route"
+)
+
+// Routes is the TOML form of a table of routes.
+type Routes struct {
+	Version  uint64         `toml:"version" validate:"min=1"`
+	Limits   RouteLimits    `toml:"limits"`
+	Services []RouteService `toml:"service" validate:"dive"`
+	Routes   []Route        `toml:"route" validate:"dive"`
+}
+
+// Route is the TOML form of a route. Exactly one of Service, Split and Shards is set.
+type Route struct {
+	Name       string `toml:"name" validate:"required,max=128"`
+	Host       string `toml:"host" validate:"required,max=255"`
+	PathPrefix string `toml:"path_prefix" validate:"required"`
+	Idempotent bool   `toml:"idempotent"`
+	// TimeoutMillis and ObjectiveMillis are in ms.
+	TimeoutMillis   int64        `toml:"timeout_ms" validate:"min=1,max=3600000"`
+	ObjectiveMillis int64        `toml:"objective_ms" validate:"min=0,max=3600000"`
+	Rank            int          `toml:"rank" validate:"min=0,max=1000"`
+	Attempts        int          `toml:"attempts" validate:"min=0,max=100"`
+	Service         string       `toml:"service,omitempty"`
+	Split           []RouteShare `toml:"split,omitempty"`
+	Shards          []string     `toml:"shards,omitempty"`
+	Top             int          `toml:"top,omitempty" validate:"min=0,max=100000"`
+	// Coverage is the least share of the shards in an answer, from 0 to 1.
+	Coverage float64 `toml:"coverage,omitempty" validate:"min=0,max=1"`
+}
+
+// RouteShare is a weighted service.
+type RouteShare struct {
+	Service string  `toml:"service"`
+	Weight  float64 `toml:"weight"`
+}
+
+// RouteService is the TOML form of a service of routes.
+type RouteService struct {
+	Name           string `toml:"name" validate:"required,max=128"`
+	HealthPath     string `toml:"health_path,omitempty"`
+	MaxConnections int    `toml:"max_connections" validate:"min=0,max=1000000"`
+}
+
+// RouteLimits is the TOML form of what callers may send; 0 is the default of the router.
+type RouteLimits struct {
+	MaxHeaderBytes      int   `toml:"max_header_bytes" validate:"min=0,max=16777216"`
+	MaxBodyBytes        int64 `toml:"max_body_bytes" validate:"min=0,max=1073741824"`
+	HeaderTimeoutMillis int64 `toml:"header_timeout_ms" validate:"min=0,max=3600000"`
+	IdleTimeoutMillis   int64 `toml:"idle_timeout_ms" validate:"min=0,max=3600000"`
+}
+
+// LoadRoutes reads and checks a table of routes.
+func LoadRoutes(path string) (route.Table, error) {
+	var file Routes
+	if err := load(path, &file); err != nil {
+		return route.Table{}, err
+	}
+	table := file.table()
+	return table, table.Check()
+}
+
+func (f Routes) table() route.Table {
+	table := route.Table{Version: f.Version, Limits: route.Limits{
+		MaxHeaderBytes: f.Limits.MaxHeaderBytes, MaxBodyBytes: f.Limits.MaxBodyBytes,
+		HeaderTimeout: millis(f.Limits.HeaderTimeoutMillis), IdleTimeout: millis(f.Limits.IdleTimeoutMillis),
+	}}
+	for _, r := range f.Routes {
+		out := route.Route{
+			Name: r.Name, Host: r.Host, Prefix: r.PathPrefix, Idempotent: r.Idempotent, Timeout: millis(r.TimeoutMillis),
+			Objective: millis(r.ObjectiveMillis), Rank: r.Rank, Attempts: r.Attempts, Service: r.Service, Shards: r.Shards,
+			Top: r.Top, Coverage: r.Coverage,
+		}
+		for _, share := range r.Split {
+			out.Split = append(out.Split, route.Share(share))
+		}
+		table.Routes = append(table.Routes, out)
+	}
+	for _, s := range f.Services {
+		table.Services = append(table.Services, route.Service(s))
+	}
+	return table
+}
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// RoutesOf returns the TOML form of a table.
+func RoutesOf(table route.Table) Routes {
+	file := Routes{Version: table.Version, Limits: RouteLimits{
+		MaxHeaderBytes: table.Limits.MaxHeaderBytes, MaxBodyBytes: table.Limits.MaxBodyBytes,
+		HeaderTimeoutMillis: table.Limits.HeaderTimeout.Milliseconds(), IdleTimeoutMillis: table.Limits.IdleTimeout.Milliseconds(),
+	}}
+	for _, r := range table.Routes {
+		out := Route{
+			Name: r.Name, Host: r.Host, PathPrefix: r.Prefix, Idempotent: r.Idempotent, TimeoutMillis: r.Timeout.Milliseconds(),
+			ObjectiveMillis: r.Objective.Milliseconds(), Rank: r.Rank, Attempts: r.Attempts, Service: r.Service, Shards: r.Shards,
+			Top: r.Top, Coverage: r.Coverage,
+		}
+		for _, share := range r.Split {
+			out.Split = append(out.Split, RouteShare(share))
+		}
+		file.Routes = append(file.Routes, out)
+	}
+	for _, s := range table.Services {
+		file.Services = append(file.Services, RouteService(s))
+	}
+	return file
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,6 +79,8 @@
 	// and ExtraFloor the number that they may send besides in one budget window.
 	ExtraShare float64 `toml:"extra_share" validate:"min=0,max=1"`
 	ExtraFloor float64 `toml:"extra_floor" validate:"min=0,max=100000"`
+	// ExtraWindowSeconds is the budget window, in s.
+	ExtraWindowSeconds float64 `toml:"extra_window_s" validate:"min=0.1,max=3600"`
 	// AnswerMarginMillis is how long before it must arrive in time an answer is put together, in ms. The round trip to
 	// the caller is observed and added.
 	AnswerMarginMillis int `toml:"answer_margin_ms" validate:"min=0,max=1000"`
@@ -143,7 +145,7 @@
 
 // LoadRouter reads the settings of wmux-router.
 func LoadRouter(path string) (Router, error) {
-	loaded := Router{ExtraShare: 0.1, ExtraFloor: 10, AnswerMarginMillis: 6, LameDuckMillis: 2_300, DrainMillis: 3_000, LogLevel: "info"}
+	loaded := Router{ExtraShare: 0.1, ExtraFloor: 10, ExtraWindowSeconds: 10, AnswerMarginMillis: 6, LameDuckMillis: 2_300, DrainMillis: 3_000, LogLevel: "info"}
 	err := load(path, &loaded)
 	return loaded, err
 }
