--- a/cmd/wmux-control/run.go
+++ b/cmd/wmux-control/run.go
@@ -93,10 +93,11 @@
 	go service.Run(ctx)
 	client := controlrpc.NewClient(clientAddresses(loaded), transport.Dialer(rules.Dialer(dialFrom(loaded, rules != nil)), security.RoleControl))
 	defer client.Close()
-	if loaded.Formation == formationSeeds {
-		joiner := formation.Joiner{Node: node, Client: client, Name: loaded.ID, Address: loaded.RPCAddress, Seeds: loaded.Peers(), Log: log}
-		go joiner.Run(ctx)
+	joiner := formation.Joiner{
+		Node: node, Client: client, Name: loaded.ID, Address: loaded.RPCAddress, Seeds: clientAddresses(loaded), Log: log,
+		Passive: loaded.Formation != formationSeeds,
 	}
+	go joiner.Run(ctx)
 	if err := serveDirectory(ctx, loaded, machine, client, log); err != nil {
 		_ = node.Close()
 		return err
--- a/cmd/wmux-upstream/main.go
+++ b/cmd/wmux-upstream/main.go
@@ -68,7 +68,7 @@
 	flags.StringSliceVar(&config.EntryURLs, "entry", []string{"http://127.0.0.1:8001"}, "URLs of entry VMs")
 	_ = command.MarkFlagRequired("name")
 	_ = command.MarkFlagRequired("service")
-	command.AddCommand(fleetCommand())
+	command.AddCommand(fleetCommand(), routesCommand())
 	return command
 }
 
--- a/internal/formation/join.go
+++ b/internal/formation/join.go
@@ -34,6 +34,8 @@
 	// Seeds are the addresses that the settings name.
 	Seeds []string
 	Log   *slog.Logger
+	// Passive is set if an operator adds members: the client then only follows the members of the group.
+	Passive bool
 }
 
 // Run asks until the context ends.
@@ -49,6 +51,9 @@
 		}
 		status := j.Node.Status()
 		j.follow()
+		if j.Passive {
+			continue
+		}
 		if status.Role != raftnode.RoleNotMember && status.Leader != "" {
 			lost = time.Now()
 			continue
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -99,7 +99,7 @@
 
 // accepted describes the whole accepted range of the field in words.
 func accepted(loaded any, field validator.FieldError) string {
-	structField, ok := reflect.TypeOf(loaded).Elem().FieldByName(strings.Split(field.StructField(), "[")[0])
+	structField, ok := fieldAt(reflect.TypeOf(loaded).Elem(), field.StructNamespace())
 	if !ok {
 		return field.Tag() + " " + field.Param()
 	}
@@ -124,6 +124,23 @@
 	return strings.Join(words, ", ")
 }
 
+// fieldAt follows a namespace such as Routes.Routes[0].Coverage, whose first part names the type itself.
+func fieldAt(at reflect.Type, namespace string) (field reflect.StructField, ok bool) {
+	for _, name := range strings.Split(namespace, ".")[1:] {
+		for at.Kind() == reflect.Slice || at.Kind() == reflect.Pointer {
+			at = at.Elem()
+		}
+		if at.Kind() != reflect.Struct {
+			return field, false
+		}
+		if field, ok = at.FieldByName(indexPattern.ReplaceAllString(name, "")); !ok {
+			return field, false
+		}
+		at = field.Type
+	}
+	return field, ok
+}
+
 var indexPattern = regexp.MustCompile(`\[\d+\]`)
 
 // lineOf returns the line on which the last part of the key is set, in the table that the rest of the key names, or 0.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/BurntSushi/toml"
 	. "github.com/onsi/ginkgo/v2"
@@ -103,3 +105,33 @@
 		Expect(err).To(MatchError(ContainSubstring("entry.toml:2:")))
 	})
 })
+
+var _ = Describe("a table of routes", func() {
+	It("is read from the example and written in the same form", func() {
+		table, err := settings.LoadRoutes("../../examples/routes.toml")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(table.Routes).To(HaveLen(3))
+		Expect(table.Routes[0].Objective).To(Equal(150 * time.Millisecond))
+		path := filepath.Join(GinkgoT().TempDir(), "routes.toml")
+		file, err := os.Create(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(toml.NewEncoder(file).Encode(settings.RoutesOf(table))).To(Succeed())
+		Expect(file.Close()).To(Succeed())
+		Expect(settings.LoadRoutes(path)).To(Equal(table))
+	})
+
+	DescribeTable("names what is wrong with it", func(from, to, wanted string) {
+		data, err := os.ReadFile("../../examples/routes.toml")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(data)).To(ContainSubstring(from))
+		path := filepath.Join(GinkgoT().TempDir(), "routes.toml")
+		Expect(os.WriteFile(path, []byte(strings.Replace(string(data), from, to, 1)), 0o600)).To(Succeed())
+		_, err = settings.LoadRoutes(path)
+		Expect(err).To(MatchError(ContainSubstring(wanted)))
+	},
+		Entry("an unknown key", "rank = 1", "priority = 1", "priority"),
+		Entry("a value out of range", "coverage = 0.9", "coverage = 1.9", "at most 1"),
+		Entry("another type", "timeout_ms = 2500", `timeout_ms = "2500"`, "timeout_ms"),
+		Entry("an unknown service", `service = "pickup"`, `service = "pick"`, `"pick" is unknown`),
+	)
+})
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -21,8 +21,8 @@
 n=0
 for domain in halle-a halle-b kuehlhaus; do
   n=$((n + 1))
-  printf 'id = "control-%s"\nfailure_domain = "%s"\nrpc_address = "127.0.0.1:%s"\ndata_dir = "%s/control-%s"\n' \
-    "$n" "$domain" "$((port + n - 1))" "$work" "$n" >"$work/control-$n.toml"
+  printf 'id = "control-%s"\nfailure_domain = "%s"\nrpc_address = "127.0.0.1:%s"\ndata_dir = "%s/control-%s"\ndirectory_address = "127.0.0.1:%s"\n' \
+    "$n" "$domain" "$((port + n - 1))" "$work" "$n" "$((port + 50 + n))" >"$work/control-$n.toml"
   [ "$n" = 1 ] && "$work/wmux-control" bootstrap --settings "$work/control-1.toml"
   start "$work/wmux-control" run --settings "$work/control-$n.toml"
 done
@@ -67,3 +67,26 @@
 sleep 2
 echo "== service-level burn"
 ctl burn --entry "$all"
+echo "== routes: the operator orders a table, upstreams announce themselves to control"
+ctl routes apply --file examples/routes.toml
+directories=127.0.0.1:$((port + 51)),127.0.0.1:$((port + 52)),127.0.0.1:$((port + 53))
+printf 'id = "router-1"\nfailure_domain = "halle-a"\ncaller_address = "127.0.0.1:%s"\nhealth_address = "127.0.0.1:%s"\nseeds = ["127.0.0.1:%s"]\ncontrol_port = %s\nlame_duck_ms = 200\n' \
+  "$((port + 60))" "$((port + 61))" "$port" "$port" >"$work/router-1.toml"
+start "$work/wmux-router" run --settings "$work/router-1.toml"
+n=0
+for service in clerk-01 clerk-02 pickup pickup-next; do
+  n=$((n + 1))
+  start "$work/wmux-upstream" routes --id "route-$n" --service "$service" --failure-domain halle-a \
+    --address "127.0.0.1:$((port + 70 + n))" --directory "$directories"
+done
+for _ in $(seq 100); do
+  [ "$(ctl routes upstreams 2>/dev/null | grep -c ready)" = 4 ] && break
+  sleep 0.1
+done
+sleep 1
+ctl routes upstreams
+route() { curl -sS -i -H 'Host: search.example' -H "Wisteriamux-Request-Id: $1" -H 'Wisteriamux-Deadline-Ms: 2000' "${@:3}" "http://127.0.0.1:$((port + 60))$2" | tr -d '\r'; echo; }
+echo "== a search over two shards, a forwarded read, and a request that runs at most once"
+route demo-1 /lots/4711
+route demo-2 /slips/17
+route demo-3 /handover/17 -X POST -d 'lot 17'
