Ask all control members at once after the start of a router

Cause: after a loss of power a starting router spent 400 ms on two seeds that had no power yet, one after the other. An attempt that reached no upstream no longer earns budget.

--- a/internal/controlrpc/referral_test.go
+++ b/internal/controlrpc/referral_test.go
@@ -81,6 +81,20 @@
 		Expect(watch(all[0], all[1])).To(Succeed())
 	})
 
+	It("takes the first answer while other members do not answer at all", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		members[2].leads = true
+		client := controlrpc.NewClient([]string{listener.Addr().String(), all[2]}, controlrpc.PlainDialer)
+		defer client.Close()
+		started := time.Now()
+		reply, err := client.WatchAny(context.Background(), controlrpc.WatchArgs{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Revision).To(BeEquivalentTo(5))
+		Expect(time.Since(started)).To(BeNumerically("<", time.Second), "a silent member takes a second")
+	})
+
 	It("finds the leader although a member names one that is gone", func() {
 		members[1].leads = true
 		members[0].believes = "127.0.0.1:1"
--- a/internal/controlrpc/routes.go
+++ b/internal/controlrpc/routes.go
@@ -106,6 +106,37 @@
 	return call[WatchReply](ctx, c, "Watch", args)
 }
 
+// WatchAny asks all members at once and returns the first answer, which may be provisional. It is for a process that has
+// just started, while some members may not answer at all.
+func (c *Client) WatchAny(ctx context.Context, args WatchArgs) (WatchReply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		reply WatchReply
+		err   error
+	}
+	addresses := c.Addresses()
+	results := make(chan result, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			var r result
+			r.err = c.callOnce(ctx, attemptTimeout, address, "Watch", args, &r.reply)
+			if r.err == nil {
+				r.err = r.reply.Fault.AsError()
+			}
+			results <- r
+		}()
+	}
+	var last result
+	for range addresses {
+		if last = <-results; last.err == nil {
+			return last.reply, nil
+		}
+		c.learn(last.reply.Members)
+	}
+	return last.reply, last.err
+}
+
 // PutRoutes orders a table of routes and returns the version in force.
 func (c *Client) PutRoutes(ctx context.Context, table route.Table, source []byte) (uint64, error) {
 	reply, err := callWithin[PutRoutesReply](ctx, c, groupTimeout, "PutRoutes", PutRoutesArgs{Table: table, Source: source})
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -77,7 +77,7 @@
 	// refusedBackoff is shorter than a queue takes to empty. A restart takes seconds: the backoff of an unreachable
 	// upstream doubles from minBackoff to maxBackoff.
 	refusedBackoff     = 60 * time.Millisecond
-	minBackoff         = 150 * time.Millisecond
+	minBackoff         = 50 * time.Millisecond
 	maxBackoff         = 2 * time.Second
 	misdirectedBackoff = 2 * time.Second
 	// minSilence and maxSilence bound how long an upstream counts as standing still after a request to it was given up
--- a/internal/router/budget_test.go
+++ b/internal/router/budget_test.go
@@ -35,23 +35,23 @@
 
 	// spend sends requests, each with as many extra attempts as the budget grants.
 	spend := func(r *Router, count int) int {
-		extra := 0
+		granted := 0
 		for range count {
-			Expect(r.choose(r.View(), rt, "s", nil, false)).NotTo(BeNil())
-			if r.choose(r.View(), rt, "s", nil, true) != nil {
-				extra++
+			Expect(r.choose(r.View(), rt, "s", nil, first)).NotTo(BeNil())
+			if r.choose(r.View(), rt, "s", nil, extra) != nil {
+				granted++
 			}
 		}
-		return extra
+		return granted
 	}
 
 	It("holds over all VMs although each of them restarts in the window", func() {
-		extra := 0
+		granted := 0
 		for range routers {
-			extra += spend(start(window), requests/routers/2)
-			extra += spend(start(window/2), requests/routers/2)
+			granted += spend(start(window), requests/routers/2)
+			granted += spend(start(window/2), requests/routers/2)
 		}
-		Expect(extra).To(BeNumerically("<=", ratio*requests+floor))
-		Expect(extra).To(BeNumerically(">", ratio*requests/2), "hedges need the budget")
+		Expect(granted).To(BeNumerically("<=", ratio*requests+floor))
+		Expect(granted).To(BeNumerically(">", ratio*requests/2), "hedges need the budget")
 	})
 })
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -11,6 +11,8 @@
 const (
 	// watchTimeout ends one round of tries, so that a lost control group is logged.
 	watchTimeout = 4 * time.Second
+	// startPause is the time between two rounds of questions while no control member has answered since the start.
+	startPause = 20 * time.Millisecond
 	// sweepInterval is the time between two searches for idle connections that expire.
 	sweepInterval = time.Second
 )
@@ -18,6 +20,7 @@
 // Control is the control group as the router sees it.
 type Control interface {
 	Watch(ctx context.Context, args controlrpc.WatchArgs) (controlrpc.WatchReply, error)
+	WatchAny(ctx context.Context, args controlrpc.WatchArgs) (controlrpc.WatchReply, error)
 	SetAddresses(addresses []string)
 }
 
@@ -48,7 +51,19 @@
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	args := controlrpc.WatchArgs{Known: r.View().Revision, WaitMillis: controlrpc.MaxWatch.Milliseconds(), Watcher: r.config.ID}
-	return r.control.Watch(ctx, args)
+	if args.Known > 0 {
+		return r.control.Watch(ctx, args)
+	}
+	reply, err := r.control.WatchAny(ctx, args)
+	if err != nil {
+		pause := time.NewTimer(startPause)
+		defer pause.Stop()
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+		}
+	}
+	return reply, err
 }
 
 // withSeeds keeps the addresses of the settings behind those of the members, in case all of those are replaced.
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -45,7 +45,7 @@
 		router: r, view: view, route: rt, service: r.pick(rt), request: request, end: end,
 		results: make(chan result, max(1, rt.Attempts)),
 	}
-	f.send(ctx, false)
+	f.send(ctx, first)
 	return f.await(ctx)
 }
 
@@ -71,11 +71,11 @@
 	return best
 }
 
-func (f *forwarding) send(ctx context.Context, extra bool) bool {
+func (f *forwarding) send(ctx context.Context, kind try) bool {
 	if len(f.asked) >= max(1, f.route.Attempts) {
 		return false
 	}
-	a := f.router.choose(f.view, f.route, f.service, f.asked, extra)
+	a := f.router.choose(f.view, f.route, f.service, f.asked, kind)
 	if a == nil {
 		return false
 	}
@@ -101,7 +101,7 @@
 				return answer, nil
 			}
 		case <-timer.C:
-			f.send(ctx, true)
+			f.send(ctx, extra)
 		case <-ending.C:
 			return nil, fault.New(fault.Incomplete, "router.forward", "no answer in time from %d upstreams", len(f.asked))
 		case <-ctx.Done():
@@ -129,7 +129,7 @@
 		f.last = done.answer
 	}
 	if f.pending == 0 && (notRun || f.route.Idempotent) && (!f.ran || f.route.Idempotent) {
-		f.send(ctx, arrived(done.answer, done.err))
+		f.send(ctx, countAs(done.answer, done.err))
 	}
 	return nil
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -199,9 +199,20 @@
 	sent     time.Time
 }
 
-// choose returns an upstream of the service that was not asked before, and records the attempt. An extra attempt needs
-// a token of the service's budget.
-func (r *Router) choose(view *View, rt *route.Route, service string, asked []*upstream, extra bool) *attempt {
+// try tells how an attempt counts against the shared budget.
+type try int
+
+const (
+	// first is the first attempt of a request, which earns a share of an extra one.
+	first try = iota
+	// extra may reach an upstream in addition to an earlier attempt, and needs a token.
+	extra
+	// again replaces an attempt that reached no upstream.
+	again
+)
+
+// choose returns an upstream of the service that was not asked before, and records the attempt.
+func (r *Router) choose(view *View, rt *route.Route, service string, asked []*upstream, kind try) *attempt {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -219,13 +230,12 @@
 	}
 	bucket := r.budget(service, now)
 	switch {
-	case !extra:
+	case kind == first:
 		bucket.Earn()
-	case !bucket.Take():
+	case kind == extra && !bucket.Take():
 		r.counts.NoBudget++
 		return nil
-	}
-	if extra {
+	case kind == extra:
 		r.counts.Extra++
 	}
 	r.counts.Attempts++
@@ -292,6 +302,14 @@
 	return replica.Answered
 }
 
+// countAs tells how an attempt counts that follows one with the result.
+func countAs(answer *upstreamconn.Answer, err error) try {
+	if arrived(answer, err) {
+		return extra
+	}
+	return again
+}
+
 // arrived reports whether an upstream may have seen the attempt, which then counts against the budget.
 func arrived(answer *upstreamconn.Answer, err error) bool {
 	var failed *upstreamconn.Failure
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -66,7 +66,7 @@
 		answers: make([]*upstreamconn.Answer, shards),
 	}
 	for shard := range rt.Shards {
-		s.send(ctx, shard, false)
+		s.send(ctx, shard, first)
 	}
 	return s.collect(ctx)
 }
@@ -78,8 +78,8 @@
 	return max(1, int(math.Ceil(coverage*float64(shards)-tolerance)))
 }
 
-func (s *search) send(ctx context.Context, shard int, extra bool) {
-	a := s.router.choose(s.view, s.route, s.route.Shards[shard], s.asked[shard], extra)
+func (s *search) send(ctx context.Context, shard int, kind try) {
+	a := s.router.choose(s.view, s.route, s.route.Shards[shard], s.asked[shard], kind)
 	if a == nil {
 		s.state.Unsendable(shard)
 		return
@@ -122,7 +122,7 @@
 // hedge sends a second attempt. Without a token or another upstream the first one is waited for.
 func (s *search) hedge(ctx context.Context, shard int) {
 	before := len(s.asked[shard])
-	s.send(ctx, shard, true)
+	s.send(ctx, shard, extra)
 	if len(s.asked[shard]) > before {
 		s.hedges++
 	}
@@ -141,7 +141,7 @@
 		}
 	}
 	if s.state.Ended(p.shard, outcome) {
-		s.send(ctx, p.shard, arrived(p.answer, p.err))
+		s.send(ctx, p.shard, countAs(p.answer, p.err))
 	}
 }
 
