--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -10,10 +10,11 @@
 // Code classifies a failure by what the receiver may do about it.
 type Code string
 
-// The codes of the project. NotRun and OverShare guarantee that the request did not run anywhere.
+// The codes of the project. NotRun, OverShare and Overloaded guarantee that the request did not run anywhere.
 const (
 	NotRun         Code = "not_run"
 	OverShare      Code = "over_share"
+	Overloaded     Code = "overloaded"
 	OutcomeUnknown Code = "outcome_unknown"
 	Incomplete     Code = "incomplete"
 	Conflict       Code = "conflict"
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/budget"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/overload"
 	"github.com/wisteriamux/wisteriamux/internal/replica"
 	"github.com/wisteriamux/wisteriamux/internal/route"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
@@ -66,15 +68,17 @@
 	tracker *replica.Tracker
 	budgets map[string]*serviceBudget
 	routes  map[string]*routeStats
+	// overload is kept for each set of shards, which is named by its first shard.
+	overload map[string]*overload.Controller
 	// roundTrip is that to callers.
 	roundTrip roundTrip
 	counts    Counts
 }
 
-// Counts are totals since the start: attempts at upstreams, those beyond the first of a request, and those that were not
+// Counts are totals since the start: searches refused under overload, attempts at upstreams, those beyond the first of a request, and those that were not
 // made for lack of budget.
 type Counts struct {
-	Attempts, Extra, NoBudget int64
+	Refused, Attempts, Extra, NoBudget int64
 }
 
 // routeStats is what is observed of one route.
@@ -92,6 +96,7 @@
 		config: config, control: control, log: log,
 		builder: &viewBuilder{domain: config.FailureDomain, codec: codec, upstreams: map[string]*upstream{}},
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
+		overload: map[string]*overload.Controller{},
 	}
 	r.view.Store(&View{})
 	r.seeds.Store(&config.Seeds)
@@ -167,6 +172,38 @@
 	return b.bucket
 }
 
+// controller requires mu.
+func (r *Router) controller(rt *route.Route) *overload.Controller {
+	key := rt.Shards[0]
+	c, ok := r.overload[key]
+	if !ok {
+		c = &overload.Controller{}
+		r.overload[key] = c
+	}
+	return c
+}
+
+// admit refuses a part of the searches while queues make searches of the same shards miss their goals.
+func (r *Router) admit(rt *route.Route, request *Request) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.controller(rt)
+	again := r.stats(rt).usual.waited(request.Limit) > limitTolerance
+	if c.Admit(request.Received, again, rand.Float64()) {
+		return nil
+	}
+	r.counts.Refused++
+	return fault.New(fault.Overloaded, "router.admit", "queues make searches miss their objective; a share of %.2f is refused",
+		c.Share(request.Received))
+}
+
+// late records that a search missed its goal.
+func (r *Router) late(rt *route.Route, now time.Time, had time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.controller(rt).Late(now, time.Duration(r.stats(rt).expected), had)
+}
+
 // times returns when the answer should leave, when it must, and how long to wait before a hedge.
 func (r *Router) times(rt *route.Route, request *Request) (goal, end time.Time, hedge time.Duration) {
 	r.mu.Lock()
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -35,6 +35,7 @@
 	view    *View
 	route   *route.Route
 	request *Request
+	goal    time.Time
 	end     time.Time
 	state   *gather.Search
 	results chan part
@@ -49,13 +50,16 @@
 // Search asks one upstream of each shard and answers with the greatest records. A failure with code NotRun means that
 // no upstream ran any part.
 func (r *Router) Search(ctx context.Context, view *View, rt *route.Route, request *Request) (*Gathered, error) {
+	if err := r.admit(rt, request); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	goal, end, hedge := r.times(rt, request)
 	shards := len(rt.Shards)
 	attempts := max(1, rt.Attempts)
 	s := &search{
-		router: r, view: view, route: rt, request: request, end: end,
+		router: r, view: view, route: rt, request: request, goal: goal, end: end,
 		state: gather.New(gather.Plan{
 			Shards: shards, Least: leastShards(shards, rt.Coverage), Attempts: attempts,
 			Start: request.Received, Goal: goal, End: end, HedgeAfter: hedge,
@@ -78,6 +82,9 @@
 	return max(1, int(math.Ceil(coverage*float64(shards)-tolerance)))
 }
 
+// lateTolerance is how long after its goal a search counts as late: those that are answered at the goal are in time.
+const lateTolerance = 2 * time.Millisecond
+
 func (s *search) send(ctx context.Context, shard int, kind try) {
 	a := s.router.choose(s.view, s.route, s.route.Shards[shard], s.asked[shard], kind)
 	if a == nil {
@@ -97,8 +104,13 @@
 func (s *search) collect(ctx context.Context) (*Gathered, error) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	late := false
 	for {
 		now := time.Now()
+		if !late && now.After(s.goal.Add(lateTolerance)) {
+			late = true
+			s.router.late(s.route, now, s.goal.Sub(s.request.Received))
+		}
 		for _, shard := range s.state.Due(now) {
 			s.hedge(ctx, shard)
 		}
