Derive the time to process an answer from the processor share

Cause: on the grown sites (0.19 cores a router) answers left at the goal and arrived just after the objective: p50 154 ms of 150. The margin was that of routers of 0.4 cores, and no round trip was assumed before the first observation. Ruled out: the hedge budget (4 to 24 hedges a search) and the processor time of a sub-request (about 18 us in BenchmarkSearch, with the upstream's side).

--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -28,6 +28,16 @@
 	extraReserve = 0.9
 )
 
+// processingTime is what taking a request in and putting an answer together need of a whole core. With less than a core
+// they take longer in proportion.
+const processingTime = 2400 * time.Microsecond
+
+// answerMargin is how long before an answer must leave it is put together.
+func answerMargin(loaded settings.Router) time.Duration {
+	return time.Duration(loaded.AnswerMarginMillis)*time.Millisecond +
+		time.Duration(float64(processingTime)/min(1, loaded.CPUShare))
+}
+
 func run(ctx context.Context, path string, loaded settings.Router) error {
 	output := telemetry.NewBoundedWriter(os.Stdout)
 	defer output.Close()
@@ -47,7 +57,7 @@
 		ID: loaded.ID, FailureDomain: loaded.FailureDomain, Seeds: seeds,
 		ExtraShare: extraReserve * loaded.ExtraShare, ExtraFloor: loaded.ExtraFloor,
 		ExtraWindow:  time.Duration(loaded.ExtraWindowSeconds * float64(time.Second)),
-		AnswerMargin: time.Duration(loaded.AnswerMarginMillis) * time.Millisecond,
+		AnswerMargin: answerMargin(loaded),
 	}, control, platform.Codec{}, log)
 	following, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -82,7 +82,7 @@
 	f.asked = append(f.asked, a.upstream)
 	f.pending++
 	go func() {
-		answer, err := f.router.run(ctx, f.route, a, f.request, f.end)
+		answer, err := f.router.run(ctx, f.route, a, f.request)
 		f.results <- result{answer, err}
 	}()
 	return true
--- a/internal/router/limit.go
+++ b/internal/router/limit.go
@@ -38,6 +38,8 @@
 const (
 	// roundTripShare is the weight of one observation in the decaying mean of the round trip.
 	roundTripShare = 0.05
+	// usualRoundTrip is assumed before the first observation: a link of 3 ms each way and some time to accept.
+	usualRoundTrip = 8 * time.Millisecond
 	// maxRoundTrip bounds the effect of callers whose connections take long for another reason.
 	maxRoundTrip = 30 * time.Millisecond
 )
@@ -45,17 +47,24 @@
 // roundTrip estimates the round trip to callers. Callers count their time limit from before they connect, so that
 // the first request on a connection names a limit that is short by one round trip.
 type roundTrip struct {
-	mean float64
+	mean     float64
+	observed bool
 }
 
 func (r *roundTrip) observe(waited time.Duration) {
 	if waited <= 0 || waited > limitTolerance {
 		return
 	}
-	if r.mean == 0 {
+	if !r.observed {
+		r.observed = true
 		r.mean = float64(waited)
 	}
 	r.mean += (float64(waited) - r.mean) * roundTripShare
 }
 
-func (r *roundTrip) value() time.Duration { return min(time.Duration(r.mean), maxRoundTrip) }
+func (r *roundTrip) value() time.Duration {
+	if !r.observed {
+		return usualRoundTrip
+	}
+	return min(time.Duration(r.mean), maxRoundTrip)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -281,13 +281,11 @@
 	return &attempt{upstream: chosen, sent: now, ticket: r.tracker.Sent(now, chosen.instance.ID, expected)}
 }
 
-// run executes an attempt and records its result.
-func (r *Router) run(ctx context.Context, rt *route.Route, a *attempt, request *Request, end time.Time) (*upstreamconn.Answer, error) {
+// run executes an attempt and records its result. The caller ends it with the context.
+func (r *Router) run(ctx context.Context, rt *route.Route, a *attempt, request *Request) (*upstreamconn.Answer, error) {
 	sub := request.Request
 	sub.Instance = a.upstream.instance.ID
 	sub.Remaining = request.Received.Add(min(request.Limit, rt.Timeout)).Sub(a.sent)
-	ctx, cancel := context.WithDeadline(ctx, end)
-	defer cancel()
 	answer, err := a.upstream.pool.Do(ctx, &sub)
 	r.record(rt, request, a, answer, err, ctx.Err() != nil)
 	return answer, err
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -96,7 +96,7 @@
 	s.cancels[shard] = append(s.cancels[shard], cancel)
 	s.state.Sent(a.sent, shard)
 	go func() {
-		answer, err := s.router.run(ctx, s.route, a, s.request, s.end)
+		answer, err := s.router.run(ctx, s.route, a, s.request)
 		s.results <- part{shard: shard, answer: answer, err: err}
 	}()
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -81,9 +81,11 @@
 	ExtraFloor float64 `toml:"extra_floor" validate:"min=0,max=100000"`
 	// ExtraWindowSeconds is the budget window, in s.
 	ExtraWindowSeconds float64 `toml:"extra_window_s" validate:"min=0.1,max=3600"`
-	// AnswerMarginMillis is how long before it must arrive in time an answer is put together, in ms. The round trip to
-	// the caller is observed and added.
+	// AnswerMarginMillis is how long before it must arrive an answer leaves, in ms. The round trip to the caller is
+	// observed and added, and the time to process an answer follows from CPUShare.
 	AnswerMarginMillis int `toml:"answer_margin_ms" validate:"min=0,max=1000"`
+	// CPUShare is the share of one core that the process gets.
+	CPUShare float64 `toml:"cpu_share" validate:"min=0.01,max=1000"`
 	// LameDuckMillis is how long the health check fails before the listener closes, in ms.
 	LameDuckMillis int `toml:"lame_duck_ms" validate:"min=0,max=60000"`
 	// DrainMillis bounds the wait for requests in flight at a stop, in ms.
@@ -145,7 +147,7 @@
 
 // LoadRouter reads the settings of wmux-router.
 func LoadRouter(path string) (Router, error) {
-	loaded := Router{ExtraShare: 0.1, ExtraFloor: 10, ExtraWindowSeconds: 10, AnswerMarginMillis: 6, LameDuckMillis: 2_300, DrainMillis: 3_000, LogLevel: "info"}
+	loaded := Router{ExtraShare: 0.1, ExtraFloor: 10, ExtraWindowSeconds: 10, AnswerMarginMillis: 1, CPUShare: 1, LameDuckMillis: 2_300, DrainMillis: 3_000, LogLevel: "info"}
 	err := load(path, &loaded)
 	return loaded, err
 }
