Never say that a search has not run while a part of it may be running

Cause: a search that gave up early, because one shard refused, was answered 503 although other shards had begun to work; found by reading the code. Only requests without attempts in flight are now said not to have run, others get 502. The test over processes fails without the change (503 instead of 502). Also: TLS from the router to control, and observations of routes and services that are gone are dropped.

--- a/cmd/wmux-router/main.go
+++ b/cmd/wmux-router/main.go
@@ -5,6 +5,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/wisteriamux/wisteriamux/internal/cli"
+	"github.com/wisteriamux/wisteriamux/internal/security"
 	"github.com/wisteriamux/wisteriamux/internal/settings"
 )
 
@@ -31,6 +32,9 @@
 			if err != nil {
 				return err
 			}
+			if _, err := security.NewTransport(loaded.TLS); err != nil {
+				return err
+			}
 			cmd.Printf("settings of %s are valid\n", loaded.ID)
 			return nil
 		},
--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -14,6 +14,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/router"
+	"github.com/wisteriamux/wisteriamux/internal/security"
 	"github.com/wisteriamux/wisteriamux/internal/settings"
 	"github.com/wisteriamux/wisteriamux/internal/telemetry"
 	"github.com/wisteriamux/wisteriamux/platform"
@@ -51,7 +52,11 @@
 		return err
 	}
 	seeds := loaded.ControlAddresses()
-	control := controlrpc.NewClient(seeds, controlrpc.PlainDialer)
+	transport, err := security.NewTransport(loaded.TLS)
+	if err != nil {
+		return err
+	}
+	control := controlrpc.NewClient(seeds, transport.Dialer(controlrpc.PlainDialer, security.RoleControl))
 	defer control.Close()
 	r := router.New(router.Config{
 		ID: loaded.ID, FailureDomain: loaded.FailureDomain, Seeds: seeds,
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/overload"
 )
 
 const (
@@ -105,7 +107,8 @@
 		"upstreams", view.Upstreams(), "provisional", reply.Provisional, "changed", len(reply.Instances.Changed), "removed", len(reply.Instances.Removed))
 }
 
-// forget drops the observations of upstreams that are gone.
+// forget drops the observations of upstreams, routes and services that are gone, so that their number stays bounded over
+// any number of configurations.
 func (r *Router) forget(view *View) {
 	known := map[string]bool{}
 	for _, members := range view.byService {
@@ -116,6 +119,23 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tracker.Retain(func(id string) bool { return known[id] })
+	if view.Routes == nil {
+		return
+	}
+	routes := map[string]bool{}
+	for _, rt := range view.Routes.Table.Routes {
+		routes[rt.Name] = true
+	}
+	maps.DeleteFunc(r.routes, func(name string, _ *routeStats) bool { return !routes[name] })
+	// A service may come back with the next table, and its budget must not begin anew within the window.
+	maps.DeleteFunc(r.budgets, func(name string, b *serviceBudget) bool {
+		_, listed := view.Routes.Service(name)
+		return !listed && time.Since(b.filled) > r.config.ExtraWindow
+	})
+	maps.DeleteFunc(r.overload, func(name string, _ *overload.Controller) bool {
+		_, listed := view.Routes.Service(name)
+		return !listed
+	})
 }
 
 // Sweep closes idle connections that expire, until the context ends.
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -43,6 +43,8 @@
 	cancels [][]context.CancelFunc
 	answers []*upstreamconn.Answer
 	hedges  int
+	// inFlight counts the attempts that have not ended. Any of them may be running.
+	inFlight int
 	// ran is set when an upstream may have run a part.
 	ran bool
 }
@@ -95,6 +97,7 @@
 	s.asked[shard] = append(s.asked[shard], a.upstream)
 	s.cancels[shard] = append(s.cancels[shard], cancel)
 	s.state.Sent(a.sent, shard)
+	s.inFlight++
 	go func() {
 		answer, err := s.router.run(ctx, s.route, a, s.request)
 		s.results <- part{shard: shard, answer: answer, err: err}
@@ -141,6 +144,7 @@
 }
 
 func (s *search) take(ctx context.Context, p part) {
+	s.inFlight--
 	outcome := gather.Failure
 	if p.err == nil && isPart(p.answer) {
 		outcome = gather.Part
@@ -180,7 +184,7 @@
 func (s *search) failure(now time.Time) error {
 	in, shards := s.state.Count(), len(s.answers)
 	switch {
-	case !s.ran && in == 0:
+	case !s.ran && s.inFlight == 0:
 		return fault.New(fault.NotRun, "router.search", "no upstream of %d shards took the request", shards)
 	case !now.Before(s.end):
 		return fault.New(fault.Incomplete, "router.search", "%d of %d shards answered in time", in, shards)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -92,6 +92,8 @@
 	DrainMillis int `toml:"drain_ms" validate:"min=100,max=600000"`
 	// LogLevel is the least level of events that are logged.
 	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error"`
+	// TLS secures the connections to control members; absent means none.
+	TLS security.Files `toml:"tls"`
 }
 
 // ControlAddresses returns the RPC addresses of the seeds.
