--- /dev/null
+++ b/internal/router/attempt.go
@@ -0,0 +1,141 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/replica"
+	"github.com/wisteriamux/wisteriamux/internal/route"
+	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
+)
+
+const (
+	// expectedShare is the weight of one observation in the decaying mean of a route's answer time.
+	expectedShare = 0.05
+	// silentAfter is the age at which an abandoned request shows that its connection may be silent for good. Upstreams
+	// pause for up to 200 ms.
+	silentAfter = 350 * time.Millisecond
+)
+
+// attempt is one request at one upstream.
+type attempt struct {
+	upstream *upstream
+	ticket   uint64
+	sent     time.Time
+}
+
+// try tells how an attempt counts against the shared budget.
+type try int
+
+const (
+	// first is the first attempt of a request, which earns a share of an extra one.
+	first try = iota
+	// extra may reach an upstream in addition to an earlier attempt, and needs a token.
+	extra
+	// again replaces an attempt that reached no upstream.
+	again
+)
+
+// choose returns an upstream of the service that was not asked before, and records the attempt.
+func (r *Router) choose(view *View, rt *route.Route, service string, asked []*upstream, kind try) *attempt {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	candidates := view.candidates[service]
+	at := r.tracker.Choose(now, candidates, func(id string) bool {
+		for _, u := range asked {
+			if u.instance.ID == id {
+				return true
+			}
+		}
+		return false
+	})
+	if at < 0 {
+		return nil
+	}
+	bucket := r.budget(service, now)
+	switch {
+	case kind == first:
+		bucket.Earn()
+	case kind == extra && !bucket.Take():
+		r.counts.NoBudget++
+		return nil
+	case kind == extra:
+		r.counts.Extra++
+	}
+	r.counts.Attempts++
+	chosen := view.byService[service][at]
+	expected := time.Duration(r.stats(rt).expected)
+	return &attempt{upstream: chosen, sent: now, ticket: r.tracker.Sent(now, chosen.instance.ID, expected)}
+}
+
+// run executes an attempt and records its result. The caller ends it with the context.
+func (r *Router) run(ctx context.Context, rt *route.Route, a *attempt, request *Request) (*upstreamconn.Answer, error) {
+	sub := request.Request
+	sub.Instance = a.upstream.instance.ID
+	sub.Remaining = request.Received.Add(min(request.Limit, rt.Timeout)).Sub(a.sent)
+	answer, err := a.upstream.pool.Do(ctx, &sub)
+	r.record(rt, request, a, answer, err, ctx.Err() != nil)
+	return answer, err
+}
+
+func (r *Router) record(rt *route.Route, request *Request, a *attempt, answer *upstreamconn.Answer, err error, abandoned bool) {
+	now := time.Now()
+	result := resultOf(answer, err, abandoned)
+	took := now.Sub(a.sent)
+	r.mu.Lock()
+	r.tracker.Done(now, a.upstream.instance.ID, a.ticket, result)
+	s := r.stats(rt)
+	switch result {
+	case replica.Answered:
+		s.expected += (float64(took) - s.expected) * expectedShare
+		s.slow.Add(took)
+	case replica.Abandoned:
+		if took > s.slow.Value() {
+			s.slow.Add(took)
+		}
+	}
+	r.mu.Unlock()
+	if result == replica.Abandoned && took > silentAfter {
+		a.upstream.pool.Flush()
+	}
+	if result != replica.Answered && result != replica.Abandoned {
+		r.log.Info("attempt failed", "request", request.ID, "route", rt.Name, "service", a.upstream.instance.Service,
+			"upstream", a.upstream.instance.ID, "upstream_since", a.upstream.instance.Since, "result", result.String(),
+			"took_ms", took.Milliseconds(), "error", err)
+	}
+}
+
+func resultOf(answer *upstreamconn.Answer, err error, abandoned bool) replica.Result {
+	var failed *upstreamconn.Failure
+	switch {
+	case err != nil && abandoned:
+		return replica.Abandoned
+	case errors.As(err, &failed) && failed.Unreachable:
+		return replica.Unreachable
+	case err != nil:
+		return replica.Failed
+	case answer.Misdirected:
+		return replica.Misdirected
+	case answer.NotRun:
+		return replica.Refused
+	case answer.Status >= 500:
+		return replica.Failed
+	}
+	return replica.Answered
+}
+
+// countAs tells how an attempt counts that follows one with the result.
+func countAs(answer *upstreamconn.Answer, err error) try {
+	if arrived(answer, err) {
+		return extra
+	}
+	return again
+}
+
+// arrived reports whether an upstream may have seen the attempt, which then counts against the budget.
+func arrived(answer *upstreamconn.Answer, err error) bool {
+	var failed *upstreamconn.Failure
+	return answer != nil || !errors.As(err, &failed) || failed.Sent
+}
