--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -116,6 +116,8 @@
 	// silentUntil is until when the upstream counts as standing still.
 	silentUntil time.Time
 	inFlight    map[uint64]flight
+	// condition is the one that was reported last.
+	condition Condition
 }
 
 // Tracker holds the observations of one VM. It is not safe for concurrent use.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -103,6 +103,37 @@
 		Expect(tracker.Choose(at(2), all, func(string) bool { return true })).To(Equal(-1))
 	})
 
+	It("reports a slow upstream once, and its recovery once", func() {
+		now := 0
+		send := func(took int) {
+			ticket := tracker.Sent(at(now), "near", expected)
+			now += took
+			tracker.Done(at(now), "near", ticket, replica.Answered)
+		}
+		var seen []replica.Condition
+		note := func() {
+			if _, after, changed := tracker.Changed(at(now), "near"); changed {
+				seen = append(seen, after)
+			}
+		}
+		for range 30 {
+			send(50)
+			note()
+		}
+		for range 30 {
+			send(10)
+			note()
+		}
+		Expect(seen).To(Equal([]replica.Condition{replica.SlowCondition, replica.SoundCondition}))
+	})
+
+	It("does not report the usual pauses", func() {
+		ticket := tracker.Sent(at(0), "near", expected)
+		tracker.Done(at(200), "near", ticket, replica.Abandoned)
+		_, after, _ := tracker.Changed(at(200), "near")
+		Expect(after).To(Equal(replica.SoundCondition))
+	})
+
 	It("finds a quantile of a shifted distribution within some hundred samples", func() {
 		q := replica.Quantile{Share: 0.9}
 		for _, base := range []int{10, 40} {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -96,7 +96,12 @@
 			s.slow.Add(took)
 		}
 	}
+	before, after, changed := r.tracker.Changed(now, a.upstream.instance.ID)
 	r.mu.Unlock()
+	if changed {
+		r.log.Info("upstream condition changed", "upstream", a.upstream.instance.ID, "service", a.upstream.instance.Service,
+			"from", before, "to", after, "last_result", result.String(), "last_took_ms", took.Milliseconds())
+	}
 	if result == replica.Abandoned && took > silentAfter {
 		a.upstream.pool.Flush()
 	}
