--- a/internal/upstreamconn/upstreamconn_test.go
+++ b/internal/upstreamconn/upstreamconn_test.go
@@ -136,10 +136,10 @@
 	})
 
 	It("takes an answer without a length whole when the connection closes, and not when it breaks", func() {
-		broken := false
+		var broken atomic.Bool
 		u := serve(func(conn net.Conn, r *http.Request) {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\n\r\npart")
-			if broken {
+			if broken.Load() {
 				_ = conn.(*net.TCPConn).SetLinger(0)
 				time.Sleep(20 * time.Millisecond)
 			}
@@ -149,7 +149,7 @@
 		got, err := get(pool, "1")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(got.Body).To(BeEquivalentTo("part"))
-		broken = true
+		broken.Store(true)
 		_, err = get(pool, "2")
 		var failed *upstreamconn.Failure
 		Expect(errors.As(err, &failed)).To(BeTrue())
