--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -51,19 +51,12 @@
 	if err != nil {
 		return err
 	}
-	seeds := loaded.ControlAddresses()
-	transport, err := security.NewTransport(loaded.TLS)
+	control, err := newControl(loaded)
 	if err != nil {
 		return err
 	}
-	control := controlrpc.NewClient(seeds, transport.Dialer(controlrpc.PlainDialer, security.RoleControl))
 	defer control.Close()
-	r := router.New(router.Config{
-		ID: loaded.ID, FailureDomain: loaded.FailureDomain, Seeds: seeds,
-		ExtraShare: extraReserve * loaded.ExtraShare, ExtraFloor: loaded.ExtraFloor,
-		ExtraWindow:  time.Duration(loaded.ExtraWindowSeconds * float64(time.Second)),
-		AnswerMargin: answerMargin(loaded),
-	}, control, platform.Codec{}, log)
+	r := newRouter(loaded, control, log)
 	following, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go r.Follow(following)
@@ -82,8 +75,33 @@
 		"extra_share", loaded.ExtraShare, "extra_floor", loaded.ExtraFloor, "answer_margin_ms", loaded.AnswerMarginMillis)
 	<-ctx.Done()
 	stopping.Store(true)
+	shutDown(server, loaded, log)
+	return nil
+}
+
+// newControl returns a client of the control group.
+func newControl(loaded settings.Router) (*controlrpc.Client, error) {
+	transport, err := security.NewTransport(loaded.TLS)
+	if err != nil {
+		return nil, err
+	}
+	dial := transport.Dialer(controlrpc.PlainDialer, security.RoleControl)
+	return controlrpc.NewClient(loaded.ControlAddresses(), dial), nil
+}
+
+func newRouter(loaded settings.Router, control *controlrpc.Client, log *slog.Logger) *router.Router {
+	return router.New(router.Config{
+		ID: loaded.ID, FailureDomain: loaded.FailureDomain, Seeds: loaded.ControlAddresses(),
+		ExtraShare: extraReserve * loaded.ExtraShare, ExtraFloor: loaded.ExtraFloor,
+		ExtraWindow:  time.Duration(loaded.ExtraWindowSeconds * float64(time.Second)),
+		AnswerMargin: answerMargin(loaded),
+	}, control, platform.Codec{}, log)
+}
+
+// shutDown serves on until the balancer has noticed that this VM is not ready, which takes a few of its questions, and
+// then finishes the requests in flight.
+func shutDown(server *http.Server, loaded settings.Router, log *slog.Logger) {
 	log.Info("stopping", "lame_duck_ms", loaded.LameDuckMillis, "drain_ms", loaded.DrainMillis)
-	// The balancer needs a few questions to notice; until then it sends new connections.
 	time.Sleep(time.Duration(loaded.LameDuckMillis) * time.Millisecond)
 	draining, cancel := context.WithTimeout(context.Background(), time.Duration(loaded.DrainMillis)*time.Millisecond)
 	defer cancel()
@@ -91,7 +109,6 @@
 		log.Warn("requests cut", "error", err)
 	}
 	log.Info("stopped")
-	return nil
 }
 
 // reload adopts the seeds of a changed settings file. Everything else takes effect at the next start.
