Remove what nothing uses from the new packages

Cause: the read-through found connection counters that nobody reads, a field and a method without a caller, a start time that the search machine never looks at, and a condition that said the same twice (a request that ran nowhere is always one that did not run). Behaviour and assertions are unchanged: race tests of the four packages, the path test and the linter pass.

--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -11,10 +11,9 @@
 	Least int
 	// Attempts is the number of upstreams that each shard may be asked at.
 	Attempts int
-	// Start is when the search began. Goal is until when an answer counts in full, End when the caller stops waiting.
-	Start time.Time
-	Goal  time.Time
-	End   time.Time
+	// Goal is until when an answer counts in full, End when the caller stops waiting.
+	Goal time.Time
+	End  time.Time
 	// HedgeAfter is how long the first attempt at a shard may take before a second one is sent.
 	HedgeAfter time.Duration
 }
--- a/internal/gather/gather_test.go
+++ b/internal/gather/gather_test.go
@@ -22,7 +22,7 @@
 
 func newSearch(shards, least int) *gather.Search {
 	s := gather.New(gather.Plan{
-		Shards: shards, Least: least, Attempts: 2, Start: start, Goal: at(50), End: at(1000), HedgeAfter: 20 * time.Millisecond,
+		Shards: shards, Least: least, Attempts: 2, Goal: at(50), End: at(1000), HedgeAfter: 20 * time.Millisecond,
 	})
 	for shard := range shards {
 		s.Sent(start, shard)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -296,9 +296,6 @@
 	return best
 }
 
-// InFlight returns the number of requests in flight at an upstream.
-func (t *Tracker) InFlight(id string) int { return len(t.stats(id).inFlight) }
-
 // Stuck reports whether a request in flight shows that the upstream stands still or cannot be reached.
 func (t *Tracker) Stuck(now time.Time, id string) bool {
 	s := t.stats(id)
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -71,13 +71,13 @@
 	return best
 }
 
-func (f *forwarding) send(ctx context.Context, kind try) bool {
+func (f *forwarding) send(ctx context.Context, kind try) {
 	if len(f.asked) >= max(1, f.route.Attempts) {
-		return false
+		return
 	}
 	a := f.router.choose(f.view, f.route, f.service, f.asked, kind)
 	if a == nil {
-		return false
+		return
 	}
 	f.asked = append(f.asked, a.upstream)
 	f.pending++
@@ -85,7 +85,6 @@
 		answer, err := f.router.run(ctx, f.route, a, f.request)
 		f.results <- result{answer, err}
 	}()
-	return true
 }
 
 func (f *forwarding) await(ctx context.Context) (*upstreamconn.Answer, error) {
@@ -128,7 +127,7 @@
 		}
 		f.last = done.answer
 	}
-	if f.pending == 0 && (notRun || f.route.Idempotent) && (!f.ran || f.route.Idempotent) {
+	if f.pending == 0 && (f.route.Idempotent || !f.ran) {
 		f.send(ctx, countAs(done.answer, done.err))
 	}
 	return nil
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -64,7 +64,7 @@
 		router: r, view: view, route: rt, request: request, goal: goal, end: end,
 		state: gather.New(gather.Plan{
 			Shards: shards, Least: leastShards(shards, rt.Coverage), Attempts: attempts,
-			Start: request.Received, Goal: goal, End: end, HedgeAfter: hedge,
+			Goal: goal, End: end, HedgeAfter: hedge,
 		}),
 		results: make(chan part, shards*attempts),
 		asked:   make([][]*upstream, shards),
--- a/internal/upstreamconn/upstreamconn.go
+++ b/internal/upstreamconn/upstreamconn.go
@@ -95,17 +95,11 @@
 	return &Failure{Err: fault.New(fault.UpstreamFailed, "upstreamconn."+op, format, args...), Sent: sent, Unreachable: unreachable}
 }
 
-// Stats counts what happened to connections since the start.
-type Stats struct {
-	Dialled, Reused, Dropped int64
-}
-
 type conn struct {
 	net.Conn
 	reader    *bufio.Reader
 	raw       syscall.RawConn
 	keptUntil time.Time
-	opened    time.Time
 }
 
 // Pool holds the connections to one upstream address.
@@ -117,19 +111,11 @@
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
-	stats  Stats
 }
 
 // NewPool returns a pool without connections.
 func NewPool(address string, codec Codec) *Pool { return &Pool{address: address, codec: codec} }
 
-// Stats returns the counts of the pool.
-func (p *Pool) Stats() Stats {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.stats
-}
-
 // Idle returns the number of connections that wait for a request.
 func (p *Pool) Idle() int {
 	p.mu.Lock()
@@ -142,7 +128,6 @@
 	p.mu.Lock()
 	idle := p.idle
 	p.idle = nil
-	p.stats.Dropped += int64(len(idle))
 	p.mu.Unlock()
 	for _, c := range idle {
 		_ = c.Close()
@@ -215,20 +200,16 @@
 	}
 	c := p.idle[len(p.idle)-1]
 	p.idle = p.idle[:len(p.idle)-1]
-	p.stats.Reused++
 	return c
 }
 
 func (p *Pool) open(ctx context.Context) (*conn, error) {
-	p.mu.Lock()
-	p.stats.Dialled++
-	p.mu.Unlock()
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	raw, err := dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, failure(false, ctx.Err() == nil, "dial", "%w", err)
 	}
-	c := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), opened: time.Now()}
+	c := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
 	if tcp, ok := raw.(*net.TCPConn); ok {
 		c.prepare(tcp)
 	}
