Move the bounded writes of RPC connections to a package of their own

Cause: the relay to come needs the same guard as the links of today's owners: net/rpc holds a lock during a write, and one frozen peer would stop every later call. Ruled out: a second copy beside the new code.

--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -2,30 +2,15 @@
 
 import (
 	"context"
-	"net"
 	"net/rpc"
 	"sync"
-	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
+	"github.com/wisteriamux/wisteriamux/internal/rpcconn"
 )
 
-// linkWriteTimeout bounds a write to a frozen peer. net/rpc holds a lock during the write, so that one stuck call would
-// otherwise hold up every later one.
-const linkWriteTimeout = 2 * time.Second
-
-type boundedWrites struct{ net.Conn }
-
-// Write implements net.Conn.
-func (c boundedWrites) Write(data []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(linkWriteTimeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(data)
-}
-
 // links calls the owner service of other entry VMs for bookings and renewals, over one connection for each address.
 // They are separate from the connections of searches, so that a booking never waits behind a large batch.
 type links struct {
@@ -71,7 +56,7 @@
 	if err != nil {
 		return nil, fault.New(fault.NotRun, "links.dial", "owner at %s: %w", address, err)
 	}
-	conn = rpc.NewClient(boundedWrites{raw})
+	conn = rpc.NewClient(rpcconn.Bound(raw))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if other, ok := l.conns[address]; ok {
