Tell entry VMs where others relay

Cause: a VM that wants to reach upstreams through a VM of their failure domain has to know one. The leader hears every entry VM at each watch and can tell. Ruled out: writing relay addresses to the log (soft state, a wrong list costs a detour only), and the whole list to everyone: it grows with the fleet, so each watcher gets at most 32 of a failure domain, and only after a change. An entry VM may watch for its own identity only, since others send searches to the address.

--- a/internal/control/access.go
+++ b/internal/control/access.go
@@ -151,8 +151,12 @@
 	return a.service.GroupTransfer(args, reply)
 }
 
-// Watch is Service.Watch.
+// Watch is Service.Watch for the VM itself: others send it searches if it names a relay address.
 func (a *EntryAccess) Watch(args controlrpc.WatchArgs, reply *controlrpc.WatchReply) error {
+	if args.Watcher != a.name && args.Watcher != "" {
+		reply.Fault = a.forbidden("watch as %q", args.Watcher)
+		return nil
+	}
 	return a.service.Watch(args, reply)
 }
 
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -44,9 +44,7 @@
 	if err := s.leads(); err != nil {
 		return s.provisional(args, reply, err)
 	}
-	if args.Watcher != "" {
-		s.watchers.hear(args.Watcher, s.now())
-	}
+	s.hearWatcher(args, s.now())
 	s.awaitChange(args)
 	// The barrier comes after the wait, so that the answer is current when it leaves.
 	if err := s.leadOnce(); err != nil {
@@ -58,6 +56,7 @@
 	s.machine.delta(args.Known, reply)
 	reply.Members, reply.Leader = s.refer()
 	reply.Watchers = s.watchers.count(watcherWindow, s.now())
+	s.tellPeers(args, reply)
 	return nil
 }
 
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -33,6 +33,7 @@
 	loads     *loadTable
 	instances *presence
 	watchers  *presence
+	relays    *relays
 	now       func() time.Time
 	log       *slog.Logger
 }
@@ -49,6 +50,7 @@
 		loads:      newLoadTable(),
 		instances:  newPresence(),
 		watchers:   newPresence(),
+		relays:     newRelays(),
 		now:        now,
 		log:        slog.New(slog.DiscardHandler),
 	}
--- a/internal/controlrpc/routes.go
+++ b/internal/controlrpc/routes.go
@@ -20,6 +20,18 @@
 	WaitMillis int64
 	// Watcher identifies an entry VM, so that the leader can count those that share budgets. Others leave it empty.
 	Watcher string
+	// RelayAddress is where the entry VM takes batches from others, empty if it does not, and FailureDomain its own.
+	RelayAddress  string
+	FailureDomain string
+	// PeersDigest is that of the last reply.
+	PeersDigest uint64
+}
+
+// Peer is an entry VM that takes batches from others.
+type Peer struct {
+	ID            string
+	FailureDomain string
+	Address       string
 }
 
 // WatchReply carries what changed.
@@ -37,6 +49,10 @@
 	Provisional bool
 	// Watchers is the number of processes that watched lately.
 	Watchers int
+	// PeersDigest identifies the entry VMs that relay for this one. Peers lists them if the digest differs from that of
+	// the question.
+	PeersDigest uint64
+	Peers       []Peer
 }
 
 // PutRoutesArgs orders a table of routes.
