Add batches of attempts that another entry VM carries out

Cause: 650 bytes of exchange for 100 to 200 bytes of records cross failure domains for each part of a search, and an entry VM of a large fleet asks an upstream too seldom to know it. Ruled out: owners (agreement and hand-over for a queue of two slots) and gossip; see docs/proposals/0009-relays.md. Found by its tests: net/rpc waits for the calls in progress after a connection has ended, so that attempts of a dead peer ran on; an idle connection that was cut was noticed only by the next search. Conclusion: batch, plan and health are state without I/O; link and service carry them out.

--- /dev/null
+++ b/internal/relay/link.go
@@ -0,0 +1,229 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/rpcconn"
+)
+
+// Link is the connection to one relay. It is safe for concurrent use.
+type Link struct {
+	peer controlrpc.Peer
+	dial controlrpc.Dialer
+	log  *slog.Logger
+	next atomic.Uint64
+	// inFlight counts batches.
+	inFlight atomic.Int64
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	health health
+	conn   *rpc.Client
+	closed bool
+}
+
+func newLink(peer controlrpc.Peer, dial controlrpc.Dialer, log *slog.Logger) *Link {
+	return &Link{peer: peer, dial: dial, log: log}
+}
+
+// Peer returns the ID of the relay.
+func (l *Link) Peer() string { return l.peer.ID }
+
+// usable reports whether the relay takes a batch, and begins to connect if it was not tried yet.
+func (l *Link) usable(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.closed && l.health.dial(now) {
+		go l.connect()
+	}
+	return l.health.usable()
+}
+
+func (l *Link) connect() {
+	raw, err := l.dial(l.peer.Address)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.health.failed(time.Now())
+		l.log.Info("relay not reached", "relay", l.peer.ID, "address", l.peer.Address, "retry_ms", l.health.pause.Milliseconds(), "error", err)
+		return
+	}
+	if l.closed {
+		_ = raw.Close()
+		return
+	}
+	l.conn = rpc.NewClient(rpcconn.Bound(raw))
+	l.health.up()
+	go l.stay(l.conn)
+	l.log.Info("relay connected", "relay", l.peer.ID, "failure_domain", l.peer.FailureDomain, "address", l.peer.Address)
+}
+
+// stay learns when the relay leaves or the connection ends.
+func (l *Link) stay(conn *rpc.Client) {
+	if err := conn.Call(ServiceName+".Stay", Empty{}, &Empty{}); err != nil {
+		l.drop(conn, fault.New(fault.Unavailable, "relay.stay", "%w", err))
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == conn {
+		l.health.leave()
+		l.log.Info("relay leaves", "relay", l.peer.ID)
+	}
+}
+
+// close ends the link. Batches in flight fail.
+func (l *Link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	if l.conn != nil {
+		_ = l.conn.Close()
+	}
+}
+
+// drop ends a connection that failed.
+func (l *Link) drop(conn *rpc.Client, cause error) {
+	_ = conn.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != conn {
+		return
+	}
+	l.conn = nil
+	l.health.failed(time.Now())
+	if !l.closed {
+		l.log.Warn("relay lost", "relay", l.peer.ID, "address", l.peer.Address, "retry_ms", l.health.pause.Milliseconds(), "error", cause)
+	}
+}
+
+// Batch is a batch in progress at a relay.
+type Batch struct {
+	link *Link
+	conn *rpc.Client
+	id   uint64
+}
+
+// Start sends a batch, or returns nil if the link has failed meanwhile, so that nothing was sent. Each report goes to
+// deliver, which is called by one goroutine, until every attempt has ended, the context ends or the link fails; the last
+// call has an error in the latter case. When the context ends, the relay gives up what is left.
+func (l *Link) Start(ctx context.Context, args RunArgs, deliver func(Progress, error)) *Batch {
+	l.mu.Lock()
+	conn := l.conn
+	l.mu.Unlock()
+	if conn == nil {
+		return nil
+	}
+	args.Batch = l.next.Add(1)
+	b := &Batch{link: l, conn: conn, id: args.Batch}
+	l.inFlight.Add(1)
+	go func() {
+		defer l.inFlight.Add(-1)
+		b.run(ctx, args, deliver)
+	}()
+	return b
+}
+
+func (b *Batch) run(ctx context.Context, args RunArgs, deliver func(Progress, error)) {
+	left := len(args.Attempts)
+	method, message := "Run", any(args)
+	for left > 0 {
+		var report Progress
+		err := b.call(ctx, method, message, &report)
+		if ctx.Err() != nil {
+			b.Cancel(nil)
+			return
+		}
+		if err == nil {
+			err = report.Fault.AsError()
+		}
+		if err != nil {
+			deliver(Progress{}, err)
+			return
+		}
+		left -= len(report.Ended)
+		deliver(report, nil)
+		method, message = "Next", NextArgs{Batch: b.id}
+	}
+}
+
+// call waits for one report. A relay that is late gets no further batches, and one that stays silent loses its connection.
+func (b *Batch) call(ctx context.Context, method string, args any, report *Progress) error {
+	call := b.conn.Go(ServiceName+"."+method, args, report, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(silentAfter)
+	defer timer.Stop()
+	late := false
+	for {
+		select {
+		case <-ctx.Done():
+			return fault.New(fault.Cancelled, "relay.call", "%w", ctx.Err())
+		case <-timer.C:
+			if late {
+				err := fault.New(fault.Unavailable, "relay.call", "no report from %s for %s", b.link.peer.ID, lostAfter)
+				b.link.drop(b.conn, err)
+				return err
+			}
+			late = true
+			b.link.markSilent(b.conn)
+			timer.Reset(lostAfter - silentAfter)
+		case <-call.Done:
+			if call.Error != nil {
+				err := fault.New(fault.Unavailable, "relay.call", "%s at %s: %w", method, b.link.peer.ID, call.Error)
+				b.link.drop(b.conn, err)
+				return err
+			}
+			b.link.answered()
+			return nil
+		}
+	}
+}
+
+// Cancel gives attempts up; without numbers all of the batch.
+func (b *Batch) Cancel(numbers []int) {
+	// The answer says nothing, and a lost one is noticed by the next batch.
+	b.conn.Go(ServiceName+".Cancel", CancelArgs{Batch: b.id, Numbers: numbers}, &Empty{}, make(chan *rpc.Call, 1))
+}
+
+func (l *Link) answered() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.health.silent {
+		l.log.Info("relay answers again", "relay", l.peer.ID)
+	}
+	l.health.answered()
+}
+
+// markSilent takes the relay out of use until it answers, and asks it whether it does.
+func (l *Link) markSilent(conn *rpc.Client) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != conn || l.health.silent {
+		return
+	}
+	l.health.missing()
+	l.log.Warn("relay silent", "relay", l.peer.ID, "address", l.peer.Address, "after_ms", silentAfter.Milliseconds())
+	go l.probe(conn)
+}
+
+func (l *Link) probe(conn *rpc.Client) {
+	call := conn.Go(ServiceName+".Ping", Empty{}, &Empty{}, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(lostAfter)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		l.drop(conn, fault.New(fault.Unavailable, "relay.probe", "no answer for %s", lostAfter))
+	case <-call.Done:
+		if call.Error != nil {
+			l.drop(conn, fault.New(fault.Unavailable, "relay.probe", "%w", call.Error))
+			return
+		}
+		l.answered()
+	}
+}
--- /dev/null
+++ b/internal/relay/service.go
@@ -0,0 +1,314 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/rpc"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/rpcconn"
+	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
+)
+
+// maxBatches bounds the batches of one connection, so that a peer that never collects its reports cannot exhaust memory.
+const maxBatches = 4096
+
+// waitInterval is the time between two looks at the attempts in progress during a stop, which takes seconds.
+const waitInterval = 10 * time.Millisecond
+
+// Executor sends one request to one upstream process. An error with the code Moved means that the process is not known as
+// one that takes requests, and a DeclinedError that it is in a bad condition; nothing was sent then.
+type Executor interface {
+	Attempt(ctx context.Context, attempt Attempt, expected time.Duration, request *upstreamconn.Request) (*upstreamconn.Answer, error)
+}
+
+// Server carries out the batches of other entry VMs. It is safe for concurrent use.
+type Server struct {
+	executor Executor
+	log      *slog.Logger
+	// leave is closed when this relay begins to stop.
+	leave chan struct{}
+	// running counts batches.
+	running atomic.Int64
+}
+
+// NewServer returns a server of batches.
+func NewServer(executor Executor, log *slog.Logger) *Server {
+	return &Server{executor: executor, log: log, leave: make(chan struct{})}
+}
+
+// Leave tells the peers that this relay stops soon. It is called once.
+func (s *Server) Leave() { close(s.leave) }
+
+// Wait returns when every batch has been reported in full, or when the context ends. It looks once more after the last
+// one, whose report may still have to be written.
+func (s *Server) Wait(ctx context.Context) {
+	ticker := time.NewTicker(waitInterval)
+	defer ticker.Stop()
+	for idle := 0; idle < 2; idle++ {
+		if s.running.Load() > 0 {
+			idle = 0
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Serve accepts connections until the listener closes.
+func (s *Server) Serve(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				s.log.Error("relay listener failed", "address", listener.Addr().String(), "error", err)
+			}
+			return
+		}
+		go s.serveConn(conn)
+	}
+}
+
+// serveConn serves one peer. What it asked for is given up when its connection ends.
+func (s *Server) serveConn(conn net.Conn) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	server := rpc.NewServer()
+	peer := &session{server: s, ctx: ctx, batches: map[uint64]*running{}}
+	if err := server.RegisterName(ServiceName, peer); err != nil {
+		s.log.Error("relay service not registered", "error", err)
+		return
+	}
+	// net/rpc waits for the calls in progress after the connection has ended, and those wait for the context.
+	server.ServeConn(rpcconn.NotifyEnd(rpcconn.Bound(conn), cancel))
+}
+
+// session is the RPC service of one connection.
+type session struct {
+	server *Server
+	// ctx ends with the connection.
+	ctx context.Context
+
+	// mu guards batches.
+	mu      sync.Mutex
+	batches map[uint64]*running
+}
+
+// running is a batch in progress.
+type running struct {
+	cancel context.CancelFunc
+	// changed holds a signal after each end.
+	changed chan struct{}
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	state   *batch
+	cancels map[int]context.CancelFunc
+}
+
+// Run starts a batch and returns its first report.
+func (p *session) Run(args RunArgs, reply *Progress) error {
+	if args.Remaining <= 0 || len(args.Attempts) == 0 {
+		reply.Fault = fault.ToWire(fault.New(fault.BadRequest, "relay.run", "batch %d of %d attempts with %s left", args.Batch,
+			len(args.Attempts), args.Remaining))
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, args.Remaining)
+	r := &running{
+		cancel: cancel, changed: make(chan struct{}, 1), state: newBatch(args, time.Now()), cancels: map[int]context.CancelFunc{},
+	}
+	if !p.keep(args.Batch, r) {
+		cancel()
+		reply.Fault = fault.ToWire(fault.New(fault.Conflict, "relay.run", "batch %d is known already or one of more than %d",
+			args.Batch, maxBatches))
+		return nil
+	}
+	// A batch whose reports nobody collects is forgotten when its time is over. The calls of one connection may overtake
+	// each other, so that a Cancel can come before the batch.
+	context.AfterFunc(ctx, func() { p.forget(args.Batch, r) })
+	p.server.start(ctx, r, args)
+	*reply = p.await(args.Batch, r)
+	return nil
+}
+
+// keep records a batch in progress, unless there are too many or its name is taken.
+func (p *session) keep(id uint64, r *running) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, known := p.batches[id]; known || len(p.batches) >= maxBatches {
+		return false
+	}
+	p.batches[id] = r
+	p.server.running.Add(1)
+	return true
+}
+
+// start runs the attempts of a batch, each until its end or until it is given up.
+func (s *Server) start(ctx context.Context, r *running, args RunArgs) {
+	received := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, attempt := range args.Attempts {
+		ctx, cancel := context.WithCancel(ctx)
+		r.cancels[attempt.Number] = cancel
+		request := &upstreamconn.Request{
+			ID: args.Request, Method: args.Method, Target: args.Target, Host: args.Host, Header: args.Header,
+			Instance: attempt.Instance, Remaining: args.Remaining,
+		}
+		go func() {
+			defer cancel()
+			answer, err := s.executor.Attempt(ctx, attempt, args.Expected, request)
+			ended := Ended{Number: attempt.Number, Took: time.Since(received), Outcome: Classify(answer, err)}
+			if ended.Outcome == Answered {
+				ended.Stamp = answer.Stamp
+			} else {
+				ended.Reason = reason(answer, err)
+			}
+			var declined *DeclinedError
+			if errors.As(err, &declined) {
+				ended.Cost = declined.Cost
+			}
+			r.end(ended, answer)
+		}()
+	}
+}
+
+func (r *running) end(ended Ended, answer *upstreamconn.Answer) {
+	var records []byte
+	if answer != nil {
+		records = answer.Body
+	}
+	r.mu.Lock()
+	r.state.end(ended, records)
+	r.mu.Unlock()
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Next waits for the next report of a batch. An unknown batch has been reported in full.
+func (p *session) Next(args NextArgs, reply *Progress) error {
+	p.mu.Lock()
+	r, ok := p.batches[args.Batch]
+	p.mu.Unlock()
+	if !ok {
+		reply.Fault = fault.ToWire(fault.New(fault.NotFound, "relay.next", "batch %d is not in progress", args.Batch))
+		return nil
+	}
+	*reply = p.await(args.Batch, r)
+	return nil
+}
+
+// await returns the next report and forgets the batch after its last one.
+func (p *session) await(id uint64, r *running) Progress {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		now := time.Now()
+		r.mu.Lock()
+		due, at := r.state.due(now)
+		if due {
+			report := r.state.report(now)
+			finished := r.state.finished()
+			r.mu.Unlock()
+			if finished {
+				p.forget(id, r)
+			}
+			return report
+		}
+		r.mu.Unlock()
+		timer.Reset(at.Sub(now))
+		select {
+		case <-r.changed:
+		case <-timer.C:
+		case <-p.ctx.Done():
+			return Progress{}
+		}
+	}
+}
+
+func (p *session) forget(id uint64, r *running) {
+	r.cancel()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.batches[id] == r {
+		delete(p.batches, id)
+		p.server.running.Add(-1)
+	}
+}
+
+// Cancel gives attempts up. Those that have ended are reported all the same.
+func (p *session) Cancel(args CancelArgs, _ *Empty) error {
+	p.mu.Lock()
+	r, ok := p.batches[args.Batch]
+	p.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	if len(args.Numbers) == 0 {
+		p.forget(args.Batch, r)
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, number := range args.Numbers {
+		if cancel, ok := r.cancels[number]; ok {
+			cancel()
+		}
+	}
+	return nil
+}
+
+// Stay answers when this relay begins to stop. A peer keeps one call open, which also shows it the loss of an idle
+// connection at once.
+func (p *session) Stay(_ Empty, _ *Empty) error {
+	select {
+	case <-p.server.leave:
+	case <-p.ctx.Done():
+	}
+	return nil
+}
+
+// Ping answers at once.
+func (p *session) Ping(_ Empty, _ *Empty) error { return nil }
+
+// Classify tells how an attempt ended. Only an answer that its upstream has signed is a part.
+func Classify(answer *upstreamconn.Answer, err error) Outcome {
+	var failed *upstreamconn.Failure
+	var declined *DeclinedError
+	switch {
+	case errors.As(err, &declined):
+		return Declined
+	case fault.Is(err, fault.Moved):
+		return Unsent
+	case errors.As(err, &failed) && failed.Unreachable:
+		return Unreachable
+	case errors.As(err, &failed) && !failed.Sent:
+		return Unsent
+	case err != nil:
+		return Failed
+	case answer.Misdirected:
+		return Misdirected
+	case answer.NotRun:
+		return Refused
+	case answer.Status >= 200 && answer.Status < 300 && answer.Stamp != "":
+		return Answered
+	}
+	return Failed
+}
+
+func reason(answer *upstreamconn.Answer, err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return "status " + strconv.Itoa(answer.Status)
+}
