Run parts of searches through entry VMs of the upstreams' failure domain

A test found that both attempts at a shard could depend on one relay; the second avoids it now. An unchanged answer of the control group no longer rebuilds the view.

--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -29,12 +29,14 @@
 		return nil, err
 	}
 	gauges := map[string]func() int64{
-		"wisteriamux.view.revision":   func() int64 { return int64(r.View().Revision) },
-		"wisteriamux.view.upstreams":  func() int64 { return int64(r.View().Upstreams()) },
-		"wisteriamux.attempts":        func() int64 { return r.Counts().Attempts },
-		"wisteriamux.attempts.extra":  func() int64 { return r.Counts().Extra },
-		"wisteriamux.attempts.denied": func() int64 { return r.Counts().NoBudget },
-		"wisteriamux.log.dropped":     output.Dropped,
+		"wisteriamux.view.revision":    func() int64 { return int64(r.View().Revision) },
+		"wisteriamux.view.upstreams":   func() int64 { return int64(r.View().Upstreams()) },
+		"wisteriamux.attempts":         func() int64 { return r.Counts().Attempts },
+		"wisteriamux.attempts.extra":   func() int64 { return r.Counts().Extra },
+		"wisteriamux.attempts.relayed": func() int64 { return r.Counts().Relayed },
+		"wisteriamux.attempts.carried": func() int64 { return r.Counts().Carried },
+		"wisteriamux.attempts.denied":  func() int64 { return r.Counts().NoBudget },
+		"wisteriamux.log.dropped":      output.Dropped,
 	}
 	for name, read := range gauges {
 		if err := metrics.Gauge(name, "total or state of the router", read); err != nil {
--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -13,6 +13,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/cli"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/router"
 	"github.com/wisteriamux/wisteriamux/internal/security"
 	"github.com/wisteriamux/wisteriamux/internal/settings"
@@ -56,7 +57,10 @@
 		return err
 	}
 	defer control.Close()
-	r := newRouter(loaded, control, log)
+	r, relays, err := newRouter(loaded, control, log)
+	if err != nil {
+		return err
+	}
 	following, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go r.Follow(following)
@@ -75,7 +79,8 @@
 		"extra_share", loaded.ExtraShare, "extra_floor", loaded.ExtraFloor, "answer_margin_ms", loaded.AnswerMarginMillis)
 	<-ctx.Done()
 	stopping.Store(true)
-	shutDown(server, loaded, log)
+	relays.Leave()
+	shutDown(server, relays, loaded, log)
 	return nil
 }
 
@@ -89,18 +94,35 @@
 	return controlrpc.NewClient(loaded.ControlAddresses(), dial), nil
 }
 
-func newRouter(loaded settings.Router, control *controlrpc.Client, log *slog.Logger) *router.Router {
-	return router.New(router.Config{
+// newRouter returns a router, and the server that carries out attempts for other entry VMs if the settings name its
+// address.
+func newRouter(loaded settings.Router, control *controlrpc.Client, log *slog.Logger) (*router.Router, *relay.Server, error) {
+	transport, err := security.NewTransport(loaded.TLS)
+	if err != nil {
+		return nil, nil, err
+	}
+	r := router.New(router.Config{
 		ID: loaded.ID, FailureDomain: loaded.FailureDomain, Seeds: loaded.ControlAddresses(),
 		ExtraShare: extraReserve * loaded.ExtraShare, ExtraFloor: loaded.ExtraFloor,
 		ExtraWindow:  time.Duration(loaded.ExtraWindowSeconds * float64(time.Second)),
 		AnswerMargin: answerMargin(loaded),
+		RelayAddress: loaded.RelayAddress, DialRelay: transport.Dialer(controlrpc.PlainDialer, security.RoleEntry),
 	}, control, platform.Codec{}, log)
+	relays := relay.NewServer(r, log)
+	if loaded.RelayAddress == "" {
+		return r, relays, nil
+	}
+	listener, err := listen(loaded.RelayAddress)
+	if err != nil {
+		return nil, nil, err
+	}
+	go relays.Serve(transport.Listener(listener, security.RoleEntry))
+	return r, relays, nil
 }
 
 // shutDown serves on until the balancer has noticed that this VM is not ready, which takes a few of its questions, and
 // then finishes the requests in flight.
-func shutDown(server *http.Server, loaded settings.Router, log *slog.Logger) {
+func shutDown(server *http.Server, relays *relay.Server, loaded settings.Router, log *slog.Logger) {
 	log.Info("stopping", "lame_duck_ms", loaded.LameDuckMillis, "drain_ms", loaded.DrainMillis)
 	time.Sleep(time.Duration(loaded.LameDuckMillis) * time.Millisecond)
 	draining, cancel := context.WithTimeout(context.Background(), time.Duration(loaded.DrainMillis)*time.Millisecond)
@@ -108,6 +130,7 @@
 	if err := server.Shutdown(draining); err != nil {
 		log.Warn("requests cut", "error", err)
 	}
+	relays.Wait(draining)
 	log.Info("stopped")
 }
 
--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -25,6 +25,8 @@
 const (
 	// Part is a complete part of the answer.
 	Part Outcome = iota
+	// NotSent means that no upstream saw the attempt, so that it does not count as one.
+	NotSent
 	// Failure is any other end of an attempt.
 	Failure
 )
@@ -91,6 +93,10 @@
 		s.open--
 		return false
 	}
+	if outcome == NotSent && !sh.closed {
+		sh.attempts--
+		return true
+	}
 	if !sh.closed && sh.attempts < s.plan.Attempts {
 		return sh.pending == 0
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -26,6 +26,8 @@
 	Misdirected
 	// Abandoned means that the answer was not awaited.
 	Abandoned
+	// Unknown means that the result was lost between two entry VMs. It says nothing about the upstream.
+	Unknown
 )
 
 // String returns the result as it is logged.
@@ -41,6 +43,8 @@
 		return "refused"
 	case Misdirected:
 		return "misdirected"
+	case Unknown:
+		return "unknown"
 	default:
 		return "abandoned"
 	}
@@ -80,6 +84,8 @@
 	minBackoff         = 50 * time.Millisecond
 	maxBackoff         = 2 * time.Second
 	misdirectedBackoff = 2 * time.Second
+	// badCost is the multiple of the usual answer time from which a second round trip to find another upstream pays.
+	badCost = 2.0
 	// minSilence and maxSilence bound how long an upstream counts as standing still after a request to it was given up
 	// without an answer; the time doubles with each such request in a row. Pauses last up to 200 ms, losses seconds.
 	minSilence = 80 * time.Millisecond
@@ -253,6 +259,32 @@
 	return false
 }
 
+// Told records that another VM expects the upstream to take a multiple of the usual time.
+func (t *Tracker) Told(now time.Time, id string, cost float64) {
+	s := t.stats(id)
+	s.speed = math.Max(s.relativeTime(now), math.Min(cost, stuckPenalty))
+	s.observed = now
+}
+
+// Bad reports whether an upstream is in so bad a condition that another one should be asked, and its cost.
+func (t *Tracker) Bad(now time.Time, id string) (cost float64, bad bool) {
+	cost = t.condition(now, id)
+	return cost, cost >= badCost
+}
+
+// condition is the cost of an upstream without what depends on the one who asks.
+func (t *Tracker) condition(now time.Time, id string) float64 {
+	s := t.stats(id)
+	cost := s.relativeTime(now) + errorPenalty*s.errorRate(now)
+	if s.stuck(now) {
+		cost += stuckPenalty
+	}
+	if now.Before(s.downUntil) {
+		cost += backoffPenalty
+	}
+	return cost
+}
+
 // cost estimates the answer time of one more request, in multiples of the route's usual one.
 func (t *Tracker) cost(now time.Time, c Candidate) float64 {
 	s := t.stats(c.ID)
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -70,46 +70,69 @@
 	return &attempt{upstream: chosen, sent: now, ticket: r.tracker.Sent(now, chosen.instance.ID, expected)}
 }
 
+// ending is how an attempt ended.
+type ending struct {
+	result replica.Result
+	// took is the time that the upstream took, and seen the time until this VM knew. They differ if a relay reported it.
+	took time.Duration
+	seen time.Duration
+	// relay is the entry VM that carried the attempt out, empty for this one.
+	relay string
+	cause error
+}
+
 // run executes an attempt and records its result. The caller ends it with the context.
 func (r *Router) run(ctx context.Context, rt *route.Route, a *attempt, request *Request) (*upstreamconn.Answer, error) {
 	sub := request.Request
 	sub.Instance = a.upstream.instance.ID
-	sub.Remaining = request.Received.Add(min(request.Limit, rt.Timeout)).Sub(a.sent)
+	sub.Remaining = remaining(rt, request, a)
 	answer, err := a.upstream.pool.Do(ctx, &sub)
-	r.record(rt, request, a, answer, err, ctx.Err() != nil)
+	took := time.Since(a.sent)
+	r.record(rt, request, a, ending{result: resultOf(answer, err, ctx.Err() != nil), took: took, seen: took, cause: err})
 	return answer, err
 }
 
-func (r *Router) record(rt *route.Route, request *Request, a *attempt, answer *upstreamconn.Answer, err error, abandoned bool) {
-	now := time.Now()
-	result := resultOf(answer, err, abandoned)
-	took := now.Sub(a.sent)
+// remaining is the time that an upstream may take.
+func remaining(rt *route.Route, request *Request, a *attempt) time.Duration {
+	return request.Received.Add(min(request.Limit, rt.Timeout)).Sub(a.sent)
+}
+
+func (r *Router) record(rt *route.Route, request *Request, a *attempt, e ending) {
 	r.mu.Lock()
-	r.tracker.Done(now, a.upstream.instance.ID, a.ticket, result)
 	s := r.stats(rt)
-	switch result {
+	switch e.result {
 	case replica.Answered:
-		s.expected += (float64(took) - s.expected) * expectedShare
-		s.slow.Add(took)
+		s.expected += (float64(e.seen) - s.expected) * expectedShare
+		s.slow.Add(e.seen)
 	case replica.Abandoned:
-		if took > s.slow.Value() {
-			s.slow.Add(took)
+		if e.seen > s.slow.Value() {
+			s.slow.Add(e.seen)
 		}
 	}
-	before, after, changed := r.tracker.Changed(now, a.upstream.instance.ID)
+	r.mu.Unlock()
+	r.observe(a, e.result, e.took)
+	if e.result != replica.Answered && e.result != replica.Abandoned {
+		r.log.Info("attempt failed", "request", request.ID, "route", rt.Name, "service", a.upstream.instance.Service,
+			"upstream", a.upstream.instance.ID, "upstream_since", a.upstream.instance.Since, "result", e.result.String(),
+			"took_ms", e.took.Milliseconds(), "relay", e.relay, "error", e.cause)
+	}
+}
+
+// observe tells the choice of upstreams how an attempt ended.
+func (r *Router) observe(a *attempt, result replica.Result, took time.Duration) {
+	now := time.Now()
+	id := a.upstream.instance.ID
+	r.mu.Lock()
+	r.tracker.Done(a.sent.Add(took), id, a.ticket, result)
+	before, after, changed := r.tracker.Changed(now, id)
 	r.mu.Unlock()
 	if changed {
-		r.log.Info("upstream condition changed", "upstream", a.upstream.instance.ID, "service", a.upstream.instance.Service,
+		r.log.Info("upstream condition changed", "upstream", id, "service", a.upstream.instance.Service,
 			"from", before, "to", after, "last_result", result.String(), "last_took_ms", took.Milliseconds())
 	}
 	if result == replica.Abandoned && took > silentAfter {
 		a.upstream.pool.Flush()
 	}
-	if result != replica.Answered && result != replica.Abandoned {
-		r.log.Info("attempt failed", "request", request.ID, "route", rt.Name, "service", a.upstream.instance.Service,
-			"upstream", a.upstream.instance.ID, "upstream_since", a.upstream.instance.Since, "result", result.String(),
-			"took_ms", took.Milliseconds(), "error", err)
-	}
 }
 
 func resultOf(answer *upstreamconn.Answer, err error, abandoned bool) replica.Result {
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -46,13 +46,27 @@
 		}
 		r.control.SetAddresses(r.withSeeds(reply.Members))
 		r.adopt(reply)
+		r.adoptPeers(reply)
 	}
 }
 
+// adoptPeers follows the list of entry VMs that relay. A provisional answer holds none.
+func (r *Router) adoptPeers(reply controlrpc.WatchReply) {
+	if r.peers == nil || reply.Provisional {
+		return
+	}
+	if reply.PeersDigest != r.peersDigest {
+		r.listed, r.peersDigest = reply.Peers, reply.PeersDigest
+		r.log.Info("relays adopted", "relays", len(reply.Peers), "revision", reply.Revision)
+	}
+	r.peers.Update(r.listed, time.Now())
+}
+
 func (r *Router) watchOnce(ctx context.Context) (controlrpc.WatchReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	args := controlrpc.WatchArgs{Known: r.View().Revision, WaitMillis: controlrpc.MaxWatch.Milliseconds(), Watcher: r.config.ID}
+	args := controlrpc.WatchArgs{Known: r.View().Revision, WaitMillis: controlrpc.MaxWatch.Milliseconds(), Watcher: r.config.ID,
+		RelayAddress: r.config.RelayAddress, FailureDomain: r.config.FailureDomain, PeersDigest: r.peersDigest}
 	if args.Known > 0 {
 		return r.control.Watch(ctx, args)
 	}
@@ -84,7 +98,7 @@
 
 func (r *Router) adopt(reply controlrpc.WatchReply) {
 	before := r.View()
-	if reply.Revision < before.Revision {
+	if reply.Revision < before.Revision || r.builder.unchanged(reply, before, time.Now()) {
 		return
 	}
 	view, obsolete := r.builder.apply(reply, time.Now())
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -7,7 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/overload"
+	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/replica"
 	"github.com/wisteriamux/wisteriamux/internal/route"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
@@ -35,6 +37,10 @@
 	ExtraWindow time.Duration
 	// AnswerMargin is taken off the objective, besides the round trip to the caller, for putting the answer together.
 	AnswerMargin time.Duration
+	// RelayAddress is where this VM carries out attempts for entry VMs of other failure domains, and DialRelay opens
+	// connections to those of others. Without an address the VM asks all upstreams directly.
+	RelayAddress string
+	DialRelay    controlrpc.Dialer
 }
 
 // Router serves requests. It is safe for concurrent use.
@@ -43,8 +49,13 @@
 	control Control
 	log     *slog.Logger
 	builder *viewBuilder
-	view    atomic.Pointer[View]
-	started time.Time
+	// peers are the entry VMs that relay, nil if this VM takes no part in that.
+	peers *relay.Peers
+	view  atomic.Pointer[View]
+	// listed and peersDigest are the last list of relays; the follower alone uses them.
+	listed      []controlrpc.Peer
+	peersDigest uint64
+	started     time.Time
 
 	seeds atomic.Pointer[[]string]
 
@@ -66,6 +77,11 @@
 	Refused int64
 	// Attempts counts requests to upstreams, and Extra those beyond the first of a request.
 	Attempts, Extra int64
+	// Relayed counts those of Attempts that were sent through another entry VM, and Carried those that this VM carried out
+	// for others.
+	Relayed, Carried int64
+	// Declined counts attempts that this VM did not make for others, because the upstream is in a bad condition.
+	Declined int64
 	// NoBudget counts extra attempts that were not made for lack of budget.
 	NoBudget int64
 }
@@ -87,6 +103,9 @@
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
 		overload: map[string]*overload.Controller{},
 	}
+	if config.RelayAddress != "" {
+		r.peers = relay.NewPeers(config.ID, config.FailureDomain, config.DialRelay, log)
+	}
 	r.view.Store(&View{})
 	r.seeds.Store(&config.Seeds)
 	return r
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -7,6 +7,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/gather"
+	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/route"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
@@ -29,6 +30,15 @@
 	err    error
 }
 
+// shardPart is the part of a shard that is in the answer.
+type shardPart struct {
+	// stamp is empty until a part is in.
+	stamp string
+	// records are those of the part, unless they are merged with those of other parts.
+	records []byte
+	merged  bool
+}
+
 // search is one search in progress. One goroutine runs it.
 type search struct {
 	router  *Router
@@ -37,12 +47,20 @@
 	request *Request
 	goal    time.Time
 	end     time.Time
-	state   *gather.Search
-	results chan part
-	asked   [][]*upstream
-	cancels [][]context.CancelFunc
-	answers []*upstreamconn.Answer
-	hedges  int
+	// hedgeAfter is the delay of a second attempt.
+	hedgeAfter time.Duration
+	state      *gather.Search
+	results    chan part
+	reports    chan relayReport
+	relayed    []*relayed
+	asked      [][]*upstream
+	cancels    [][]context.CancelFunc
+	// via is the relay of the last attempt at each shard, nil if it was direct.
+	via   []*relay.Link
+	parts []shardPart
+	// merged are the records that stand for the merged parts.
+	merged [][]byte
+	hedges int
 	// inFlight counts the attempts that have not ended. Any of them may be running.
 	inFlight int
 	// ran is set when an upstream may have run a part.
@@ -61,19 +79,20 @@
 	shards := len(rt.Shards)
 	attempts := max(1, rt.Attempts)
 	s := &search{
-		router: r, view: view, route: rt, request: request, goal: goal, end: end,
+		router: r, view: view, route: rt, request: request, goal: goal, end: end, hedgeAfter: hedge,
 		state: gather.New(gather.Plan{
 			Shards: shards, Least: leastShards(shards, rt.Coverage), Attempts: attempts,
 			Goal: goal, End: end, HedgeAfter: hedge,
 		}),
 		results: make(chan part, shards*attempts),
+		reports: make(chan relayReport, relayReports),
 		asked:   make([][]*upstream, shards),
 		cancels: make([][]context.CancelFunc, shards),
-		answers: make([]*upstreamconn.Answer, shards),
-	}
-	for shard := range rt.Shards {
-		s.send(ctx, shard, first)
+		via:     make([]*relay.Link, shards),
+		parts:   make([]shardPart, shards),
 	}
+	defer s.abandon()
+	s.send(ctx, allOf(shards), first)
 	return s.collect(ctx)
 }
 
@@ -87,17 +106,43 @@
 // lateTolerance is how long after its goal a search counts as late: those that are answered at the goal are in time.
 const lateTolerance = 2 * time.Millisecond
 
-func (s *search) send(ctx context.Context, shard int, kind try) {
-	a := s.router.choose(s.view, s.route, s.route.Shards[shard], s.asked[shard], kind)
-	if a == nil {
-		s.state.Unsendable(shard)
+// relayReports is the number of reports that may wait for the goroutine of a search.
+const relayReports = 16
+
+func allOf(shards int) []int {
+	all := make([]int, shards)
+	for shard := range all {
+		all[shard] = shard
+	}
+	return all
+}
+
+// send makes one attempt at each of the shards.
+func (s *search) send(ctx context.Context, shards []int, kind try) {
+	if len(shards) == 0 {
 		return
 	}
+	batches := s.newBatches(kind)
+	for _, shard := range shards {
+		a := s.router.choose(s.view, s.route, s.route.Shards[shard], s.asked[shard], kind)
+		if a == nil {
+			s.state.Unsendable(shard)
+			continue
+		}
+		s.asked[shard] = append(s.asked[shard], a.upstream)
+		s.state.Sent(a.sent, shard)
+		s.inFlight++
+		if !batches.add(shard, a) {
+			s.direct(ctx, shard, a)
+		}
+	}
+	batches.start(ctx)
+}
+
+// direct runs an attempt on a connection of this VM.
+func (s *search) direct(ctx context.Context, shard int, a *attempt) {
 	ctx, cancel := context.WithCancel(ctx)
-	s.asked[shard] = append(s.asked[shard], a.upstream)
 	s.cancels[shard] = append(s.cancels[shard], cancel)
-	s.state.Sent(a.sent, shard)
-	s.inFlight++
 	go func() {
 		answer, err := s.router.run(ctx, s.route, a, s.request)
 		s.results <- part{shard: shard, answer: answer, err: err}
@@ -114,9 +159,7 @@
 			late = true
 			s.router.late(s.route, now, s.goal.Sub(s.request.Received))
 		}
-		for _, shard := range s.state.Due(now) {
-			s.hedge(ctx, shard)
-		}
+		s.hedge(ctx, s.state.Due(now))
 		switch s.state.Judge(now) {
 		case gather.Finish:
 			return s.finish(), nil
@@ -127,6 +170,8 @@
 		select {
 		case p := <-s.results:
 			s.take(ctx, p)
+		case report := <-s.reports:
+			s.takeReport(ctx, report)
 		case <-timer.C:
 		case <-ctx.Done():
 			return nil, fault.New(fault.Cancelled, "router.search", "caller left: %w", ctx.Err())
@@ -134,30 +179,42 @@
 	}
 }
 
-// hedge sends a second attempt. Without a token or another upstream the first one is waited for.
-func (s *search) hedge(ctx context.Context, shard int) {
-	before := len(s.asked[shard])
-	s.send(ctx, shard, extra)
-	if len(s.asked[shard]) > before {
-		s.hedges++
-	}
+// hedge sends second attempts. Where there is no token or no other upstream, the first one is waited for.
+func (s *search) hedge(ctx context.Context, shards []int) {
+	before := s.inFlight
+	s.send(ctx, shards, extra)
+	s.hedges += s.inFlight - before
 }
 
+// take takes the end of a direct attempt.
 func (s *search) take(ctx context.Context, p part) {
 	s.inFlight--
-	outcome := gather.Failure
+	s.ran = s.ran || (arrived(p.answer, p.err) && (p.answer == nil || !p.answer.NotRun))
 	if p.err == nil && isPart(p.answer) {
-		outcome = gather.Part
+		s.takePart(p.shard, shardPart{stamp: p.answer.Stamp, records: p.answer.Body})
+		s.state.Ended(p.shard, gather.Part)
+		s.cancelShard(p.shard)
+		return
 	}
-	s.ran = s.ran || (arrived(p.answer, p.err) && (p.answer == nil || !p.answer.NotRun))
-	if outcome == gather.Part && !s.state.In(p.shard) {
-		s.answers[p.shard] = p.answer
-		for _, cancel := range s.cancels[p.shard] {
-			cancel()
-		}
+	if s.state.Ended(p.shard, gather.Failure) {
+		s.send(ctx, []int{p.shard}, countAs(p.answer, p.err))
 	}
-	if s.state.Ended(p.shard, outcome) {
-		s.send(ctx, p.shard, countAs(p.answer, p.err))
+}
+
+// takePart includes a part. The first one of a shard stays, unless the other is merged: the parts that are merged
+// together must all be in the answer, because records of one may have been left out for those of another.
+func (s *search) takePart(shard int, p shardPart) {
+	if s.parts[shard].stamp == "" || p.merged {
+		s.parts[shard] = p
+	}
+}
+
+// cancelShard gives up the attempts at a shard whose part is in.
+func (s *search) cancelShard(shard int) {
+	cancels := s.cancels[shard]
+	s.cancels[shard] = nil
+	for _, cancel := range cancels {
+		cancel()
 	}
 }
 
@@ -167,22 +224,24 @@
 }
 
 func (s *search) finish() *Gathered {
-	g := &Gathered{Missing: len(s.answers) - s.state.Count(), Hedges: s.hedges}
-	parts := make([][]byte, 0, s.state.Count())
-	for shard, answer := range s.answers {
-		if answer == nil {
+	g := &Gathered{Missing: len(s.parts) - s.state.Count(), Hedges: s.hedges}
+	records := s.merged
+	for shard, p := range s.parts {
+		if p.stamp == "" {
 			g.Absent = append(g.Absent, s.route.Shards[shard])
 			continue
 		}
-		g.Stamps = append(g.Stamps, answer.Stamp)
-		parts = append(parts, answer.Body)
+		g.Stamps = append(g.Stamps, p.stamp)
+		if !p.merged {
+			records = append(records, p.records)
+		}
 	}
-	g.Records = gather.Merge(parts, s.route.Top)
+	g.Records = gather.Merge(records, s.route.Top)
 	return g
 }
 
 func (s *search) failure(now time.Time) error {
-	in, shards := s.state.Count(), len(s.answers)
+	in, shards := s.state.Count(), len(s.parts)
 	switch {
 	case !s.ran && s.inFlight == 0:
 		return fault.New(fault.NotRun, "router.search", "no upstream of %d shards took the request", shards)
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -25,6 +25,11 @@
 	// Routes is nil until the first table arrives.
 	Routes    *route.Index
 	byService map[string][]*upstream
+	// byID are those of byService.
+	byID map[string]*upstream
+	// shared are the services whose upstreams accept fewer connections than there are entry VMs, so that some entry VMs
+	// use those of others.
+	shared map[string]bool
 	// candidates are those of byService, in the same order.
 	candidates map[string][]replica.Candidate
 	watchers   int
@@ -68,6 +73,16 @@
 	}
 }
 
+// unchanged reports whether the reply leaves the view as it is, which is so for most of them.
+func (b *viewBuilder) unchanged(reply controlrpc.WatchReply, view *View, now time.Time) bool {
+	if reply.Revision != view.Revision || reply.Table != nil || reply.Instances.Whole ||
+		len(reply.Instances.Changed)+len(reply.Instances.Removed) > 0 {
+		return false
+	}
+	b.countWatchers(reply.Watchers, now)
+	return b.watchers == view.watchers
+}
+
 // apply returns the view after a reply, and the pools that are no longer needed.
 func (b *viewBuilder) apply(reply controlrpc.WatchReply, now time.Time) (view *View, obsolete []*upstreamconn.Pool) {
 	if reply.Table != nil && (b.routes == nil || reply.Table.Version > b.routes.Table.Version) {
@@ -96,8 +111,8 @@
 	return b.build(reply), obsolete
 }
 
-// connections is this VM's part of the connections that an upstream of the service accepts.
-func (b *viewBuilder) connections(service string) int {
+// connections is this VM's part of the connections that an upstream of the service accepts, 0 if it names no number.
+func (b *viewBuilder) connections(service string) float64 {
 	if b.routes == nil {
 		return 0
 	}
@@ -105,7 +120,7 @@
 	if !ok || known.MaxConnections <= 0 {
 		return 0
 	}
-	return max(1, int(connectionShare*float64(known.MaxConnections))/b.watchers)
+	return connectionShare * float64(known.MaxConnections) / float64(b.watchers)
 }
 
 func (b *viewBuilder) put(instance registry.Instance, now time.Time) (obsolete []*upstreamconn.Pool) {
@@ -130,7 +145,7 @@
 
 func (b *viewBuilder) build(reply controlrpc.WatchReply) *View {
 	view := &View{
-		Revision: reply.Revision, Routes: b.routes, byService: map[string][]*upstream{},
+		Revision: reply.Revision, Routes: b.routes, byService: map[string][]*upstream{}, byID: map[string]*upstream{}, shared: map[string]bool{},
 		candidates: map[string][]replica.Candidate{}, watchers: b.watchers,
 	}
 	for _, u := range b.upstreams {
@@ -138,8 +153,14 @@
 			continue
 		}
 		service := u.instance.Service
-		u.candidate.MaxInFlight = b.connections(service)
+		connections := b.connections(service)
+		u.candidate.MaxInFlight = int(connections)
+		if connections > 0 && connections < 1 {
+			u.candidate.MaxInFlight = 1
+			view.shared[service] = true
+		}
 		view.byService[service] = append(view.byService[service], u)
+		view.byID[u.instance.ID] = u
 		view.candidates[service] = append(view.candidates[service], u.candidate)
 	}
 	return view
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,9 @@
 	HealthAddress string `toml:"health_address" validate:"ip_port"`
 	// MetricsAddress is where metrics are served over HTTP; empty serves none.
 	MetricsAddress string `toml:"metrics_address" validate:"omitempty,ip_port"`
+	// RelayAddress is where other entry VMs have parts of searches run at upstreams of this failure domain; empty takes
+	// none and sends none.
+	RelayAddress string `toml:"relay_address" validate:"omitempty,ip_port"`
 	// Seeds are addresses of control VMs. Only their hosts count: all members serve RPC on ControlPort.
 	Seeds       []string `toml:"seeds" validate:"min=1,max=16,dive,ip_port"`
 	ControlPort int      `toml:"control_port" validate:"min=1,max=65535"`
