--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -118,6 +118,20 @@
 		Expect(acceptRequestID(request)).To(MatchRegexp("^[0-9a-f]{16}$"))
 	})
 
+	It("refuses a body that is declared too long at once, without waiting for it", func() {
+		v := startVM(newFakeControl(), "entry-1", func(config *Config) { config.BodyTimeout = time.Minute })
+		conn, err := net.Dial("tcp", strings.TrimPrefix(v.url, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		Expect(conn.SetDeadline(time.Now().Add(3 * time.Second))).To(Succeed())
+		_, err = fmt.Fprintf(conn, "POST /v1/search HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\nContent-Length: 1000000000\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+		Expect(answer.Close).To(BeTrue())
+	})
+
 	It("records a trace that replays to the same decisions", func() {
 		file := &logBuffer{}
 		recorder, err := trace.NewRecorder(file, "entry-1", 1<<20)
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -21,6 +21,7 @@
 	Quarantined    Code = "quarantined"
 	BadRequest     Code = "bad_request"
 	TooLarge       Code = "too_large"
+	HeaderTooLarge Code = "header_too_large"
 	RequestTimeout Code = "request_timeout"
 	NotFound       Code = "not_found"
 	Forbidden      Code = "forbidden"
