Thin the burn history of an entry VM

Cause: samples every 5 s over 6 h of 214 objectives hold 80 MB of heap, while a node has 128 MB for control in all. Ruled out: one sample a minute beyond the short windows: two resolutions, and a step in the error where they meet. Now a sample goes when its neighbours are within a thirty-second of its age. A failure stays in a window for its length, and at most a thirtieth longer: tested at each sample.

--- a/internal/burn/burn.go
+++ b/internal/burn/burn.go
@@ -85,12 +85,16 @@
 	Rows []Row     `json:"rows"`
 }
 
-// History keeps samples for the longest window. The caller serialises all calls.
+// thinning is the part of its age by which an old sample may be away from its neighbours. A window then reaches back by
+// at most that part too far, and a few hundred samples cover the longest one.
+const thinning = 1.0 / 32
+
+// History keeps samples for the longest window, fewer of those that are older. The caller serialises all calls.
 type History struct {
 	samples []Sample
 }
 
-// Add appends a sample, which must not be older than the last one, and drops those that no window reaches.
+// Add appends a sample, which must not be older than the last one, and drops those that no window needs.
 func (h *History) Add(sample Sample) {
 	h.samples = append(h.samples, sample)
 	horizon := sample.At.Add(-longestWindow())
@@ -98,7 +102,24 @@
 	for first+1 < len(h.samples) && !h.samples[first+1].At.After(horizon) {
 		first++
 	}
-	h.samples = h.samples[first:]
+	h.samples = thin(h.samples[first:], sample.At)
+}
+
+// thin drops, in place, samples whose neighbours are close to each other for their age. The oldest stays.
+func thin(samples []Sample, now time.Time) []Sample {
+	kept := samples[:1]
+	for i := 1; i < len(samples); i++ {
+		if i+1 < len(samples) {
+			gap := samples[i+1].At.Sub(kept[len(kept)-1].At)
+			if float64(gap) <= thinning*float64(now.Sub(samples[i].At)) {
+				continue
+			}
+		}
+		kept = append(kept, samples[i])
+	}
+	// The counters of those that were dropped would stay reachable behind the end.
+	clear(samples[len(kept):])
+	return kept
 }
 
 func longestWindow() time.Duration {
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -51,6 +53,48 @@
 		Expect(history.Report().Rows[0].Recent).To(BeZero())
 	})
 
+	It("keeps a failure in a window for its length and no more than a thirtieth longer, although old samples are thinned", func() {
+		const interval = 2 * time.Second
+		short := burn.Windows()[0].Short
+		bad := uint64(0)
+		for after := time.Duration(0); after <= 2*time.Hour; after += interval {
+			if after == time.Hour {
+				bad = 500
+			}
+			total := uint64(after/interval) * 10
+			add(after, total-min(bad, total), total)
+			if age := after - time.Hour; age >= 0 && age < short {
+				Expect(history.Report().Rows[0].Windows[0].Short).To(BeNumerically(">", 0), age.String())
+			} else if age > short+short/30+interval {
+				Expect(history.Report().Rows[0].Windows[0].Short).To(BeZero(), age.String())
+			}
+		}
+	})
+
+	It("covers the longest window of a large inventory in less than 30 MB, the bound of an entry VM", func() {
+		const services = 107
+		objectives := make([]burn.Objective, 0, 2*services)
+		for i := range services {
+			name := fmt.Sprintf("service-%d", i)
+			objectives = append(objectives, burn.Objective{Service: name, Kind: burn.Latency, Target: 0.99, ThresholdMillis: 390},
+				burn.Objective{Service: name, Kind: burn.Coverage, Target: 0.95})
+		}
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for at := time.Duration(0); at <= 6*time.Hour; at += 5 * time.Second {
+			counts := make(map[burn.Objective]burn.Counts, len(objectives))
+			for _, o := range objectives {
+				counts[o] = burn.Counts{Good: uint64(at), Total: uint64(at)}
+			}
+			history.Add(burn.Sample{At: start.Add(at), Counts: counts})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		Expect(float64(after.HeapAlloc) - float64(before.HeapAlloc)).To(BeNumerically("<", 30<<20))
+		Expect(history.Report().Rows).To(HaveLen(len(objectives)))
+	})
+
 	It("does not steer by a single failure among few requests", func() {
 		add(0, 0, 0)
 		add(time.Second, 7, 8)
