Give owner links and strict JSON bodies packages of their own

Ruled out: splitting all of it in one step: session and view are used by nearly every file and follow by themselves. Conclusion: internal/ownerlink (links and calls to owners) and internal/jsonbody.

--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -7,6 +7,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/jsonbody"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
@@ -25,7 +26,7 @@
 
 func (s *Server) handleAnnounce(w http.ResponseWriter, r *http.Request) {
 	var announcement model.Announcement
-	if err := decode(w, r, MaxAnnouncementBytes, s.config.BodyTimeout, &announcement); err != nil {
+	if err := jsonbody.Decode(w, r, MaxAnnouncementBytes, s.config.BodyTimeout, &announcement); err != nil {
 		writeError(w, err, nil)
 		return
 	}
@@ -153,7 +154,7 @@
 	ctx, cancel := context.WithTimeout(ctx, identityTimeout)
 	defer cancel()
 	var reply ownerrpc.IdentityReply
-	if err := s.links.call(ctx, owner.RPCAddress, "Identity", args, &reply); err != nil {
+	if err := s.links.Call(ctx, owner.RPCAddress, "Identity", args, &reply); err != nil {
 		return false, fault.New(fault.NotRun, "announce", "owner %s does not answer about %q: %w", owner.ID, known.Name, err)
 	}
 	return reply.Renewing, nil
--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -13,6 +13,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/ownerlink"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
 	"github.com/wisteriamux/wisteriamux/internal/trace"
 )
@@ -52,7 +53,7 @@
 	control  Control
 	owner    *bookingOwner
 	guard    *crashGuard
-	links    *links
+	links    *ownerlink.Calls
 	recorder *trace.Recorder
 	// runs counts runs that have not finished, also after their callers were answered.
 	runs sync.WaitGroup
@@ -72,7 +73,7 @@
 	at       time.Duration
 }
 
-func newBookings(session *session, control Control, owner *bookingOwner, guard *crashGuard, links *links, recorder *trace.Recorder) *bookings {
+func newBookings(session *session, control Control, owner *bookingOwner, guard *crashGuard, links *ownerlink.Calls, recorder *trace.Recorder) *bookings {
 	return &bookings{
 		session: session, control: control, owner: owner, guard: guard, links: links, recorder: recorder,
 		busy: map[string]chan struct{}{}, loads: map[string]reportedLoad{}, sending: map[string]int{},
@@ -378,7 +379,7 @@
 	ctx, cancel := context.WithTimeout(ctx, left+outcomeWait+replySlack)
 	defer cancel()
 	var reply ownerrpc.AttemptReply
-	if err := r.links.call(ctx, owner.RPCAddress, "Book", args, &reply); err != nil {
+	if err := r.links.Call(ctx, owner.RPCAddress, "Book", args, &reply); err != nil {
 		return lostEvent(err)
 	}
 	r.noteLoads(reply.Loads)
@@ -417,7 +418,7 @@
 	ctx, cancel := context.WithTimeout(ctx, args.Wait+replySlack)
 	defer cancel()
 	var reply ownerrpc.AttemptReply
-	if err := r.links.call(ctx, owner.RPCAddress, "Resolve", args, &reply); err != nil {
+	if err := r.links.Call(ctx, owner.RPCAddress, "Resolve", args, &reply); err != nil {
 		r.session.refresh()
 		return r.paced(booking.FlowEvent{Kind: booking.FlowOutcome, Outcome: booking.OutcomeUnreachable})
 	}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/jsonbody"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
 )
@@ -77,7 +78,7 @@
 
 func (s *Server) handleSearch(w http.ResponseWriter, r *http.Request) {
 	var request SearchRequest
-	if err := decode(w, r, MaxRequestBytes, s.config.BodyTimeout, &request); err != nil {
+	if err := jsonbody.Decode(w, r, MaxRequestBytes, s.config.BodyTimeout, &request); err != nil {
 		writeError(w, err, nil)
 		return
 	}
@@ -113,7 +114,7 @@
 
 func (s *Server) handleBooking(w http.ResponseWriter, r *http.Request) {
 	var request BookingRequest
-	if err := decode(w, r, MaxRequestBytes, s.config.BodyTimeout, &request); err != nil {
+	if err := jsonbody.Decode(w, r, MaxRequestBytes, s.config.BodyTimeout, &request); err != nil {
 		writeError(w, err, nil)
 		return
 	}
--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/wisteriamux/wisteriamux/internal/jsonbody"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/trace"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
@@ -179,7 +180,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var request BookingRequest
-		if decodeStrict(data, &request) != nil {
+		if jsonbody.Unmarshal(data, &request) != nil {
 			return
 		}
 		if !utf8.Valid(data) {
@@ -201,7 +202,7 @@
 	config := model.Configuration{Inventory: model.Inventory{Services: []model.Service{{Name: "settlement", Kind: model.ServiceBooking}}}}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var announcement model.Announcement
-		if decodeStrict(data, &announcement) != nil || checkAnnouncement(config, announcement) != nil {
+		if jsonbody.Unmarshal(data, &announcement) != nil || checkAnnouncement(config, announcement) != nil {
 			return
 		}
 		if announcement.Slots <= 0 || announcement.Connections <= 0 || announcement.Shard >= announcement.ShardCount || announcement.Name == "" {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -8,6 +8,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/ownerlink"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
 )
 
@@ -21,7 +22,7 @@
 
 	// mu guards the fields below.
 	mu    sync.Mutex
-	links map[string]*link
+	links map[string]*ownerlink.Link
 	jobs  map[uint64]*job
 	// reported is the time of the last report of the local loads.
 	reported time.Time
@@ -30,19 +31,19 @@
 func newPeers(selfID string, local *owner, dial controlrpc.Dialer, report func([]ownerrpc.Load)) *peers {
 	return &peers{
 		selfID: selfID, local: local, dial: dial, report: report,
-		links: map[string]*link{}, jobs: map[uint64]*job{},
+		links: map[string]*ownerlink.Link{}, jobs: map[uint64]*job{},
 	}
 }
 
 // submit sends searches to the member that owns their upstreams. done is called once for each result that arrives.
-func (p *peers) submit(member model.Member, subs []ownerrpc.SubRequest, done waiter) {
+func (p *peers) submit(member model.Member, subs []ownerrpc.SubRequest, done ownerlink.Waiter) {
 	if p.isLocal(member) {
 		for _, sub := range subs {
 			p.submitLocal(sub, done)
 		}
 		return
 	}
-	if p.link(member.RPCAddress).submit(subs, done) {
+	if p.link(member.RPCAddress).Submit(subs, done) {
 		return
 	}
 	err := fault.New(fault.NotRun, "peers.submit", "owner %s is not reachable", member.ID)
@@ -53,7 +54,7 @@
 
 func (p *peers) isLocal(member model.Member) bool { return member.ID == p.selfID || p.local.direct }
 
-func (p *peers) submitLocal(sub ownerrpc.SubRequest, done waiter) {
+func (p *peers) submitLocal(sub ownerrpc.SubRequest, done ownerlink.Waiter) {
 	p.mu.Lock()
 	p.jobs[sub.ID] = nil
 	p.mu.Unlock()
@@ -80,7 +81,7 @@
 // cancel stops a search whose result is no longer needed. It is called by the goroutine that submitted the search.
 func (p *peers) cancel(member model.Member, id uint64) {
 	if !p.isLocal(member) {
-		p.link(member.RPCAddress).cancel(id)
+		p.link(member.RPCAddress).Cancel(id)
 		return
 	}
 	p.mu.Lock()
@@ -92,12 +93,12 @@
 	}
 }
 
-func (p *peers) link(address string) *link {
+func (p *peers) link(address string) *ownerlink.Link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	current, ok := p.links[address]
-	if !ok || current.replaceable(time.Now()) {
-		current = newLink(p.selfID, address, p.dial, p.report)
+	if !ok || current.Replaceable(time.Now()) {
+		current = ownerlink.New(p.selfID, address, p.dial, p.report)
 		p.links[address] = current
 	}
 	return current
--- a/internal/entry/renewals.go
+++ b/internal/entry/renewals.go
@@ -10,6 +10,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/ownerlink"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
 )
 
@@ -47,7 +48,7 @@
 type renewals struct {
 	session *session
 	control Control
-	links   *links
+	links   *ownerlink.Calls
 	log     *slog.Logger
 	// inFlight counts the requests of this owner at an upstream.
 	inFlight func(upstream string) int
@@ -60,7 +61,7 @@
 	pending map[string]map[string]ownerrpc.Renewal
 }
 
-func newRenewals(session *session, control Control, links *links, inFlight func(string) int, log *slog.Logger) *renewals {
+func newRenewals(session *session, control Control, links *ownerlink.Calls, inFlight func(string) int, log *slog.Logger) *renewals {
 	return &renewals{
 		session: session, control: control, links: links, log: log, inFlight: inFlight,
 		probe: probeAddress, probes: make(chan struct{}, maxProbes),
@@ -173,7 +174,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
-			if err := r.links.call(ctx, address, "Renewals", args, &ownerrpc.RenewalsReply{}); err != nil {
+			if err := r.links.Call(ctx, address, "Renewals", args, &ownerrpc.RenewalsReply{}); err != nil {
 				r.log.Debug("renewals not forwarded", "address", address, "count", len(args.Renewals), "error", err)
 			}
 		}()
@@ -233,7 +234,7 @@
 			continue
 		}
 		var reply ownerrpc.InFlightReply
-		err := r.links.call(ctx, member.RPCAddress, "InFlight", ownerrpc.InFlightArgs{Upstream: upstream}, &reply)
+		err := r.links.Call(ctx, member.RPCAddress, "InFlight", ownerrpc.InFlightArgs{Upstream: upstream}, &reply)
 		if err != nil || reply.Count > 0 {
 			r.log.Info("upstream not drained yet", "upstream", upstream, "member", member.ID, "in_flight", reply.Count, "error", err)
 			return false
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"github.com/wisteriamux/wisteriamux/internal/ownerlink"
 	"log/slog"
 	"net"
 	"net/http"
@@ -70,7 +71,7 @@
 	peers    *peers
 	tier     *tier
 	guard    *crashGuard
-	links    *links
+	links    *ownerlink.Calls
 	bookings *bookings
 	renewals *renewals
 	// objectives measures the service level and the demand.
@@ -111,7 +112,7 @@
 		peers:     newPeers(config.ID, owner, dial, tier.report),
 		guard:     guard,
 		tier:      tier,
-		links:     newLinks(dial),
+		links:     ownerlink.NewCalls(dial),
 		log:       log,
 		peerConns: map[net.Conn]struct{}{},
 	}
@@ -136,7 +137,7 @@
 func (s *Server) Run(ctx context.Context, callers, peers net.Listener) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	defer s.links.close()
+	defer s.links.Close()
 	go s.session.run(background)
 	go s.owner.run(background)
 	go s.tier.run(background, s.session)
--- a/internal/entry/decode.go
+++ b/internal/jsonbody/jsonbody.go
@@ -1,4 +1,6 @@
-package entry
+// Package jsonbody reads JSON bodies strictly: bounded in size, time and nesting, of valid UTF-8, and without a key that
+// occurs twice or that the receiver does not know.
+package jsonbody
 
 import (
 	"bytes"
@@ -18,8 +20,8 @@
 // maxDepth bounds the nesting of a request body.
 const maxDepth = 64
 
-// decode reads a JSON body of at most limit bytes within the timeout.
-func decode(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration, into any) error {
+// Decode reads a JSON body of at most limit bytes within the timeout.
+func Decode(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration, into any) error {
 	if err := checkContentType(r.Header.Get("Content-Type")); err != nil {
 		return err
 	}
@@ -27,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	return decodeStrict(data, into)
+	return Unmarshal(data, into)
 }
 
 // checkContentType accepts a request that names no type, as simple clients do.
@@ -69,9 +71,9 @@
 	return nil, fault.New(fault.BadRequest, "decode", "request body: %w", err)
 }
 
-// decodeStrict accepts one JSON value of valid UTF-8 without unknown or duplicate keys. A duplicate key would let this
+// Unmarshal accepts one JSON value of valid UTF-8 without unknown or duplicate keys. A duplicate key would let this
 // tier and an upstream read different values from the same body.
-func decodeStrict(data []byte, into any) error {
+func Unmarshal(data []byte, into any) error {
 	if !utf8.Valid(data) {
 		return fault.New(fault.BadRequest, "decode", "request body is not valid UTF-8")
 	}
--- a/internal/entry/link.go
+++ b/internal/ownerlink/link.go
@@ -1,4 +1,6 @@
-package entry
+// Package ownerlink connects an entry VM to the owners of upstreams: a link carries searches in batches, and calls carry
+// bookings and renewals, on separate connections, so that a booking never waits behind a large batch.
+package ownerlink
 
 import (
 	"math/rand/v2"
@@ -21,12 +23,12 @@
 	redialPause = 200 * time.Millisecond
 )
 
-// waiter takes the result of one sub-request.
-type waiter func(ownerrpc.SubResult)
+// Waiter takes the result of one sub-request.
+type Waiter func(ownerrpc.SubResult)
 
-// link carries the searches of this entry VM to one owner: batches out, batches of results back. An open Collect call
+// Link carries the searches of this entry VM to one owner: batches out, batches of results back. An open Collect call
 // shows the loss of the owner at once. A link that has failed stays failed; its successor starts a new session.
-type link struct {
+type Link struct {
 	address string
 	session ownerrpc.Session
 	wake    chan struct{}
@@ -36,26 +38,27 @@
 	mu      sync.Mutex
 	queued  []ownerrpc.SubRequest
 	cancels []uint64
-	waiters map[uint64]waiter
+	waiters map[uint64]Waiter
 	unsent  map[uint64]bool
 	failed  time.Time
 }
 
-func newLink(selfID, address string, dial controlrpc.Dialer, report func([]ownerrpc.Load)) *link {
-	l := &link{
+// New returns a link to the owner at the address, which begins to connect. It reports the loads that the owner sends.
+func New(selfID, address string, dial controlrpc.Dialer, report func([]ownerrpc.Load)) *Link {
+	l := &Link{
 		address: address,
 		session: ownerrpc.Session{Member: selfID, Nonce: rand.Uint64()},
 		wake:    make(chan struct{}, 1),
 		report:  report,
-		waiters: map[uint64]waiter{},
+		waiters: map[uint64]Waiter{},
 		unsent:  map[uint64]bool{},
 	}
 	go l.run(dial)
 	return l
 }
 
-// submit queues the sub-requests for the next batch; false when the link has failed.
-func (l *link) submit(subs []ownerrpc.SubRequest, done waiter) bool {
+// Submit queues the sub-requests for the next batch; false when the link has failed.
+func (l *Link) Submit(subs []ownerrpc.SubRequest, done Waiter) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.failed.IsZero() {
@@ -70,7 +73,8 @@
 	return true
 }
 
-func (l *link) cancel(id uint64) {
+// Cancel gives a sub-request up; its result is not delivered.
+func (l *Link) Cancel(id uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, open := l.waiters[id]; !open {
@@ -81,7 +85,7 @@
 	l.signal()
 }
 
-func (l *link) signal() {
+func (l *Link) signal() {
 	select {
 	case l.wake <- struct{}{}:
 	default:
@@ -89,7 +93,7 @@
 }
 
 // run connects, then sends batches until the link fails. What is queued while a batch is written forms the next one.
-func (l *link) run(dial controlrpc.Dialer) {
+func (l *Link) run(dial controlrpc.Dialer) {
 	raw, err := dial(l.address)
 	if err != nil {
 		l.fail(err)
@@ -118,7 +122,7 @@
 	}
 }
 
-func (l *link) flush(conn *rpc.Client, replies chan *rpc.Call) {
+func (l *Link) flush(conn *rpc.Client, replies chan *rpc.Call) {
 	l.mu.Lock()
 	subs, cancels := l.queued, l.cancels
 	l.queued, l.cancels = nil, nil
@@ -136,7 +140,7 @@
 
 // collect fetches results until a call fails or takes too long. It closes the connection then, since the goroutine that
 // writes batches may be blocked on a silent owner.
-func (l *link) collect(conn *rpc.Client, lost chan<- error) {
+func (l *Link) collect(conn *rpc.Client, lost chan<- error) {
 	defer func() { _ = conn.Close() }()
 	timeout := time.NewTimer(collectTimeout)
 	defer timeout.Stop()
@@ -163,7 +167,7 @@
 	}
 }
 
-func (l *link) deliver(result ownerrpc.SubResult) {
+func (l *Link) deliver(result ownerrpc.SubResult) {
 	l.mu.Lock()
 	done, open := l.waiters[result.ID]
 	delete(l.waiters, result.ID)
@@ -174,7 +178,7 @@
 }
 
 // fail ends every open sub-request: those never written have not run, the others may have.
-func (l *link) fail(err error) {
+func (l *Link) fail(err error) {
 	l.mu.Lock()
 	l.failed = time.Now()
 	waiters, unsent := l.waiters, l.unsent
@@ -189,8 +193,8 @@
 	}
 }
 
-// replaceable reports whether the link has failed long enough ago to dial again.
-func (l *link) replaceable(now time.Time) bool {
+// Replaceable reports whether the link has failed long enough ago to dial again.
+func (l *Link) Replaceable(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return !l.failed.IsZero() && now.Sub(l.failed) > redialPause
