Add a soak of the real programs under drawn faults

What it does: five control and four entry processes behind loopback proxies; kills, lost disks, freezes, planned restarts, losses of all control VMs, cuts of either direction, resets, silent connections, delays; refusing and slow upstreams. Ruled out: faults inside the programs (internal/netcut): they would be part of what is tested. The programs gain settings for a listen address behind address translation instead. Disks that are slow or full and wrong clocks are not injected.

--- a/cmd/wmux-control/run.go
+++ b/cmd/wmux-control/run.go
@@ -67,7 +67,7 @@
 ) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	listener, err := net.Listen("tcp", loaded.RPCAddress)
+	listener, err := net.Listen("tcp", loaded.ListenAddress())
 	if err != nil {
 		return fault.New(fault.Unavailable, "control.listen", "%w", err)
 	}
--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -112,7 +112,7 @@
 	if loaded.RelayAddress == "" {
 		return r, relays, nil
 	}
-	listener, err := listen(loaded.RelayAddress)
+	listener, err := listen(loaded.RelayListen())
 	if err != nil {
 		return nil, nil, err
 	}
--- a/cmd/wmuxctl/main.go
+++ b/cmd/wmuxctl/main.go
@@ -56,7 +56,7 @@
 		certificateCommand(), burnCommand(shared), shrinkCommand(shared), applyCommand(shared), configCommand(shared),
 		statusCommand(shared), servicesCommand(shared), membersCommand(shared),
 		upstreamsCommand(shared), drainCommand(shared), undrainCommand(shared),
-		routesCommand(shared), bookingsCommand(shared), quarantineCommand(shared), controlCommand(shared),
+		routesCommand(shared), trailCommand(shared), bookingsCommand(shared), quarantineCommand(shared), controlCommand(shared),
 	)
 	return root
 }
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/registry"
+	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/route"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
@@ -44,17 +45,18 @@
 	}
 }
 
-// BenchmarkSearch measures a search over 20 shards with upstreams that answer at once.
-func BenchmarkSearch(b *testing.B) {
-	const shards = 20
+const benchShards = 20
+
+// benchUpstreams starts an upstream for each of the shards, which answer at once.
+func benchUpstreams(b *testing.B, domain string) (*route.Route, controlrpc.WatchReply) {
 	rt := &route.Route{Name: "r", Idempotent: true, Attempts: 2, Timeout: time.Second, Objective: 500 * time.Millisecond, Top: 10}
-	var instances []registry.Instance
-	for i := range shards {
+	reply := controlrpc.WatchReply{Revision: 1, Watchers: 1, Instances: registry.Delta{Whole: true}}
+	for i := range benchShards {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			b.Fatal(err)
 		}
-		defer func() { _ = listener.Close() }()
+		b.Cleanup(func() { _ = listener.Close() })
 		go func() {
 			for {
 				conn, err := listener.Accept()
@@ -66,18 +68,57 @@
 		}()
 		name := fmt.Sprintf("s%d", i)
 		rt.Shards = append(rt.Shards, name)
-		instances = append(instances, registry.Instance{
-			ID: name, Service: name, Address: listener.Addr().String(), Slots: 2, State: registry.Ready,
+		reply.Instances.Changed = append(reply.Instances.Changed, registry.Instance{
+			ID: name, Service: name, FailureDomain: domain, Address: listener.Addr().String(), Slots: 2, State: registry.Ready,
 		})
 	}
-	r := New(Config{ID: "x", ExtraShare: 0.2, ExtraFloor: 50, ExtraWindow: time.Second}, nil, benchCodec{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	r.adopt(controlrpc.WatchReply{Revision: 1, Watchers: 1, Instances: registry.Delta{Whole: true, Changed: instances}})
+	return rt, reply
+}
+
+func benchRouter(id, domain, relayAddress string) *Router {
+	config := Config{ID: id, FailureDomain: domain, ExtraShare: 0.2, ExtraFloor: 50, ExtraWindow: time.Second,
+		RelayAddress: relayAddress, DialRelay: controlrpc.PlainDialer}
+	return New(config, nil, benchCodec{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+}
+
+func benchSearches(b *testing.B, r *Router, rt *route.Route) {
 	b.ReportAllocs()
 	for b.Loop() {
 		request := &Request{Request: upstreamconn.Request{ID: "1", Method: "GET", Target: "/x"}, Received: time.Now(), Limit: time.Second}
 		g, err := r.Search(context.Background(), r.View(), rt, request)
-		if err != nil || len(g.Stamps) != shards {
+		if err != nil || len(g.Stamps) != benchShards {
 			b.Fatal(err, g)
 		}
 	}
 }
+
+// BenchmarkSearch measures a search over 20 shards that are asked directly.
+func BenchmarkSearch(b *testing.B) {
+	rt, reply := benchUpstreams(b, "a")
+	r := benchRouter("x", "a", "")
+	r.adopt(reply)
+	benchSearches(b, r, rt)
+}
+
+// BenchmarkRelayedSearch measures a search over 20 shards through one relay, the work of both entry VMs together.
+func BenchmarkRelayedSearch(b *testing.B) {
+	rt, reply := benchUpstreams(b, "b")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	carrier := benchRouter("carrier", "b", listener.Addr().String())
+	carrier.adopt(reply)
+	go relay.NewServer(carrier, carrier.log).Serve(listener)
+	r := benchRouter("x", "a", "unused:1")
+	r.adopt(reply)
+	r.peers.Update([]controlrpc.Peer{{ID: "carrier", FailureDomain: "b", Address: listener.Addr().String()}}, time.Now())
+	for r.peers.Pick("b", 0, nil, time.Now()) == nil {
+		time.Sleep(time.Millisecond)
+	}
+	benchSearches(b, r, rt)
+	if r.Counts().Relayed == 0 {
+		b.Fatal("nothing was relayed")
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"os"
@@ -41,7 +42,10 @@
 type Control struct {
 	ID            string `toml:"id" validate:"required,max=64"`
 	FailureDomain string `toml:"failure_domain" validate:"required,max=64"`
-	RPCAddress    string `toml:"rpc_address" validate:"ip_port"`
+	// RPCAddress is where the other members and entry VMs reach this member.
+	RPCAddress string `toml:"rpc_address" validate:"ip_port"`
+	// RPCListenAddress is where it listens if that is not RPCAddress, for example behind address translation.
+	RPCListenAddress string `toml:"rpc_listen_address" validate:"omitempty,ip_port"`
 	// DataDir holds the member's identity, log and snapshots.
 	DataDir string `toml:"data_dir" validate:"required"`
 	// TLS secures the connections of members, entry VMs and operators; absent means none.
@@ -75,6 +79,8 @@
 	// RelayAddress is where other entry VMs have parts of searches run at upstreams of this failure domain; empty takes
 	// none and sends none.
 	RelayAddress string `toml:"relay_address" validate:"omitempty,ip_port"`
+	// RelayListenAddress is where it listens for them if that is not RelayAddress.
+	RelayListenAddress string `toml:"relay_listen_address" validate:"omitempty,ip_port"`
 	// Seeds are addresses of control VMs. Only their hosts count: all members serve RPC on ControlPort.
 	Seeds       []string `toml:"seeds" validate:"min=1,max=16,dive,ip_port"`
 	ControlPort int      `toml:"control_port" validate:"min=1,max=65535"`
@@ -102,6 +108,12 @@
 // ControlAddresses returns the RPC addresses of the seeds.
 func (r Router) ControlAddresses() []string { return withPort(r.Seeds, r.ControlPort) }
 
+// ListenAddress is where the member listens for RPC.
+func (c Control) ListenAddress() string { return cmp.Or(c.RPCListenAddress, c.RPCAddress) }
+
+// RelayListen is where the router listens for batches of other entry VMs.
+func (r Router) RelayListen() string { return cmp.Or(r.RelayListenAddress, r.RelayAddress) }
+
 // Peers returns the RPC addresses of the seeds. The port is that of this member.
 func (c Control) Peers() []string {
 	_, port, err := net.SplitHostPort(c.RPCAddress)
--- /dev/null
+++ b/test/harness/proxy_test.go
@@ -0,0 +1,84 @@
+package harness
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestHarness(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Harness")
+}
+
+var _ = Describe("the proxy", func() {
+	var proxy *Proxy
+	var conn net.Conn
+	BeforeEach(func() {
+		echo, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(echo.Close)
+		go func() {
+			for {
+				c, err := echo.Accept()
+				if err != nil {
+					return
+				}
+				go func() { _, _ = io.Copy(c, c) }()
+			}
+		}()
+		proxy, err = NewProxy("127.0.0.1:0", echo.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(proxy.Close)
+		conn = dial(proxy)
+	})
+
+	It("passes bytes on, holds them during a cut of either direction, and delivers them after it", func() {
+		Expect(roundTrip(conn, time.Second)).To(Succeed())
+		for _, cut := range []Cut{{ToServer: true}, {ToClient: true}} {
+			proxy.Set(cut)
+			Expect(roundTrip(conn, 50*time.Millisecond)).NotTo(Succeed())
+			proxy.Set(Cut{})
+			Expect(conn.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+			_, err := io.ReadFull(conn, make([]byte, 1))
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
+	It("silences open connections for good, and no new ones", func() {
+		Expect(roundTrip(conn, time.Second)).To(Succeed())
+		proxy.Silence()
+		Expect(roundTrip(conn, 50*time.Millisecond)).NotTo(Succeed())
+		Expect(roundTrip(dial(proxy), time.Second)).To(Succeed())
+	})
+
+	It("resets and refuses connections", func() {
+		Expect(roundTrip(conn, time.Second)).To(Succeed())
+		proxy.Reset()
+		Expect(roundTrip(conn, time.Second)).NotTo(Succeed())
+		proxy.Set(Cut{Refuse: true})
+		Expect(roundTrip(dial(proxy), time.Second)).NotTo(Succeed())
+	})
+})
+
+func dial(proxy *Proxy) net.Conn {
+	conn, err := net.Dial("tcp", proxy.Address())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func roundTrip(conn net.Conn, limit time.Duration) error {
+	if err := conn.SetDeadline(time.Now().Add(limit)); err != nil {
+		return err
+	}
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(conn, make([]byte, 1))
+	return err
+}
--- /dev/null
+++ b/test/soak/cluster_test.go
@@ -0,0 +1,171 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wisteriamux/wisteriamux/platform/standin"
+	"github.com/wisteriamux/wisteriamux/test/harness"
+)
+
+// The ports lie below the range from which the kernel takes the ports of outgoing connections. A program listens at the
+// address of its VM, and is reached at the address of its proxy.
+const (
+	rpcPort       = 7100
+	directoryPort = 7101
+	callerPort    = 7102
+	healthPort    = 7103
+	relayPort     = 7104
+
+	controlVMs = 5
+	entryVMs   = 4
+	firstEntry = 11
+	// proxyOffset is the difference between the host numbers of a VM and of its proxies.
+	proxyOffset = 100
+	// stopLimit is how long a planned stop may take: the lame duck and the drain of the settings, and a reserve.
+	stopLimit = 6 * time.Second
+)
+
+func vmAddress(vm, port int) string { return fmt.Sprintf("%s:%d", harness.Loopback(vm), port) }
+
+func proxyAddress(vm, port int) string { return vmAddress(vm+proxyOffset, port) }
+
+// vm is a process of the system with the proxies in front of its ports.
+type vm struct {
+	name    string
+	number  int
+	process *harness.Process
+	proxies []*harness.Proxy
+	dataDir string
+}
+
+func (v *vm) settings(dir string) string { return filepath.Join(dir, v.name+".toml") }
+
+// restart starts the program again; a control VM does not found a group any more.
+func (v *vm) restart() { _ = v.process.Start() }
+
+// cluster is the system under test with its upstreams.
+type cluster struct {
+	dir       string
+	control   []*vm
+	entry     []*vm
+	upstreams []*upstream
+}
+
+// upstream is a stand-in behind a proxy.
+type upstream struct {
+	*standin.Upstream
+	proxy *harness.Proxy
+}
+
+func startCluster(dir string) *cluster {
+	c := &cluster{dir: dir}
+	var seeds []string
+	for n := 1; n <= 3; n++ {
+		seeds = append(seeds, fmt.Sprintf("%q", proxyAddress(n, directoryPort)))
+	}
+	seedList := "[" + strings.Join(seeds, ",") + "]"
+	for n := 1; n <= controlVMs; n++ {
+		v := &vm{name: fmt.Sprintf("control-%d", n), number: n, dataDir: filepath.Join(dir, fmt.Sprintf("data-%d", n))}
+		c.write(v, fmt.Sprintf("id = %q\nfailure_domain = %q\nrpc_address = %q\nrpc_listen_address = %q\ndata_dir = %q\nformation = \"seeds\"\n"+
+			"seeds = %s\nfirst_start = true\ndirectory_address = %q\nsnapshot_entries = 40\n",
+			proxyAddress(n, rpcPort), domainOf(n), proxyAddress(n, rpcPort), vmAddress(n, rpcPort), v.dataDir, seedList, vmAddress(n, directoryPort)))
+		c.control = append(c.control, v)
+		c.launch(v, "wmux-control", rpcPort, directoryPort)
+	}
+	for n := firstEntry; n < firstEntry+entryVMs; n++ {
+		v := &vm{name: fmt.Sprintf("router-%d", n), number: n}
+		c.write(v, fmt.Sprintf("id = %q\nfailure_domain = %q\ncaller_address = %q\nhealth_address = %q\nseeds = %s\ncontrol_port = %d\n"+
+			"relay_address = %q\nrelay_listen_address = %q\nlame_duck_ms = 300\nextra_share = %g\nextra_floor = %d\nextra_window_s = %g\n",
+			v.name, domainOf(n), vmAddress(n, callerPort), vmAddress(n, healthPort), seedList, rpcPort,
+			proxyAddress(n, relayPort), vmAddress(n, relayPort), extraShare, extraFloor, extraWindow.Seconds()))
+		c.entry = append(c.entry, v)
+		c.launch(v, "wmux-router", callerPort, relayPort)
+	}
+	// The first start is over once the processes run: a member that comes back must not found another group.
+	time.Sleep(300 * time.Millisecond)
+	for _, v := range c.control {
+		text, err := os.ReadFile(v.settings(dir))
+		Expect(err).NotTo(HaveOccurred())
+		c.write(v, strings.Replace(string(text), "first_start = true", "first_start = false", 1))
+	}
+	return c
+}
+
+// domainOf spreads the VMs over two failure domains.
+func domainOf(n int) string { return []string{"a", "b"}[n%2] }
+
+func (c *cluster) write(v *vm, settings string) {
+	Expect(os.WriteFile(v.settings(c.dir), []byte(settings), 0o600)).To(Succeed())
+}
+
+func (c *cluster) launch(v *vm, program string, ports ...int) {
+	for _, port := range ports {
+		proxy, err := harness.NewProxy(proxyAddress(v.number, port), vmAddress(v.number, port))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(proxy.Close)
+		v.proxies = append(v.proxies, proxy)
+	}
+	log, err := os.OpenFile(filepath.Join(c.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	Expect(err).NotTo(HaveOccurred())
+	v.process = &harness.Process{Path: filepath.Join(binaries, program), Args: []string{"run", "--settings", v.settings(c.dir)}, Log: log}
+	Expect(v.process.Start()).To(Succeed())
+	DeferCleanup(func() {
+		v.process.Signal(syscall.SIGCONT)
+		v.process.Kill()
+		_ = log.Close()
+	})
+}
+
+// startUpstreams starts two upstreams of each service, one in each failure domain.
+func (c *cluster) startUpstreams() {
+	var directories []string
+	for _, v := range c.control {
+		directories = append(directories, proxyAddress(v.number, directoryPort))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, service := range []string{shardA, shardB, single} {
+		for n := range 2 {
+			u, err := standin.Start(standin.Config{
+				ID: fmt.Sprintf("%s-%d", service, n), Service: service, FailureDomain: domainOf(n), Address: "127.0.0.1:0",
+				Directories: directories, Heartbeat: 300 * time.Millisecond, Slots: 4,
+			})
+			Expect(err).NotTo(HaveOccurred())
+			proxy, err := harness.NewProxy("127.0.0.1:0", u.Address())
+			Expect(err).NotTo(HaveOccurred())
+			u.AnnounceAddress(proxy.Address())
+			u.Delay.Store(int64(usualDelay))
+			c.upstreams = append(c.upstreams, &upstream{Upstream: u, proxy: proxy})
+			running.Add(1)
+			go func() { defer running.Done(); u.Run(ctx) }()
+			DeferCleanup(proxy.Close)
+			DeferCleanup(u.Close)
+		}
+	}
+	DeferCleanup(func() { cancel(); running.Wait() })
+}
+
+// runs returns how often each request target was run by the upstreams of a service.
+func (c *cluster) runs(service string) map[string]int {
+	counts := map[string]int{}
+	for _, u := range c.upstreams {
+		if u.Service() != service {
+			continue
+		}
+		for _, request := range u.Requests() {
+			_, target, _ := strings.Cut(request, " ")
+			counts[target]++
+		}
+	}
+	return counts
+}
--- /dev/null
+++ b/test/soak/faults_test.go
@@ -0,0 +1,159 @@
+package soak_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+
+	"github.com/wisteriamux/wisteriamux/test/harness"
+)
+
+const (
+	// faultPeriod is how long faults begin.
+	faultPeriod = 9 * time.Second
+	// catchUp is how long a control VM counts as lost after it is back with an empty disk: the bound of the users' sites.
+	catchUp = 4 * time.Second
+	// tolerated is the number of control VMs that may be lost at once.
+	tolerated = 2
+)
+
+// injector injects faults that are drawn from a seed. Faults overlap, but for those that would lose more control VMs at
+// once than the system promises to bear.
+type injector struct {
+	cluster *cluster
+	random  *rand.Rand
+	// lost holds a token for each control VM that is lost.
+	lost    chan struct{}
+	running sync.WaitGroup
+
+	// mu guards busy: the VMs whose process is being ended or frozen.
+	mu   sync.Mutex
+	busy map[string]bool
+}
+
+func newInjector(c *cluster, seed uint64) *injector {
+	return &injector{cluster: c, random: rand.New(rand.NewPCG(seed, 201)), lost: make(chan struct{}, tolerated), busy: map[string]bool{}}
+}
+
+func (i *injector) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(i.random.Int64N(int64(high-low)))
+}
+
+// run begins faults for the period and returns when the last one is over and everything runs.
+func (i *injector) run() {
+	end := time.Now().Add(faultPeriod)
+	for time.Now().Before(end) {
+		i.begin()
+		time.Sleep(i.between(50*time.Millisecond, 900*time.Millisecond))
+	}
+	i.running.Wait()
+}
+
+// begin draws a fault and starts it.
+func (i *injector) begin() {
+	entry := i.cluster.entry[i.random.IntN(len(i.cluster.entry))]
+	control := i.cluster.control[i.random.IntN(len(i.cluster.control))]
+	upstream := i.cluster.upstreams[i.random.IntN(len(i.cluster.upstreams))]
+	length := i.between(100*time.Millisecond, 2500*time.Millisecond)
+	any := []*vm{entry, control}[i.random.IntN(2)]
+	proxy := any.proxies[i.random.IntN(len(any.proxies))]
+	cut := []harness.Cut{{ToServer: true}, {ToClient: true}, {ToServer: true, ToClient: true}, {Refuse: true}, {Delay: 40 * time.Millisecond}}[i.random.IntN(5)]
+	faults := []struct {
+		name string
+		run  func()
+	}{
+		{"kill of " + entry.name, func() { i.claim(entry, func() { entry.process.Kill(); time.Sleep(length); entry.restart() }) }},
+		{"planned restart of " + entry.name, func() { i.claim(entry, func() { entry.process.End(syscall.SIGTERM, stopLimit); entry.restart() }) }},
+		{"freeze of " + any.name, func() {
+			i.claim(any, func() {
+				any.process.Signal(syscall.SIGSTOP)
+				time.Sleep(length)
+				any.process.Signal(syscall.SIGCONT)
+			})
+		}},
+		{"kill of " + control.name, func() { i.lose(control, length, false) }},
+		{"kill of " + control.name + " with its disk", func() { i.lose(control, length, true) }},
+		{"kill of all control VMs", i.killControl},
+		{fmt.Sprintf("%+v at %s", cut, any.name), func() { proxy.Set(cut); time.Sleep(length); proxy.Set(harness.Cut{}) }},
+		{"resets at " + any.name, func() { resetOften(proxy, length) }},
+		{"silence of the connections of " + any.name, proxy.Silence},
+		{fmt.Sprintf("%+v at upstream %s", cut, upstream.ID()), func() { upstream.proxy.Set(cut); time.Sleep(length); upstream.proxy.Set(harness.Cut{}) }},
+		{"silence of the connections of upstream " + upstream.ID(), upstream.proxy.Silence},
+		{"resets at upstream " + upstream.ID(), func() { resetOften(upstream.proxy, length) }},
+		{"refusals of upstream " + upstream.ID(), func() { upstream.Refuse.Store(true); time.Sleep(length); upstream.Refuse.Store(false) }},
+		{"slow upstream " + upstream.ID(), func() {
+			upstream.Delay.Store(int64(300 * time.Millisecond))
+			time.Sleep(length)
+			upstream.Delay.Store(int64(usualDelay))
+		}},
+	}
+	chosen := faults[i.random.IntN(len(faults))]
+	_, _ = fmt.Fprintf(GinkgoWriter, "%s fault: %s, length %s\n", time.Now().Format(time.StampMilli), chosen.name, length)
+	i.running.Add(1)
+	go func() {
+		defer i.running.Done()
+		chosen.run()
+	}()
+}
+
+// claim runs a fault of a process unless another one is under way there.
+func (i *injector) claim(v *vm, run func()) {
+	i.mu.Lock()
+	taken := i.busy[v.name]
+	i.busy[v.name] = true
+	i.mu.Unlock()
+	if taken {
+		return
+	}
+	defer func() {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		delete(i.busy, v.name)
+	}()
+	run()
+}
+
+// lose kills a control VM, and with wipe also loses its disk. A VM without its disk counts as lost for some time.
+func (i *injector) lose(v *vm, length time.Duration, wipe bool) {
+	select {
+	case i.lost <- struct{}{}:
+	default:
+		return
+	}
+	defer func() { <-i.lost }()
+	i.claim(v, func() {
+		v.process.Kill()
+		if wipe {
+			_ = os.RemoveAll(v.dataDir)
+		}
+		time.Sleep(length)
+		v.restart()
+		if wipe {
+			time.Sleep(catchUp)
+		}
+	})
+}
+
+// killControl kills every control VM that no other fault has, and starts them again at once.
+func (i *injector) killControl() {
+	var killed sync.WaitGroup
+	for _, v := range i.cluster.control {
+		killed.Add(1)
+		go func() {
+			defer killed.Done()
+			i.claim(v, func() { v.process.Kill(); v.restart() })
+		}()
+	}
+	killed.Wait()
+}
+
+func resetOften(proxy *harness.Proxy, length time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		proxy.Reset()
+	}
+}
