--- a/internal/logtrail/trail.go
+++ b/internal/logtrail/trail.go
@@ -15,7 +15,7 @@
 	upstreamEvents = map[string]bool{
 		"upstream condition changed": true, "upstream reported": true, "silent upstream removed": true, "upstream report refused": true,
 	}
-	groupEvents = map[string]bool{"leader changed": true, "routes ordered": true, "membership changed": true}
+	groupEvents = map[string]bool{"leader changed": true, "membership changed": true}
 )
 
 // Trail is what the logs say about one request.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -28,6 +28,8 @@
 	Abandoned
 	// Unknown means that the result was lost between two entry VMs. It says nothing about the upstream.
 	Unknown
+	// Declined means that another VM did not send the request, because it knows the upstream to be in a bad condition.
+	Declined
 )
 
 // String returns the result as it is logged.
@@ -45,6 +47,8 @@
 		return "misdirected"
 	case Unknown:
 		return "unknown"
+	case Declined:
+		return "declined"
 	default:
 		return "abandoned"
 	}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -279,7 +279,7 @@
 	case relay.Unreachable:
 		return replica.Unreachable
 	case relay.Declined:
-		return replica.Unknown
+		return replica.Declined
 	}
 	return replica.Failed
 }
--- a/test/soak/operator_test.go
+++ b/test/soak/operator_test.go
@@ -49,7 +49,9 @@
 	return &operator{cluster: c, client: &http.Client{Timeout: 3 * time.Second, Transport: transport}, broken: broken}
 }
 
-func (o *operator) url(v *vm, path string) string { return "http://" + proxyAddress(v.number, directoryPort) + path }
+func (o *operator) url(v *vm, path string) string {
+	return "http://" + proxyAddress(v.number, directoryPort) + path
+}
 
 // put orders a version at a VM and returns the status, 0 without an answer.
 func (o *operator) put(v *vm, version int) int {
