--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -8,6 +8,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/jsonbody"
+	"github.com/wisteriamux/wisteriamux/internal/membership"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
@@ -40,14 +41,14 @@
 
 // announce sends a new or changed announcement to control. An unchanged one is a renewal and costs control nothing.
 func (s *Server) announce(ctx context.Context, announcement model.Announcement) (model.UpstreamState, error) {
-	current, err := s.session.leased()
+	current, err := s.session.Leased()
 	if err != nil {
 		return "", err
 	}
-	if err := checkAnnouncement(current.view.Config, announcement); err != nil {
+	if err := checkAnnouncement(current.View.Config, announcement); err != nil {
 		return "", err
 	}
-	known, ok := current.upstreams[announcement.Name]
+	known, ok := current.Upstreams[announcement.Name]
 	if ok && known.Announcement == announcement && known.State != model.UpstreamLost {
 		s.renewals.note(current, ownerrpc.Renewal{Name: announcement.Name, Address: announcement.Address})
 		return known.State, nil
@@ -67,11 +68,11 @@
 // announcedState reads the state after a transition. The command is accepted, so that a failed read is no failure of
 // the announcement.
 func (s *Server) announcedState(ctx context.Context, announcement model.Announcement) model.UpstreamState {
-	defer s.session.refresh()
-	if err := s.session.fetch(ctx); err != nil {
+	defer s.session.Refresh()
+	if err := s.session.Fetch(ctx); err != nil {
 		s.log.Debug("view not read after an announcement", "upstream", announcement.Name, "error", err)
 	}
-	if known, ok := s.session.latest().upstreams[announcement.Name]; ok && known.Announcement == announcement {
+	if known, ok := s.session.Latest().Upstreams[announcement.Name]; ok && known.Announcement == announcement {
 		return known.State
 	}
 	if announcement.Draining {
@@ -127,7 +128,7 @@
 }
 
 // checkIdentity refuses a second process with the name of an upstream at another address, while the first still renews.
-func (s *Server) checkIdentity(ctx context.Context, current *served, known model.Upstream, announcement model.Announcement) error {
+func (s *Server) checkIdentity(ctx context.Context, current *membership.Served, known model.Upstream, announcement model.Announcement) error {
 	if known.Address == announcement.Address || known.State == model.UpstreamLost || known.State == model.UpstreamDrained {
 		return nil
 	}
@@ -142,8 +143,8 @@
 	return nil
 }
 
-func (s *Server) isRenewing(ctx context.Context, current *served, known model.Upstream) (bool, error) {
-	owner, ok := current.owners[known.Name]
+func (s *Server) isRenewing(ctx context.Context, current *membership.Served, known model.Upstream) (bool, error) {
+	owner, ok := current.Owners[known.Name]
 	if !ok {
 		return false, fault.New(fault.NotRun, "announce", "upstream %q has no owner to ask", known.Name)
 	}
--- a/internal/entry/announce_test.go
+++ b/internal/entry/announce_test.go
@@ -158,14 +158,14 @@
 		Eventually(upstream.waiting, 5).Should(Receive())
 		second := startVM(control, "entry-2", nil)
 		first.sync()
-		for i := 3; first.session.latest().owners["u1"].ID == "entry-1" && i < 10; i++ {
+		for i := 3; first.session.Latest().Owners["u1"].ID == "entry-1" && i < 10; i++ {
 			second = startVM(control, fmt.Sprint("entry-", i), nil)
 			first.sync()
 		}
 		control.drain("u1")
 		first.sync()
 		second.sync()
-		id := first.session.latest().owners["u1"].ID
+		id := first.session.Latest().Owners["u1"].ID
 		Expect(id).To(Equal(second.config.ID))
 		Eventually(func() int {
 			second.renewals.mu.Lock()
--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -12,6 +12,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/booking"
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/membership"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerlink"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
@@ -49,8 +50,8 @@
 
 // bookings runs the bookings that this entry VM takes from callers.
 type bookings struct {
-	session  *session
-	control  Control
+	session  *membership.Session
+	control  membership.Control
 	owner    *bookingOwner
 	guard    *crashGuard
 	links    *ownerlink.Calls
@@ -73,7 +74,7 @@
 	at       time.Duration
 }
 
-func newBookings(session *session, control Control, owner *bookingOwner, guard *crashGuard, links *ownerlink.Calls, recorder *trace.Recorder) *bookings {
+func newBookings(session *membership.Session, control membership.Control, owner *bookingOwner, guard *crashGuard, links *ownerlink.Calls, recorder *trace.Recorder) *bookings {
 	return &bookings{
 		session: session, control: control, owner: owner, guard: guard, links: links, recorder: recorder,
 		busy: map[string]chan struct{}{}, loads: map[string]reportedLoad{}, sending: map[string]int{},
@@ -82,7 +83,7 @@
 
 // book runs a booking at most once. The intent is durable before the request leaves.
 func (b *bookings) book(ctx context.Context, requestID, caller string, request BookingRequest) (BookingResponse, error) {
-	current, err := b.session.leased()
+	current, err := b.session.Leased()
 	if err != nil {
 		return BookingResponse{}, err
 	}
@@ -108,8 +109,8 @@
 	return run.wait(ctx)
 }
 
-func checkBookingService(current *served, service string) error {
-	configured, ok := current.view.Config.ServiceNamed(service)
+func checkBookingService(current *membership.Served, service string) error {
+	configured, ok := current.View.Config.ServiceNamed(service)
 	if !ok || configured.Kind != model.ServiceBooking {
 		return fault.New(fault.BadRequest, "book", "%q is not a booking service", service)
 	}
@@ -145,13 +146,13 @@
 }
 
 // candidates are the ready upstreams of the service whose owners are known.
-func (b *bookings) candidates(current *served, service string) []booking.Candidate {
-	now := b.session.clock.mono()
+func (b *bookings) candidates(current *membership.Served, service string) []booking.Candidate {
+	now := b.session.Clock.Mono()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var candidates []booking.Candidate
-	for _, upstream := range current.view.Upstreams {
-		owner, owned := current.owners[upstream.Name]
+	for _, upstream := range current.View.Upstreams {
+		owner, owned := current.Owners[upstream.Name]
 		if upstream.Service != service || upstream.State != model.UpstreamReady || !owned {
 			continue
 		}
@@ -165,7 +166,7 @@
 
 // load combines what the owner knows with what this VM has sent since. The caller holds mu.
 func (b *bookings) load(upstream model.Upstream, owner model.Member, now time.Duration) int {
-	if owner.ID == b.session.member.ID {
+	if owner.ID == b.session.Member.ID {
 		return b.owner.inFlight(upstream.Name) * 1000 / max(upstream.Slots, 1)
 	}
 	own := b.sending[upstream.Name] * 1000 / max(upstream.Slots, 1)
@@ -177,7 +178,7 @@
 }
 
 func (b *bookings) noteLoads(loads []ownerrpc.UpstreamLoad) {
-	now := b.session.clock.mono()
+	now := b.session.Clock.Mono()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, load := range loads {
@@ -219,7 +220,7 @@
 	deadline, _ := ctx.Deadline()
 	return &bookingRun{
 		bookings: b, id: b.nextID, requestID: requestID, caller: caller, request: request, deadline: deadline,
-		sender: b.session.instanceID(), answers: make(chan booking.Answer, 1), flow: booking.NewFlow(),
+		sender: b.session.InstanceID(), answers: make(chan booking.Answer, 1), flow: booking.NewFlow(),
 	}
 }
 
@@ -274,10 +275,10 @@
 	return action
 }
 
-func (r *bookingRun) loop(ctx context.Context, current *served) {
+func (r *bookingRun) loop(ctx context.Context, current *membership.Served) {
 	action := r.step(booking.FlowEvent{
 		Kind: booking.FlowStart, Candidates: r.candidates(current, r.request.Service),
-		Self: booking.Candidate{OwnerID: r.session.member.ID, OwnerInstance: r.sender},
+		Self: booking.Candidate{OwnerID: r.session.Member.ID, OwnerInstance: r.sender},
 	})
 	for action.Kind != booking.ActFinish {
 		var event booking.FlowEvent
@@ -305,7 +306,7 @@
 		Upstream:       action.Upstream,
 		OwnerID:        action.OwnerID,
 		OwnerInstance:  action.OwnerInstance,
-		SenderID:       r.session.member.ID,
+		SenderID:       r.session.Member.ID,
 		SenderInstance: r.sender,
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
@@ -326,10 +327,10 @@
 
 // newestCandidates reads the view first, because a refused intent shows that the served one is behind.
 func (r *bookingRun) newestCandidates(ctx context.Context) []booking.Candidate {
-	if err := r.session.fetch(ctx); err != nil {
-		r.session.refresh()
+	if err := r.session.Fetch(ctx); err != nil {
+		r.session.Refresh()
 	}
-	return r.candidates(r.session.latest(), r.request.Service)
+	return r.candidates(r.session.Latest(), r.request.Service)
 }
 
 func bookingDigest(request BookingRequest) string {
@@ -356,24 +357,24 @@
 // send sends the one copy of the attempt to its owner. A copy whose fate is unknown is resolved, never repeated.
 func (r *bookingRun) send(ctx context.Context, action booking.Action) booking.FlowEvent {
 	event := booking.FlowEvent{Kind: booking.FlowOutcome, Outcome: booking.OutcomeNotRun}
-	current, instance, err := r.session.held()
+	current, instance, err := r.session.Held()
 	if err != nil || instance != r.sender {
 		return event
 	}
 	left := time.Until(r.deadline)
-	owner, ok := current.members[action.OwnerID]
+	owner, ok := current.Members[action.OwnerID]
 	if left <= 0 || !ok || owner.Instance != action.OwnerInstance {
 		return event
 	}
 	args := ownerrpc.BookArgs{
 		RequestID: r.requestID, Caller: r.caller, Key: r.request.Key, Attempt: action.Attempt,
 		Service: r.request.Service, Upstream: action.Upstream,
-		OwnerInstance: action.OwnerInstance, SenderID: r.session.member.ID, SenderInstance: r.sender,
+		OwnerInstance: action.OwnerInstance, SenderID: r.session.Member.ID, SenderInstance: r.sender,
 		Timeout: left, Payload: r.request.Payload,
 	}
 	r.noteSending(action.Upstream, 1)
 	defer r.noteSending(action.Upstream, -1)
-	if owner.ID == r.session.member.ID {
+	if owner.ID == r.session.Member.ID {
 		return outcomeEvent(r.owner.book(args))
 	}
 	ctx, cancel := context.WithTimeout(ctx, left+outcomeWait+replySlack)
@@ -399,27 +400,27 @@
 
 // resolve asks the owner instance of the intent what became of the attempt.
 func (r *bookingRun) resolve(ctx context.Context, action booking.Action) booking.FlowEvent {
-	current := r.session.latest()
-	if current.isFenced(action.OwnerID, action.OwnerInstance) {
+	current := r.session.Latest()
+	if current.IsFenced(action.OwnerID, action.OwnerInstance) {
 		return booking.FlowEvent{Kind: booking.FlowOutcome, Outcome: booking.OutcomeGone}
 	}
 	args := ownerrpc.ResolveArgs{
 		Key: r.request.Key, Attempt: action.Attempt, OwnerInstance: action.OwnerInstance,
 		Wait: max(min(time.Until(r.deadline), maxResolveWait), 0),
 	}
-	if action.OwnerID == r.session.member.ID {
+	if action.OwnerID == r.session.Member.ID {
 		return r.paced(outcomeEvent(r.owner.resolve(args)))
 	}
-	owner, ok := current.members[action.OwnerID]
+	owner, ok := current.Members[action.OwnerID]
 	if !ok {
-		r.session.refresh()
+		r.session.Refresh()
 		return r.paced(booking.FlowEvent{Kind: booking.FlowOutcome, Outcome: booking.OutcomeUnreachable})
 	}
 	ctx, cancel := context.WithTimeout(ctx, args.Wait+replySlack)
 	defer cancel()
 	var reply ownerrpc.AttemptReply
 	if err := r.links.Call(ctx, owner.RPCAddress, "Resolve", args, &reply); err != nil {
-		r.session.refresh()
+		r.session.Refresh()
 		return r.paced(booking.FlowEvent{Kind: booking.FlowOutcome, Outcome: booking.OutcomeUnreachable})
 	}
 	return r.paced(outcomeEvent(reply))
@@ -444,11 +445,11 @@
 		result, err := r.propose(ctx, controlstate.Command{BookingOutcome: &outcome})
 		if err == nil && result.Booking != nil {
 			event.Record = recordOf(*result.Booking)
-			event.Candidates = r.candidates(r.session.latest(), r.request.Service)
+			event.Candidates = r.candidates(r.session.Latest(), r.request.Service)
 			return event
 		}
 		event.Code = fault.CodeOf(err)
-		if _, instance, lost := r.session.held(); lost != nil || instance != r.sender || !fault.Is(err, fault.Unavailable) {
+		if _, instance, lost := r.session.Held(); lost != nil || instance != r.sender || !fault.Is(err, fault.Unavailable) {
 			return event
 		}
 		time.Sleep(recordPause)
--- a/internal/entry/booking_test.go
+++ b/internal/entry/booking_test.go
@@ -45,8 +45,8 @@
 		request := BookingRequest{Service: "settlement", Key: "k", Payload: []byte(`{"lot":1}`)}
 		intent := controlstate.BookingIntent{
 			Key: "k", Digest: bookingDigest(request), Service: "settlement", Upstream: "u1",
-			OwnerID: owner.config.ID, OwnerInstance: owner.session.instanceID(),
-			SenderID: other.config.ID, SenderInstance: other.session.instanceID(),
+			OwnerID: owner.config.ID, OwnerInstance: owner.session.InstanceID(),
+			SenderID: other.config.ID, SenderInstance: other.session.InstanceID(),
 		}
 		Expect(control.apply(controlstate.Command{BookingIntent: &intent}).Granted).To(BeTrue())
 		answer := owner.book("k", 2000)
@@ -65,8 +65,8 @@
 		upstream := startUpstream(control, "u1", "settlement", 2)
 		owner, other := ownerOf("u1", pairOf(control)...)
 		args := ownerrpc.BookArgs{
-			Key: "k", Attempt: 1, Service: "settlement", Upstream: "u1", OwnerInstance: owner.session.instanceID(),
-			SenderID: other.config.ID, SenderInstance: other.session.instanceID(), Timeout: time.Second, Payload: []byte("1"),
+			Key: "k", Attempt: 1, Service: "settlement", Upstream: "u1", OwnerInstance: owner.session.InstanceID(),
+			SenderID: other.config.ID, SenderInstance: other.session.InstanceID(), Timeout: time.Second, Payload: []byte("1"),
 		}
 		control.expire(other.config.ID)
 		owner.sync()
@@ -127,9 +127,9 @@
 		control := newFakeControl()
 		upstream := startUpstream(control, "u1", "settlement", 1)
 		owner := startVM(control, "entry-1", nil)
-		earlier := owner.session.instanceID()
+		earlier := owner.session.InstanceID()
 		control.expire("entry-1")
-		Eventually(func() bool { return owner.session.instanceID() > earlier }, 8).Should(BeTrue())
+		Eventually(func() bool { return owner.session.InstanceID() > earlier }, 8).Should(BeTrue())
 		resolved := owner.bookings.owner.resolve(ownerrpc.ResolveArgs{Key: "k", Attempt: 1, OwnerInstance: earlier})
 		Expect(resolved.Outcome).To(Equal(booking.OutcomeGone))
 		late := ownerrpc.BookArgs{Key: "k", Attempt: 1, Service: "settlement", Upstream: "u1", OwnerInstance: earlier, Timeout: time.Second}
@@ -214,7 +214,7 @@
 	go func() { second <- v.book("second", 5000) }()
 	Eventually(func() int { return v.bookings.owner.inFlight("u1") }, 5).Should(Equal(2))
 	if !appliesView {
-		frozen := v.session.latest().view
+		frozen := v.session.Latest().View
 		v.port.stale.Store(&frozen)
 	}
 	control.drain("u1")
--- a/internal/entry/bookowner.go
+++ b/internal/entry/bookowner.go
@@ -7,6 +7,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/booking"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/membership"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
 	"github.com/wisteriamux/wisteriamux/internal/trace"
@@ -33,7 +34,7 @@
 
 // bookingOwner sends booking attempts to the upstreams of this entry VM, each at most once.
 type bookingOwner struct {
-	session  *session
+	session  *membership.Session
 	guard    *crashGuard
 	recorder *trace.Recorder
 
@@ -48,7 +49,7 @@
 	total    int
 }
 
-func newBookingOwner(session *session, guard *crashGuard, recorder *trace.Recorder) *bookingOwner {
+func newBookingOwner(session *membership.Session, guard *crashGuard, recorder *trace.Recorder) *bookingOwner {
 	return &bookingOwner{
 		session: session, guard: guard, recorder: recorder,
 		table: booking.NewTable(booking.DefaultLimits()), changed: make(chan struct{}),
@@ -61,7 +62,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), args.Timeout)
 	defer cancel()
 	// A refusal before the table leaves no record; a resolve then refuses the attempt for good.
-	if _, err := o.session.leased(); err != nil {
+	if _, err := o.session.Leased(); err != nil {
 		return o.reply(args.Service, booking.TableResult{Outcome: booking.OutcomeNotRun, Reason: err.Error()})
 	}
 	received := o.receive(args)
@@ -93,7 +94,7 @@
 func (o *bookingOwner) receive(args ownerrpc.BookArgs) booking.TableResult {
 	event := booking.TableEvent{
 		Kind: booking.TableReceive, Key: args.Key, Attempt: args.Attempt,
-		Instance: args.OwnerInstance, Current: o.session.lastInstance(),
+		Instance: args.OwnerInstance, Current: o.session.LastInstance(),
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -121,7 +122,7 @@
 
 // step applies an event. The caller holds mu.
 func (o *bookingOwner) step(event booking.TableEvent) booking.TableResult {
-	event.NowNanos = int64(o.session.clock.mono())
+	event.NowNanos = int64(o.session.Clock.Mono())
 	result := o.table.Step(event)
 	o.recorder.Record(trace.MachineTable, 0, event, result)
 	return result
@@ -183,17 +184,17 @@
 // cannot pass for a new one.
 func (o *bookingOwner) admit(args ownerrpc.BookArgs) (model.Upstream, error) {
 	const op = "bookowner.admit"
-	current, instance, err := o.session.held()
+	current, instance, err := o.session.Held()
 	if err != nil {
 		return model.Upstream{}, err
 	}
 	if instance != args.OwnerInstance {
 		return model.Upstream{}, fault.New(fault.NotRun, op, "the intent names instance %d, this is %d", args.OwnerInstance, instance)
 	}
-	if current.isFenced(args.SenderID, args.SenderInstance) {
+	if current.IsFenced(args.SenderID, args.SenderInstance) {
 		return model.Upstream{}, fault.New(fault.NotRun, op, "instance %d of sender %s has ended", args.SenderInstance, args.SenderID)
 	}
-	upstream, ok := current.upstreams[args.Upstream]
+	upstream, ok := current.Upstreams[args.Upstream]
 	if !ok || upstream.Service != args.Service || upstream.State != model.UpstreamReady {
 		return model.Upstream{}, fault.New(fault.NotRun, op, "upstream %s takes no bookings of %s", args.Upstream, args.Service)
 	}
@@ -243,7 +244,7 @@
 
 func (o *bookingOwner) ask(kind booking.TableKind, args ownerrpc.ResolveArgs) (booking.TableResult, <-chan struct{}) {
 	event := booking.TableEvent{
-		Kind: kind, Key: args.Key, Attempt: args.Attempt, Instance: args.OwnerInstance, Current: o.session.lastInstance(),
+		Kind: kind, Key: args.Key, Attempt: args.Attempt, Instance: args.OwnerInstance, Current: o.session.LastInstance(),
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -261,12 +262,12 @@
 
 // loads reports the work of this owner for its upstreams of the service.
 func (o *bookingOwner) loads(service string) []ownerrpc.UpstreamLoad {
-	current := o.session.latest()
+	current := o.session.Latest()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var loads []ownerrpc.UpstreamLoad
-	for _, upstream := range current.view.Upstreams {
-		if upstream.Service == service && current.owners[upstream.Name].ID == o.session.member.ID {
+	for _, upstream := range current.View.Upstreams {
+		if upstream.Service == service && current.Owners[upstream.Name].ID == o.session.Member.ID {
 			loads = append(loads, ownerrpc.UpstreamLoad{Upstream: upstream.Name, Permille: o.permille(upstream)})
 		}
 	}
--- a/internal/entry/crashguard.go
+++ b/internal/entry/crashguard.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/wisteriamux/wisteriamux/internal/membership"
+
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/suspect"
@@ -44,8 +46,8 @@
 
 // crashGuard keeps requests that crash upstreams away from them. It adapts suspect.Table to concurrent requests.
 type crashGuard struct {
-	session  *session
-	control  Control
+	session  *membership.Session
+	control  membership.Control
 	recorder *trace.Recorder
 	log      *slog.Logger
 
@@ -57,7 +59,7 @@
 	changed chan struct{}
 }
 
-func newCrashGuard(session *session, control Control, recorder *trace.Recorder, log *slog.Logger) *crashGuard {
+func newCrashGuard(session *membership.Session, control membership.Control, recorder *trace.Recorder, log *slog.Logger) *crashGuard {
 	return &crashGuard{
 		session: session, control: control, recorder: recorder, log: log,
 		table: suspect.NewTable(), changed: make(chan struct{}),
@@ -67,15 +69,15 @@
 // IsQuarantined returns an error with the code Quarantined if the fingerprint is refused everywhere or at this owner.
 func (g *crashGuard) IsQuarantined(fingerprint string) error {
 	refused := fault.New(fault.Quarantined, "crashguard", "requests of fingerprint %s crash upstreams", fingerprint)
-	now := g.session.clock.read()
-	for _, quarantine := range g.session.latest().view.Quarantines {
-		if quarantine.Fingerprint == fingerprint && now.wall.Before(quarantine.Until) {
+	now := g.session.Clock.Read()
+	for _, quarantine := range g.session.Latest().View.Quarantines {
+		if quarantine.Fingerprint == fingerprint && now.Wall.Before(quarantine.Until) {
 			return refused
 		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.table.Quarantined(fingerprint, int64(now.mono)) {
+	if g.table.Quarantined(fingerprint, int64(now.Mono)) {
 		return refused
 	}
 	return nil
@@ -135,7 +137,7 @@
 
 // step applies an event. The caller holds mu.
 func (g *crashGuard) step(event suspect.Event) suspect.Outcome {
-	event.NowNanos = int64(g.session.clock.mono())
+	event.NowNanos = int64(g.session.Clock.Mono())
 	outcome := g.table.Step(event)
 	g.recorder.Record(trace.MachineSuspect, 0, event, outcome)
 	return outcome
@@ -173,15 +175,15 @@
 	g.log.Warn("request quarantined", "fingerprint", fingerprint, "duration", suspect.Quarantine)
 	add := controlstate.AddQuarantine{Fingerprint: fingerprint, DurationMillis: suspect.Quarantine.Milliseconds()}
 	for {
-		if _, _, err := g.session.held(); err != nil {
+		if _, _, err := g.session.Held(); err != nil {
 			g.log.Warn("quarantine not recorded", "fingerprint", fingerprint, "error", err)
 			return
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), membership.CallTimeout)
 		_, err := g.control.Propose(ctx, controlstate.Command{AddQuarantine: &add})
 		cancel()
 		if err == nil {
-			g.session.refresh()
+			g.session.Refresh()
 			return
 		}
 		time.Sleep(quarantineRetry)
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -22,6 +22,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/membership"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
 )
@@ -175,11 +176,11 @@
 // testClock adds jumps to the system clocks.
 type testClock struct{ mono, wall atomic.Int64 }
 
-func (c *testClock) clock() clock {
-	system := systemClock()
-	return clock{
-		mono: func() time.Duration { return system.mono() + time.Duration(c.mono.Load()) },
-		wall: func() time.Time { return system.wall().Add(time.Duration(c.wall.Load())) },
+func (c *testClock) clock() membership.Clock {
+	system := membership.SystemClock()
+	return membership.Clock{
+		Mono: func() time.Duration { return system.Mono() + time.Duration(c.mono.Load()) },
+		Wall: func() time.Time { return system.Wall().Add(time.Duration(c.wall.Load())) },
 	}
 }
 
@@ -209,7 +210,7 @@
 	v.stop = stop
 	go func() { v.done <- v.Run(ctx, callers, peers) }()
 	DeferCleanup(v.kill)
-	Eventually(func() error { _, err := v.session.leased(); return err }, 5).Should(Succeed())
+	Eventually(func() error { _, err := v.session.Leased(); return err }, 5).Should(Succeed())
 	return v
 }
 
@@ -228,7 +229,7 @@
 // sync makes the VM serve from the newest view.
 func (v *vm) sync() {
 	GinkgoHelper()
-	Expect(v.session.fetch(context.Background())).To(Succeed())
+	Expect(v.session.Fetch(context.Background())).To(Succeed())
 }
 
 // fakeUpstream runs bookings and searches, and counts the runs of each key.
@@ -335,7 +336,7 @@
 
 // ownerOf tells apart the owner of the upstream and the other VM.
 func ownerOf(upstream string, vms ...*vm) (owner, other *vm) {
-	id := vms[0].session.latest().owners[upstream].ID
+	id := vms[0].session.Latest().Owners[upstream].ID
 	for _, v := range vms {
 		if v.config.ID == id {
 			owner = v
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -88,7 +88,7 @@
 	}
 	started := time.Now()
 	response, err := s.search(r.Context(), requestIDOf(w), callerOf(r), request)
-	s.objectives.recordSearch(s.session.latest().view.Config, request.Services, response.Coverage, err, time.Since(started))
+	s.objectives.recordSearch(s.session.Latest().View.Config, request.Services, response.Coverage, err, time.Since(started))
 	noteMissing(w, len(response.Coverage.Missing))
 	if err != nil {
 		writeError(w, err, &response.Coverage)
@@ -124,7 +124,7 @@
 	}
 	started := time.Now()
 	response, err := s.bookings.book(r.Context(), requestIDOf(w), callerOf(r), request)
-	s.objectives.recordBooking(s.session.latest().view.Config, request.Service, err, time.Since(started))
+	s.objectives.recordBooking(s.session.Latest().View.Config, request.Service, err, time.Since(started))
 	if err != nil {
 		writeError(w, err, nil)
 		return
@@ -157,7 +157,7 @@
 		writeError(w, fault.New(fault.NotRun, "health", "this entry VM is stopping"), nil)
 		return
 	}
-	if _, err := s.session.leased(); err != nil {
+	if _, err := s.session.Leased(); err != nil {
 		writeError(w, err, nil)
 		return
 	}
@@ -216,6 +216,7 @@
 		data = []byte(`{"status":"failed","code":"internal","request_id":"` + requestIDOf(w) + `","message":"encode response"}`)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(status)
 	_, _ = w.Write(data)
 }
--- a/internal/entry/lease_test.go
+++ b/internal/entry/lease_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wisteriamux/wisteriamux/internal/membership"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -18,7 +20,7 @@
 
 var _ = Describe("a lease", func() {
 	leaseError := func(v *vm) func() error {
-		return func() error { _, err := v.session.leased(); return err }
+		return func() error { _, err := v.session.Leased(); return err }
 	}
 
 	It("ends by the wall clock when the whole VM was paused and its monotonic clock stood still", func() {
@@ -41,9 +43,9 @@
 		clock := &testClock{}
 		slow := &slowPort{port: &port{fakeControl: newFakeControl()}, clock: clock}
 		v := startVM(slow.fakeControl, "entry-1", nil)
-		session := newSession(slow, v.session.member, clock.clock(), v.log)
-		Expect(session.step(context.Background())).To(Succeed())
-		_, err := session.leased()
+		session := membership.New(slow, v.session.Member, clock.clock(), v.log)
+		Expect(session.Step(context.Background())).To(Succeed())
+		_, err := session.Leased()
 		Expect(fault.CodeOf(err)).To(Equal(fault.NotRun), "a reply that took 5 s grants nothing of a lease of 4 s")
 	})
 
@@ -53,11 +55,11 @@
 		old := control.view()
 		startUpstream(control, "u1", "settlement", 1)
 		v.sync()
-		newest := v.session.revision()
+		newest := v.session.Revision()
 		v.port.stale.Store(&old)
 		control.expire("entry-1")
-		v.session.refresh()
-		Consistently(v.session.revision, "1500ms", "50ms").Should(Equal(newest))
+		v.session.Refresh()
+		Consistently(v.session.Revision, "1500ms", "50ms").Should(Equal(newest))
 		v.port.stale.Store(nil)
 		Eventually(leaseError(v), 5).Should(Succeed())
 	})
@@ -90,8 +92,8 @@
 		startUpstream(control, "u1", "settlement", 2)
 		owner, other := ownerOf("u1", pairOf(control)...)
 		revision := control.view().Revision
-		Expect(owner.session.leave(context.Background())).To(Succeed())
-		Expect(other.session.revision()).To(Equal(revision))
+		Expect(owner.session.Leave(context.Background())).To(Succeed())
+		Expect(other.session.Revision()).To(Equal(revision))
 		Expect(other.book("k", 2000).status).To(Equal(http.StatusOK))
 	})
 
@@ -104,10 +106,10 @@
 		go func() { answers <- other.book("accepted", 5000) }()
 		Eventually(upstream.waiting, 5).Should(Receive())
 		owner.stop()
-		Eventually(func() error { _, err := owner.session.leased(); return err }, 5).ShouldNot(Succeed())
+		Eventually(func() error { _, err := owner.session.Leased(); return err }, 5).ShouldNot(Succeed())
 		late := ownerrpc.BookArgs{
-			Key: "late", Attempt: 1, Service: "settlement", Upstream: "u1", OwnerInstance: owner.session.instanceID(),
-			SenderID: other.session.member.ID, SenderInstance: other.session.instanceID(), Timeout: time.Second,
+			Key: "late", Attempt: 1, Service: "settlement", Upstream: "u1", OwnerInstance: owner.session.InstanceID(),
+			SenderID: other.session.Member.ID, SenderInstance: other.session.InstanceID(), Timeout: time.Second,
 		}
 		Expect(owner.bookings.owner.book(late).Outcome).To(Equal(booking.OutcomeNotRun), "a peer with an old view still asks the stopping owner")
 		go func() { answers <- other.book("new", 5000) }()
--- a/internal/entry/objectives.go
+++ b/internal/entry/objectives.go
@@ -9,6 +9,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/burn"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/membership"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/telemetry"
 )
@@ -25,7 +26,7 @@
 type objectives struct {
 	// metrics is nil when nothing is measured.
 	metrics *telemetry.Metrics
-	session *session
+	session *membership.Session
 	// inFlightAt counts the requests of this owner at one upstream.
 	inFlightAt func(upstream string) int
 
@@ -37,7 +38,7 @@
 	demand map[string]float64
 }
 
-func newObjectives(metrics *telemetry.Metrics, session *session, inFlightAt func(string) int) *objectives {
+func newObjectives(metrics *telemetry.Metrics, session *membership.Session, inFlightAt func(string) int) *objectives {
 	return &objectives{metrics: metrics, session: session, inFlightAt: inFlightAt, demand: map[string]float64{}}
 }
 
@@ -83,10 +84,10 @@
 
 // busySlots counts the requests in flight at the owned upstreams, by service.
 func (o *objectives) busySlots() map[string]int {
-	current := o.session.latest()
+	current := o.session.Latest()
 	busy := map[string]int{}
-	for name, upstream := range current.upstreams {
-		if current.owners[name].ID == o.session.member.ID {
+	for name, upstream := range current.Upstreams {
+		if current.Owners[name].ID == o.session.Member.ID {
 			busy[upstream.Service] += o.inFlightAt(name)
 		}
 	}
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -9,6 +9,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/admission"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/membership"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
@@ -56,7 +57,7 @@
 
 // owner runs sub-requests on the upstreams that this entry VM owns, or on all of them with direct ownership.
 type owner struct {
-	session *session
+	session *membership.Session
 	guard   *crashGuard
 	direct  bool
 
@@ -65,7 +66,7 @@
 	pools map[string]*pool
 }
 
-func newOwner(session *session, guard *crashGuard, direct bool) *owner {
+func newOwner(session *membership.Session, guard *crashGuard, direct bool) *owner {
 	return &owner{session: session, guard: guard, direct: direct, pools: map[string]*pool{}}
 }
 
@@ -74,7 +75,7 @@
 	ticker := time.NewTicker(poolsInterval)
 	defer ticker.Stop()
 	for {
-		if current, err := o.session.leased(); err == nil {
+		if current, err := o.session.Leased(); err == nil {
 			o.adjust(current)
 		}
 		select {
@@ -85,8 +86,8 @@
 	}
 }
 
-func (o *owner) adjust(current *served) {
-	for name, upstream := range current.upstreams {
+func (o *owner) adjust(current *membership.Served) {
+	for name, upstream := range current.Upstreams {
 		if upstream.State == model.UpstreamReady && o.owns(current, name) {
 			o.pool(upstream)
 		}
@@ -94,7 +95,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for name, p := range o.pools {
-		if _, ok := current.upstreams[name]; !ok || !o.owns(current, name) {
+		if _, ok := current.Upstreams[name]; !ok || !o.owns(current, name) {
 			if p.closeIdle() {
 				delete(o.pools, name)
 			}
@@ -103,10 +104,10 @@
 }
 
 // ownsNow reports whether this VM owns the upstream in the served view.
-func (o *owner) ownsNow(upstream string) bool { return o.owns(o.session.latest(), upstream) }
+func (o *owner) ownsNow(upstream string) bool { return o.owns(o.session.Latest(), upstream) }
 
-func (o *owner) owns(current *served, upstream string) bool {
-	return o.direct || current.owners[upstream].ID == o.session.member.ID
+func (o *owner) owns(current *membership.Served, upstream string) bool {
+	return o.direct || current.Owners[upstream].ID == o.session.Member.ID
 }
 
 func (o *owner) pool(upstream model.Upstream) *pool {
@@ -317,7 +318,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err = o.admitUnder(o.session.accepted, j.sub); err == nil {
+	if _, err = o.admitUnder(o.session.Accepted, j.sub); err == nil {
 		started := time.Now()
 		err = o.send(j, client, ticket.alone, result)
 		result.Service = time.Since(started)
@@ -342,27 +343,27 @@
 // admit checks the lease, that the upstream still takes new work, and that this VM owns it unless the sender has seen a
 // later view.
 func (o *owner) admit(sub ownerrpc.SubRequest) (model.Upstream, error) {
-	return o.admitUnder(o.session.leased, sub)
+	return o.admitUnder(o.session.Leased, sub)
 }
 
-func (o *owner) admitUnder(lease func() (*served, error), sub ownerrpc.SubRequest) (model.Upstream, error) {
+func (o *owner) admitUnder(lease func() (*membership.Served, error), sub ownerrpc.SubRequest) (model.Upstream, error) {
 	current, err := lease()
 	if err != nil {
 		return model.Upstream{}, err
 	}
-	upstream, ok := current.upstreams[sub.Upstream]
+	upstream, ok := current.Upstreams[sub.Upstream]
 	if !ok || upstream.State != model.UpstreamReady {
 		return upstream, fault.New(fault.Moved, "owner.admit", "upstream %s takes no new work", sub.Upstream)
 	}
-	if sub.Revision <= current.view.Revision && !o.owns(current, sub.Upstream) && !o.handsOver(current, sub) {
+	if sub.Revision <= current.View.Revision && !o.owns(current, sub.Upstream) && !o.handsOver(current, sub) {
 		return upstream, fault.New(fault.Moved, "owner.admit", "upstream %s has another owner", sub.Upstream)
 	}
 	return upstream, nil
 }
 
 // handsOver reports whether the sender could not know yet that the upstream has moved to another owner.
-func (o *owner) handsOver(current *served, sub ownerrpc.SubRequest) bool {
-	return sub.Revision < current.view.Revision && current.handsOver(sub.Upstream, o.session.now())
+func (o *owner) handsOver(current *membership.Served, sub ownerrpc.SubRequest) bool {
+	return sub.Revision < current.View.Revision && current.HandsOver(sub.Upstream, o.session.Now())
 }
 
 func (o *owner) send(j *job, client *upstreamapi.Client, fresh bool, result *ownerrpc.SubResult) error {
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -87,7 +87,7 @@
 		delete(q.owners, result.ID)
 		if result.Fault != nil && result.Fault.Code == fault.Moved {
 			// The owner serves a newer view than this VM.
-			q.server.session.refresh()
+			q.server.session.Refresh()
 		}
 		q.feed(eventOf(result))
 	}
@@ -110,14 +110,14 @@
 func (q *query) apply(actions []fanout.Action) {
 	now := time.Now()
 	batches := map[model.Member][]ownerrpc.SubRequest{}
-	current := q.server.session.latest()
+	current := q.server.session.Latest()
 	for _, action := range actions {
 		switch a := action.(type) {
 		case fanout.Send:
-			member := current.owners[a.Upstream.Name]
+			member := current.Owners[a.Upstream.Name]
 			q.owners[a.ID] = member
 			q.server.tier.sent(now, a.ID, a.Upstream, a.Extra)
-			batches[member] = append(batches[member], q.subRequest(a, current.view.Revision))
+			batches[member] = append(batches[member], q.subRequest(a, current.View.Revision))
 		case fanout.Cancel:
 			q.server.tier.abandon(now, a.ID)
 			q.server.peers.cancel(q.owners[a.ID], a.ID)
@@ -153,5 +153,5 @@
 }
 
 func (q *query) newestPlan() snapshot.Plan {
-	return snapshot.Choose(q.server.session.latest().view.Upstreams, q.services, q.policy)
+	return snapshot.Choose(q.server.session.Latest().View.Upstreams, q.services, q.policy)
 }
--- a/internal/entry/renewals.go
+++ b/internal/entry/renewals.go
@@ -9,6 +9,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/membership"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerlink"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
@@ -46,8 +47,8 @@
 // renewals keeps the last renewals of the upstreams of this entry VM, forwards those of others, and proposes what
 // follows from silence and from drains.
 type renewals struct {
-	session *session
-	control Control
+	session *membership.Session
+	control membership.Control
 	links   *ownerlink.Calls
 	log     *slog.Logger
 	// inFlight counts the requests of this owner at an upstream.
@@ -61,7 +62,7 @@
 	pending map[string]map[string]ownerrpc.Renewal
 }
 
-func newRenewals(session *session, control Control, links *ownerlink.Calls, inFlight func(string) int, log *slog.Logger) *renewals {
+func newRenewals(session *membership.Session, control membership.Control, links *ownerlink.Calls, inFlight func(string) int, log *slog.Logger) *renewals {
 	return &renewals{
 		session: session, control: control, links: links, log: log, inFlight: inFlight,
 		probe: probeAddress, probes: make(chan struct{}, maxProbes),
@@ -81,12 +82,12 @@
 }
 
 // note takes a renewal that arrived at this entry VM.
-func (r *renewals) note(current *served, renewal ownerrpc.Renewal) {
-	owner, ok := current.owners[renewal.Name]
+func (r *renewals) note(current *membership.Served, renewal ownerrpc.Renewal) {
+	owner, ok := current.Owners[renewal.Name]
 	if !ok {
 		return
 	}
-	if owner.ID == r.session.member.ID {
+	if owner.ID == r.session.Member.ID {
 		r.accept([]ownerrpc.Renewal{renewal})
 		return
 	}
@@ -102,13 +103,13 @@
 
 // accept notes renewals at their owner.
 func (r *renewals) accept(batch []ownerrpc.Renewal) {
-	now := r.session.clock.mono()
-	current := r.session.latest()
+	now := r.session.Clock.Mono()
+	current := r.session.Latest()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, renewal := range batch {
-		upstream, ok := current.upstreams[renewal.Name]
-		if !ok || upstream.Address != renewal.Address || current.owners[renewal.Name].ID != r.session.member.ID {
+		upstream, ok := current.Upstreams[renewal.Name]
+		if !ok || upstream.Address != renewal.Address || current.Owners[renewal.Name].ID != r.session.Member.ID {
 			continue
 		}
 		r.watch(upstream, now).renewed = now
@@ -132,8 +133,8 @@
 // isRenewing reports whether the process at the address renewed recently. An upstream that has just come to this owner
 // counts as renewing, because its renewals may have reached the earlier owner.
 func (r *renewals) isRenewing(args ownerrpc.IdentityArgs) bool {
-	now := r.session.clock.mono()
-	upstream, ok := r.session.latest().upstreams[args.Name]
+	now := r.session.Clock.Mono()
+	upstream, ok := r.session.Latest().Upstreams[args.Name]
 	if !ok || upstream.Address != args.Address {
 		return false
 	}
@@ -172,7 +173,7 @@
 			args.Renewals = append(args.Renewals, renewal)
 		}
 		go func() {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			ctx, cancel := context.WithTimeout(ctx, membership.CallTimeout)
 			defer cancel()
 			if err := r.links.Call(ctx, address, "Renewals", args, &ownerrpc.RenewalsReply{}); err != nil {
 				r.log.Debug("renewals not forwarded", "address", address, "count", len(args.Renewals), "error", err)
@@ -183,20 +184,20 @@
 
 // watchOwn proposes lost for silent upstreams whose connections fail, and drained for draining ones without work.
 func (r *renewals) watchOwn(ctx context.Context) {
-	current, _, err := r.session.held()
+	current, _, err := r.session.Held()
 	if err != nil {
 		return
 	}
-	now := r.session.clock.mono()
+	now := r.session.Clock.Mono()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name := range r.own {
-		if current.owners[name].ID != r.session.member.ID {
+		if current.Owners[name].ID != r.session.Member.ID {
 			delete(r.own, name)
 		}
 	}
-	for _, upstream := range current.view.Upstreams {
-		if current.owners[upstream.Name].ID != r.session.member.ID {
+	for _, upstream := range current.View.Upstreams {
+		if current.Owners[upstream.Name].ID != r.session.Member.ID {
 			continue
 		}
 		entry := r.watch(upstream, now)
@@ -227,10 +228,10 @@
 
 // isIdleElsewhere asks the other entry VMs, since one of them may have owned the upstream when a request was sent.
 func (r *renewals) isIdleElsewhere(ctx context.Context, upstream string) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, membership.CallTimeout)
 	defer cancel()
-	for _, member := range r.session.latest().view.Members {
-		if member.ID == r.session.member.ID {
+	for _, member := range r.session.Latest().View.Members {
+		if member.ID == r.session.Member.ID {
 			continue
 		}
 		var reply ownerrpc.InFlightReply
@@ -260,7 +261,7 @@
 		}
 	}
 	r.mu.Lock()
-	silent := r.session.clock.mono()-entry.renewed >= lostAfter
+	silent := r.session.Clock.Mono()-entry.renewed >= lostAfter
 	r.mu.Unlock()
 	if silent {
 		r.propose(ctx, upstream, model.UpstreamLost)
@@ -268,10 +269,10 @@
 }
 
 func (r *renewals) propose(ctx context.Context, upstream model.Upstream, state model.UpstreamState) {
-	if _, _, err := r.session.held(); err != nil {
+	if _, _, err := r.session.Held(); err != nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, membership.CallTimeout)
 	defer cancel()
 	set := controlstate.SetUpstreamState{Name: upstream.Name, State: state, Instance: upstream.Instance}
 	if _, err := r.control.Propose(ctx, controlstate.Command{SetUpstreamState: &set}); err != nil {
@@ -279,5 +280,5 @@
 		return
 	}
 	r.log.Info("upstream state recorded", "upstream", upstream.Name, "state", state)
-	r.session.refresh()
+	r.session.Refresh()
 }
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -37,11 +37,11 @@
 
 // search fans the request out over all shards of the services at one snapshot.
 func (s *Server) search(ctx context.Context, requestID, caller string, request SearchRequest) (SearchResponse, error) {
-	current, err := s.session.leased()
+	current, err := s.session.Leased()
 	if err != nil {
 		return SearchResponse{}, err
 	}
-	config := current.view.Config
+	config := current.View.Config
 	services := config.MatchServices(request.Services, model.ServiceSearch)
 	if len(services) == 0 {
 		return SearchResponse{}, fault.New(fault.BadRequest, "search", "no search service matches %q", request.Services)
@@ -54,7 +54,7 @@
 		rules[service] = config.RuleFor(service)
 	}
 	policy := snapshot.PolicyOf(rules)
-	plan := snapshot.Choose(current.view.Upstreams, services, policy)
+	plan := snapshot.Choose(current.View.Upstreams, services, policy)
 	now := time.Now()
 	timeout := time.Duration(request.TimeoutMillis) * time.Millisecond
 	if err := s.tier.admit(now, caller, plan, waitLimit(rules, timeout)); err != nil {
--- a/internal/entry/searchtest/search_test.go
+++ b/internal/entry/searchtest/search_test.go
@@ -24,6 +24,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/entry"
+	"github.com/wisteriamux/wisteriamux/internal/membership"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
 )
@@ -89,7 +90,7 @@
 
 // control grants every lease and serves a fixed view.
 type control struct {
-	entry.Control
+	membership.Control
 	view model.View
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"github.com/wisteriamux/wisteriamux/internal/ownerlink"
 	"log/slog"
 	"net"
 	"net/http"
@@ -14,9 +13,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wisteriamux/wisteriamux/internal/ownerlink"
+
 	"github.com/wisteriamux/wisteriamux/internal/balance"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/membership"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
 	"github.com/wisteriamux/wisteriamux/internal/telemetry"
@@ -34,7 +36,7 @@
 	// peerLinger is how long a VM that has left still answers its peers: one renewal interval, within which they see
 	// the new membership, and the time of that exchange. A connection closed before would turn refusals into unknown
 	// outcomes.
-	peerLinger = renewInterval + 500*time.Millisecond
+	peerLinger = membership.RenewInterval + 500*time.Millisecond
 	// retireTimeout bounds the wait for other owners, for a stop without a reachable control group. It is longer than
 	// the time until every entry VM has applied a change or lost its lease.
 	retireTimeout = 7 * time.Second
@@ -65,8 +67,8 @@
 // Server is one entry daemon.
 type Server struct {
 	config   Config
-	control  Control
-	session  *session
+	control  membership.Control
+	session  *membership.Session
 	owner    *owner
 	peers    *peers
 	tier     *tier
@@ -91,16 +93,16 @@
 }
 
 // New returns an entry daemon that announces rpcAddress to its peers.
-func New(config Config, control Control, rpcAddress string, dial controlrpc.Dialer, log *slog.Logger) *Server {
-	return newServer(config, control, rpcAddress, dial, systemClock(), log)
+func New(config Config, control membership.Control, rpcAddress string, dial controlrpc.Dialer, log *slog.Logger) *Server {
+	return newServer(config, control, rpcAddress, dial, membership.SystemClock(), log)
 }
 
-func newServer(config Config, control Control, rpcAddress string, dial controlrpc.Dialer, clock clock, log *slog.Logger) *Server {
+func newServer(config Config, control membership.Control, rpcAddress string, dial controlrpc.Dialer, clock membership.Clock, log *slog.Logger) *Server {
 	if config.BodyTimeout == 0 {
 		config.BodyTimeout = defaultBodyTimeout
 	}
 	member := model.Member{ID: config.ID, RPCAddress: rpcAddress, FailureDomain: config.FailureDomain}
-	session := newSession(control, member, clock, log)
+	session := membership.New(control, member, clock, log)
 	guard := newCrashGuard(session, control, config.Recorder, log)
 	owner := newOwner(session, guard, config.Ownership == OwnershipDirect)
 	tier := newTier(config.Balance, config.Hedging, owner.ownsNow)
@@ -120,7 +122,7 @@
 	server.bookings = newBookings(session, control, bookingOwner, server.guard, server.links, config.Recorder)
 	server.renewals = newRenewals(session, control, server.links, server.inFlightAt, log)
 	server.objectives = newObjectives(config.Metrics, session, server.inFlightAt)
-	session.load = server.objectives.load
+	session.Load = server.objectives.load
 	server.http = &http.Server{
 		Handler: server.routes(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: keepAliveTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
@@ -138,7 +140,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	defer s.links.Close()
-	go s.session.run(background)
+	go s.session.Run(background)
 	go s.owner.run(background)
 	go s.tier.run(background, s.session)
 	go s.renewals.run(background)
@@ -237,13 +239,13 @@
 	retiring, cancelRetire := context.WithTimeout(ctx, s.config.LameDuck+retireTimeout)
 	defer cancelRetire()
 	moved := make(chan error, 1)
-	go func() { moved <- s.session.retire(retiring) }()
+	go func() { moved <- s.session.Retire(retiring) }()
 	time.Sleep(s.config.LameDuck)
 	err := s.http.Shutdown(ctx)
 	if retireErr := <-moved; retireErr != nil {
 		s.log.Warn("ownership not moved before the stop", "code", fault.CodeOf(retireErr), "error", retireErr)
 	}
-	s.session.refuseNew()
+	s.session.RefuseNew()
 	err = errors.Join(err, s.finishWork(ctx))
 	s.leave()
 	select {
@@ -283,7 +285,7 @@
 func (s *Server) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if err := s.session.leave(ctx); err != nil {
+	if err := s.session.Leave(ctx); err != nil {
 		s.log.Warn("membership not ended, ownership moves at the end of the lease", "error", err)
 	}
 }
--- a/internal/entry/tier.go
+++ b/internal/entry/tier.go
@@ -10,6 +10,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/balance"
 	"github.com/wisteriamux/wisteriamux/internal/budget"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/membership"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
 	"github.com/wisteriamux/wisteriamux/internal/snapshot"
@@ -43,7 +44,7 @@
 }
 
 // run forgets upstreams that left the view until the context ends.
-func (t *tier) run(ctx context.Context, s *session) {
+func (t *tier) run(ctx context.Context, s *membership.Session) {
 	ticker := time.NewTicker(poolsInterval)
 	defer ticker.Stop()
 	for {
@@ -52,17 +53,17 @@
 			return
 		case <-ticker.C:
 		}
-		if current, err := s.leased(); err == nil {
+		if current, err := s.Leased(); err == nil {
 			t.prune(current)
 		}
 	}
 }
 
-func (t *tier) prune(current *served) {
+func (t *tier) prune(current *membership.Served) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name := range t.instances {
-		if _, ok := current.upstreams[name]; !ok {
+		if _, ok := current.Upstreams[name]; !ok {
 			t.tracker.Forget(name)
 			delete(t.instances, name)
 		}
--- a/internal/entry/session.go
+++ b/internal/membership/session.go
@@ -1,4 +1,5 @@
-package entry
+// Package membership keeps the lease of one entry VM, and the view that it serves while the lease holds.
+package membership
 
 import (
 	"context"
@@ -14,11 +15,13 @@
 )
 
 const (
-	renewInterval = time.Second
+	// RenewInterval is the time between two renewals of the lease.
+	RenewInterval = time.Second
 	// handoverPeriod is how long a former owner takes work from entry VMs that have not applied the move yet. They apply
 	// it at their next renewal; until then both owners may use the slots, which costs queueing at the upstream only.
-	handoverPeriod = 2 * renewInterval
-	callTimeout    = 2 * time.Second
+	handoverPeriod = 2 * RenewInterval
+	// CallTimeout bounds one call of the control group.
+	CallTimeout = 2 * time.Second
 )
 
 // Control is what the entry daemon needs of the control group.
@@ -31,65 +34,70 @@
 	WaitInForce(ctx context.Context, revision uint64) error
 }
 
-// clock reads the monotonic and the wall clock. The monotonic clock of a VM does not advance while the whole VM is
+// Clock reads the monotonic and the wall clock. The monotonic clock of a VM does not advance while the whole VM is
 // paused, and the wall clock can be set back, so that a lease is judged by both.
-type clock struct {
-	mono func() time.Duration
-	wall func() time.Time
+type Clock struct {
+	// Mono is the monotonic time, and Wall the time of day without it.
+	Mono func() time.Duration
+	Wall func() time.Time
 }
 
-func systemClock() clock {
+// SystemClock returns the clocks of this VM.
+func SystemClock() Clock {
 	start := time.Now()
-	return clock{
-		mono: func() time.Duration { return time.Since(start) },
-		wall: func() time.Time { return time.Now().Round(0) },
+	return Clock{
+		Mono: func() time.Duration { return time.Since(start) },
+		Wall: func() time.Time { return time.Now().Round(0) },
 	}
 }
 
-// instant is one reading of a clock.
-type instant struct {
-	mono time.Duration
-	wall time.Time
+// Instant is one reading of a clock.
+type Instant struct {
+	Mono time.Duration
+	Wall time.Time
 }
 
-func (c clock) read() instant { return instant{mono: c.mono(), wall: c.wall()} }
+// Read reads both clocks.
+func (c Clock) Read() Instant { return Instant{Mono: c.Mono(), Wall: c.Wall()} }
 
-func (i instant) add(length time.Duration) instant {
-	return instant{mono: i.mono + length, wall: i.wall.Add(length)}
+func (i Instant) add(length time.Duration) Instant {
+	return Instant{Mono: i.Mono + length, Wall: i.Wall.Add(length)}
 }
 
 // reached reports whether either clock has reached the deadline.
-func (i instant) reached(deadline instant) bool {
-	return i.mono >= deadline.mono || !i.wall.Before(deadline.wall)
+func (i Instant) reached(deadline Instant) bool {
+	return i.Mono >= deadline.Mono || !i.Wall.Before(deadline.Wall)
 }
 
-// served is a view with what is derived from it.
-type served struct {
-	view      model.View
-	owners    map[string]model.Member
-	upstreams map[string]model.Upstream
-	members   map[string]model.Member
+// Served is a view with what is derived from it.
+type Served struct {
+	View model.View
+	// Owners are the owners of upstreams by the name of the upstream; the other maps are by name and by ID.
+	Owners    map[string]model.Member
+	Upstreams map[string]model.Upstream
+	Members   map[string]model.Member
 	// released holds the upstreams that moved to another owner lately, with the time of the move.
 	released map[string]time.Time
 }
 
-// isFenced reports whether the view shows that the instance of the member has ended. An instance above the revision
+// IsFenced reports whether the view shows that the instance of the member has ended. An instance above the revision
 // joined after the view and is not fenced.
-func (s *served) isFenced(id string, instance uint64) bool {
-	return instance <= s.view.Revision && s.members[id].Instance != instance
+func (s *Served) IsFenced(id string, instance uint64) bool {
+	return instance <= s.View.Revision && s.Members[id].Instance != instance
 }
 
-// session keeps the lease and the view of one entry VM.
-type session struct {
+// Session keeps the lease and the view of one entry VM.
+type Session struct {
 	control Control
-	member  model.Member
-	clock   clock
-	now     func() time.Time
-	log     *slog.Logger
-	wake    chan struct{}
+	Member  model.Member
+	Clock   Clock
+	// Now reads the time at which upstreams moved.
+	Now  func() time.Time
+	log  *slog.Logger
+	wake chan struct{}
 
-	// load returns what renewals report to control; nil reports nothing. It is set before run.
-	load func() controlrpc.Load
+	// Load returns what renewals report to control; nil reports nothing. It is set before run.
+	Load func() controlrpc.Load
 
 	// mu guards the fields below.
 	mu       sync.RWMutex
@@ -97,27 +105,28 @@
 	// joined is the last instance of this process. It stays set after a fence or a leave, because the process still
 	// knows what that instance received.
 	joined  uint64
-	expires instant
-	current *served
+	expires Instant
+	current *Served
 	// closing refuses new work while accepted work may still be sent.
 	closing bool
 	// left is set once this VM has left the membership for good.
 	left bool
 }
 
-func newSession(control Control, member model.Member, clock clock, log *slog.Logger) *session {
-	return &session{
-		control: control, member: member, clock: clock, now: time.Now, log: log, wake: make(chan struct{}, 1),
-		current: &served{},
+// New returns a session without a lease. Run keeps it.
+func New(control Control, member model.Member, clock Clock, log *slog.Logger) *Session {
+	return &Session{
+		control: control, Member: member, Clock: clock, Now: time.Now, log: log, wake: make(chan struct{}, 1),
+		current: &Served{},
 	}
 }
 
-// run keeps the lease until the context ends.
-func (s *session) run(ctx context.Context) {
-	ticker := time.NewTicker(renewInterval)
+// Run keeps the lease until the context ends.
+func (s *Session) Run(ctx context.Context) {
+	ticker := time.NewTicker(RenewInterval)
 	defer ticker.Stop()
 	for {
-		if err := s.step(ctx); err != nil && ctx.Err() == nil {
+		if err := s.Step(ctx); err != nil && ctx.Err() == nil {
 			s.log.Warn("lease not renewed", "code", fault.CodeOf(err), "error", err)
 		}
 		select {
@@ -129,23 +138,23 @@
 	}
 }
 
-// refresh asks for a renewal before the next tick.
-func (s *session) refresh() {
+// Refresh asks for a renewal before the next tick.
+func (s *Session) Refresh() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
 	}
 }
 
-// step joins if needed, applies a newer view, and renews the lease. A fenced instance joins again at the next step,
+// Step joins if needed, applies a newer view, and renews the lease. A fenced instance joins again at the next step,
 // one tick later, so that two processes with the same identity do not fence each other in a tight loop.
-func (s *session) step(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func (s *Session) Step(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	if s.hasLeft() {
 		return nil
 	}
-	if s.instanceID() == 0 {
+	if s.InstanceID() == 0 {
 		if err := s.join(ctx); err != nil {
 			return err
 		}
@@ -155,45 +164,45 @@
 		s.reset()
 		return err
 	}
-	if err != nil || reply.Revision <= s.revision() {
+	if err != nil || reply.Revision <= s.Revision() {
 		return err
 	}
-	if err := s.fetch(ctx); err != nil {
+	if err := s.Fetch(ctx); err != nil {
 		return err
 	}
 	_, err = s.renew(ctx)
 	return err
 }
 
-func (s *session) join(ctx context.Context) error {
-	instance, err := s.control.Join(ctx, s.member)
+func (s *Session) join(ctx context.Context) error {
+	instance, err := s.control.Join(ctx, s.Member)
 	if err != nil {
 		return err
 	}
 	// The view is read after the join and before the first lease, so that a restarted VM never serves an older view
 	// than an earlier instance did.
-	if err := s.fetch(ctx); err != nil {
+	if err := s.Fetch(ctx); err != nil {
 		return err
 	}
-	if revision := s.revision(); revision < instance {
+	if revision := s.Revision(); revision < instance {
 		return fault.New(fault.Unavailable, "session.join", "view of revision %d is older than the join at %d", revision, instance)
 	}
 	s.mu.Lock()
 	s.instance = instance
 	s.joined = instance
-	s.expires = instant{}
+	s.expires = Instant{}
 	s.mu.Unlock()
-	s.log.Info("joined", "instance", instance, "revision", s.revision())
+	s.log.Info("joined", "instance", instance, "revision", s.Revision())
 	return nil
 }
 
 // renew counts the lease from before the request is sent, so that it ends here no later than at the leader. Control
 // decides how long a VM that serves from an older view keeps its lease.
-func (s *session) renew(ctx context.Context) (controlrpc.RenewReply, error) {
-	sent := s.clock.read()
+func (s *Session) renew(ctx context.Context) (controlrpc.RenewReply, error) {
+	sent := s.Clock.Read()
 	args := s.renewArgs()
-	if s.load != nil {
-		args.Load = s.load()
+	if s.Load != nil {
+		args.Load = s.Load()
 	}
 	reply, err := s.control.Renew(ctx, args)
 	if err != nil {
@@ -207,15 +216,16 @@
 	return reply, nil
 }
 
-func (s *session) renewArgs() controlrpc.RenewArgs {
+func (s *Session) renewArgs() controlrpc.RenewArgs {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	revision := s.current.view.Revision
-	return controlrpc.RenewArgs{ID: s.member.ID, Instance: s.instance, Applied: revision, Served: revision}
+	revision := s.current.View.Revision
+	return controlrpc.RenewArgs{ID: s.Member.ID, Instance: s.instance, Applied: revision, Served: revision}
 }
 
-func (s *session) fetch(ctx context.Context) error {
-	view, unchanged, err := s.control.View(ctx, s.revision())
+// Fetch reads the view of the control group and serves it if it is newer.
+func (s *Session) Fetch(ctx context.Context) error {
+	view, unchanged, err := s.control.View(ctx, s.Revision())
 	if err != nil || unchanged {
 		return err
 	}
@@ -223,23 +233,23 @@
 }
 
 // apply publishes the view unless it is older than the served one.
-func (s *session) apply(view model.View) error {
-	next := &served{
-		view: view, owners: ownership.Assign(view),
-		upstreams: make(map[string]model.Upstream, len(view.Upstreams)),
-		members:   make(map[string]model.Member, len(view.Members)),
+func (s *Session) apply(view model.View) error {
+	next := &Served{
+		View: view, Owners: ownership.Assign(view),
+		Upstreams: make(map[string]model.Upstream, len(view.Upstreams)),
+		Members:   make(map[string]model.Member, len(view.Members)),
 	}
 	for _, upstream := range view.Upstreams {
-		next.upstreams[upstream.Name] = upstream
+		next.Upstreams[upstream.Name] = upstream
 	}
 	for _, member := range view.Members {
-		next.members[member.ID] = member
+		next.Members[member.ID] = member
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if view.Revision < s.current.view.Revision {
+	if view.Revision < s.current.View.Revision {
 		return fault.New(fault.Unavailable, "session.apply", "view of revision %d is older than the served revision %d",
-			view.Revision, s.current.view.Revision)
+			view.Revision, s.current.View.Revision)
 	}
 	next.released = s.releasedBy(next)
 	s.current = next
@@ -248,110 +258,112 @@
 
 // releasedBy returns the upstreams that this VM owns no more under the next view, with those of the handover period.
 // The caller holds mu.
-func (s *session) releasedBy(next *served) map[string]time.Time {
-	now := s.now()
+func (s *Session) releasedBy(next *Served) map[string]time.Time {
+	now := s.Now()
 	released := map[string]time.Time{}
 	for name, at := range s.current.released {
 		if now.Sub(at) < handoverPeriod {
 			released[name] = at
 		}
 	}
-	for name, owner := range s.current.owners {
-		if owner.ID == s.member.ID && next.owners[name].ID != s.member.ID {
+	for name, owner := range s.current.Owners {
+		if owner.ID == s.Member.ID && next.Owners[name].ID != s.Member.ID {
 			released[name] = now
 		}
 	}
 	return released
 }
 
-// handsOver reports whether the upstream moved away from this VM less than a handover period ago.
-func (s *served) handsOver(upstream string, now time.Time) bool {
+// HandsOver reports whether the upstream moved away from this VM less than a handover period ago.
+func (s *Served) HandsOver(upstream string, now time.Time) bool {
 	at, ok := s.released[upstream]
 	return ok && now.Sub(at) < handoverPeriod
 }
 
-func (s *session) reset() {
+func (s *Session) reset() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.instance = 0
-	s.expires = instant{}
+	s.expires = Instant{}
 }
 
-// refuseNew refuses new work from now on.
-func (s *session) refuseNew() {
+// RefuseNew refuses new work from now on.
+func (s *Session) RefuseNew() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closing = true
 }
 
-// retire moves the ownership of this VM's upstreams to others while it serves on, and returns once every entry VM
+// Retire moves the ownership of this VM's upstreams to others while it serves on, and returns once every entry VM
 // knows.
-func (s *session) retire(ctx context.Context) error {
-	instance := s.instanceID()
+func (s *Session) Retire(ctx context.Context) error {
+	instance := s.InstanceID()
 	if instance == 0 {
 		return nil
 	}
-	retire := controlstate.RetireMember{ID: s.member.ID, Instance: instance}
+	retire := controlstate.RetireMember{ID: s.Member.ID, Instance: instance}
 	result, err := s.control.Propose(ctx, controlstate.Command{RetireMember: &retire})
 	if err != nil {
 		return err
 	}
-	s.refresh()
+	s.Refresh()
 	return s.control.WaitInForce(ctx, result.Revision)
 }
 
-// leave ends the membership at once, so that ownership moves without waiting for the lease to end.
-func (s *session) leave(ctx context.Context) error {
+// Leave ends the membership at once, so that ownership moves without waiting for the lease to end.
+func (s *Session) Leave(ctx context.Context) error {
 	s.mu.Lock()
 	instance := s.instance
 	s.instance = 0
-	s.expires = instant{}
+	s.expires = Instant{}
 	s.closing = true
 	s.left = true
 	s.mu.Unlock()
 	if instance == 0 {
 		return nil
 	}
-	expire := controlstate.ExpireMember{ID: s.member.ID, Instance: instance}
+	expire := controlstate.ExpireMember{ID: s.Member.ID, Instance: instance}
 	_, err := s.control.Propose(ctx, controlstate.Command{ExpireMember: &expire})
 	return err
 }
 
-func (s *session) hasLeft() bool {
+func (s *Session) hasLeft() bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	return s.left
 }
 
-func (s *session) instanceID() uint64 {
+// InstanceID is the instance of the membership, 0 without one.
+func (s *Session) InstanceID() uint64 {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	return s.instance
 }
 
-// lastInstance is the last instance of this process, which may have ended.
-func (s *session) lastInstance() uint64 {
+// LastInstance is the last instance of this process, which may have ended.
+func (s *Session) LastInstance() uint64 {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	return s.joined
 }
 
-func (s *session) revision() uint64 {
+// Revision is that of the served view.
+func (s *Session) Revision() uint64 {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.current.view.Revision
+	return s.current.View.Revision
 }
 
-// latest returns the served view whether or not the lease holds. Owners check their own lease before they use a slot.
-func (s *session) latest() *served {
+// Latest returns the served view whether or not the lease holds. Owners check their own lease before they use a slot.
+func (s *Session) Latest() *Served {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	return s.current
 }
 
-// leased returns the served view while the lease holds and new work is accepted.
-func (s *session) leased() (*served, error) {
-	current, _, err := s.held()
+// Leased returns the served view while the lease holds and new work is accepted.
+func (s *Session) Leased() (*Served, error) {
+	current, _, err := s.Held()
 	if err != nil {
 		return nil, err
 	}
@@ -363,16 +375,16 @@
 	return current, nil
 }
 
-// accepted returns the served view while the lease holds, for work that was accepted before a planned stop.
-func (s *session) accepted() (*served, error) {
-	current, _, err := s.held()
+// Accepted returns the served view while the lease holds, for work that was accepted before a planned stop.
+func (s *Session) Accepted() (*Served, error) {
+	current, _, err := s.Held()
 	return current, err
 }
 
-// held returns the served view and the instance while the lease holds. Work that was accepted is checked against it
+// Held returns the served view and the instance while the lease holds. Work that was accepted is checked against it
 // again directly before it is sent.
-func (s *session) held() (*served, uint64, error) {
-	now := s.clock.read()
+func (s *Session) Held() (*Served, uint64, error) {
+	now := s.Clock.Read()
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	if s.instance == 0 || now.reached(s.expires) {
