--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -190,7 +190,7 @@
 func (s *search) take(ctx context.Context, p part) {
 	s.inFlight--
 	s.ran = s.ran || (arrived(p.answer, p.err) && (p.answer == nil || !p.answer.NotRun))
-	if p.err == nil && isPart(p.answer) {
+	if relay.Classify(p.answer, p.err) == relay.Answered {
 		s.takePart(p.shard, shardPart{stamp: p.answer.Stamp, records: p.answer.Body})
 		s.state.Ended(p.shard, gather.Part)
 		s.cancelShard(p.shard)
@@ -218,11 +218,6 @@
 	}
 }
 
-// isPart reports whether an answer is a part: a success that its upstream has signed.
-func isPart(answer *upstreamconn.Answer) bool {
-	return answer.Status >= 200 && answer.Status < 300 && answer.Stamp != ""
-}
-
 func (s *search) finish() *Gathered {
 	g := &Gathered{Missing: len(s.parts) - s.state.Count(), Hedges: s.hedges}
 	records := s.merged
--- a/model/formation.pml
+++ b/model/formation.pml
@@ -41,7 +41,7 @@
 byte ackedVersion = 0;
 bool replaced = false;
 
-/* slotOf tells whether the VM is a voter of a configuration. */
+/* VOTER tells whether the VM is a voter of a configuration. */
 #define VOTER(vm, c) ((vm) == 0 || (vm) == 2 || ((vm) == 1 && (c) == 0) || ((vm) == 3 && (c) == 1))
 /* BEHIND tells whether the log of a voter is no newer than that of a candidate. */
 #define BEHIND(vm, c) (last[vm] < last[c] || (last[vm] == last[c] && held[vm] <= held[c]))
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -60,8 +60,8 @@
 	control := i.cluster.control[i.random.IntN(len(i.cluster.control))]
 	upstream := i.cluster.upstreams[i.random.IntN(len(i.cluster.upstreams))]
 	length := i.between(100*time.Millisecond, 2500*time.Millisecond)
-	any := []*vm{entry, control}[i.random.IntN(2)]
-	proxy := any.proxies[i.random.IntN(len(any.proxies))]
+	either := []*vm{entry, control}[i.random.IntN(2)]
+	proxy := either.proxies[i.random.IntN(len(either.proxies))]
 	cut := []harness.Cut{{ToServer: true}, {ToClient: true}, {ToServer: true, ToClient: true}, {Refuse: true}, {Delay: 40 * time.Millisecond}}[i.random.IntN(5)]
 	faults := []struct {
 		name string
@@ -69,19 +69,19 @@
 	}{
 		{"kill of " + entry.name, func() { i.claim(entry, func() { entry.process.Kill(); time.Sleep(length); entry.restart() }) }},
 		{"planned restart of " + entry.name, func() { i.claim(entry, func() { entry.process.End(syscall.SIGTERM, stopLimit); entry.restart() }) }},
-		{"freeze of " + any.name, func() {
-			i.claim(any, func() {
-				any.process.Signal(syscall.SIGSTOP)
+		{"freeze of " + either.name, func() {
+			i.claim(either, func() {
+				either.process.Signal(syscall.SIGSTOP)
 				time.Sleep(length)
-				any.process.Signal(syscall.SIGCONT)
+				either.process.Signal(syscall.SIGCONT)
 			})
 		}},
 		{"kill of " + control.name, func() { i.lose(control, length, false) }},
 		{"kill of " + control.name + " with its disk", func() { i.lose(control, length, true) }},
 		{"kill of all control VMs", i.killControl},
-		{fmt.Sprintf("%+v at %s", cut, any.name), func() { proxy.Set(cut); time.Sleep(length); proxy.Set(harness.Cut{}) }},
-		{"resets at " + any.name, func() { resetOften(proxy, length) }},
-		{"silence of the connections of " + any.name, proxy.Silence},
+		{fmt.Sprintf("%+v at %s", cut, either.name), func() { proxy.Set(cut); time.Sleep(length); proxy.Set(harness.Cut{}) }},
+		{"resets at " + either.name, func() { resetOften(proxy, length) }},
+		{"silence of the connections of " + either.name, proxy.Silence},
 		{fmt.Sprintf("%+v at upstream %s", cut, upstream.ID()), func() { upstream.proxy.Set(cut); time.Sleep(length); upstream.proxy.Set(harness.Cut{}) }},
 		{"silence of the connections of upstream " + upstream.ID(), upstream.proxy.Silence},
 		{"resets at upstream " + upstream.ID(), func() { resetOften(upstream.proxy, length) }},
