--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -52,12 +52,13 @@
 	if err != nil {
 		return err
 	}
-	control, err := newControl(loaded)
+	transport, err := security.NewTransport(loaded.TLS)
 	if err != nil {
 		return err
 	}
+	control := newControl(loaded, transport)
 	defer control.Close()
-	r, relays, err := newRouter(loaded, control, log)
+	r, relays, err := newRouter(loaded, transport, control, log)
 	if err != nil {
 		return err
 	}
@@ -85,22 +86,14 @@
 }
 
 // newControl returns a client of the control group.
-func newControl(loaded settings.Router) (*controlrpc.Client, error) {
-	transport, err := security.NewTransport(loaded.TLS)
-	if err != nil {
-		return nil, err
-	}
+func newControl(loaded settings.Router, transport *security.Transport) *controlrpc.Client {
 	dial := transport.Dialer(controlrpc.PlainDialer, security.RoleControl)
-	return controlrpc.NewClient(loaded.ControlAddresses(), dial), nil
+	return controlrpc.NewClient(loaded.ControlAddresses(), dial)
 }
 
 // newRouter returns a router, and the server that carries out attempts for other entry VMs if the settings name its
 // address.
-func newRouter(loaded settings.Router, control *controlrpc.Client, log *slog.Logger) (*router.Router, *relay.Server, error) {
-	transport, err := security.NewTransport(loaded.TLS)
-	if err != nil {
-		return nil, nil, err
-	}
+func newRouter(loaded settings.Router, transport *security.Transport, control *controlrpc.Client, log *slog.Logger) (*router.Router, *relay.Server, error) {
 	r := router.New(router.Config{
 		ID: loaded.ID, FailureDomain: loaded.FailureDomain, Seeds: loaded.ControlAddresses(),
 		ExtraShare: extraReserve * loaded.ExtraShare, ExtraFloor: loaded.ExtraFloor,
--- a/internal/controlrpc/client.go
+++ b/internal/controlrpc/client.go
@@ -10,6 +10,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/rpcconn"
 )
 
 const (
@@ -35,29 +36,21 @@
 
 // Client calls the control group and follows its leader. It is safe for concurrent use.
 type Client struct {
-	dial      Dialer
-	addresses []string
+	pool *rpcconn.Pool
 
-	// mu guards preferred and conns.
+	// mu guards the fields below.
 	mu        sync.Mutex
+	addresses []string
 	preferred int
-	conns     map[string]*rpc.Client
 }
 
 // NewClient returns a client of the control members at the addresses.
 func NewClient(addresses []string, dial Dialer) *Client {
-	return &Client{dial: dial, addresses: addresses, conns: map[string]*rpc.Client{}}
+	return &Client{pool: rpcconn.NewPool(dial), addresses: addresses}
 }
 
 // Close closes every connection.
-func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, conn := range c.conns {
-		_ = conn.Close()
-		delete(c.conns, address)
-	}
-}
+func (c *Client) Close() { c.pool.Close() }
 
 // Join registers an entry VM and returns its instance.
 func (c *Client) Join(ctx context.Context, member model.Member) (uint64, error) {
@@ -213,51 +206,20 @@
 func (c *Client) callOnce(ctx context.Context, limit time.Duration, address, method string, args, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	conn, err := c.conn(address)
+	conn, err := c.pool.Conn(address)
 	if err != nil {
-		return err
+		return fault.New(fault.Unavailable, "control.dial", "%s: %w", address, err)
 	}
 	call := conn.Go(ServiceName+"."+method, args, answer, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
-		c.drop(address, conn)
+		c.pool.Drop(address, conn)
 		return fault.New(fault.Unavailable, "control."+method, "%s: %w", address, ctx.Err())
 	case done := <-call.Done:
 		if done.Error != nil {
-			c.drop(address, conn)
+			c.pool.Drop(address, conn)
 			return fault.New(fault.Unavailable, "control."+method, "%s: %w", address, done.Error)
 		}
 		return nil
 	}
 }
-
-func (c *Client) conn(address string) (*rpc.Client, error) {
-	c.mu.Lock()
-	conn, ok := c.conns[address]
-	c.mu.Unlock()
-	if ok {
-		return conn, nil
-	}
-	raw, err := c.dial(address)
-	if err != nil {
-		return nil, fault.New(fault.Unavailable, "control.dial", "%s: %w", address, err)
-	}
-	conn = rpc.NewClient(raw)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if other, ok := c.conns[address]; ok {
-		_ = conn.Close()
-		return other, nil
-	}
-	c.conns[address] = conn
-	return conn, nil
-}
-
-func (c *Client) drop(address string, conn *rpc.Client) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conns[address] == conn {
-		delete(c.conns, address)
-	}
-	_ = conn.Close()
-}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -138,12 +138,3 @@
 	p.ranked[key] = ranked
 	return ranked
 }
-
-// Close ends all links.
-func (p *Peers) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, link := range p.links {
-		link.close()
-	}
-}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -294,7 +294,7 @@
 	s := t.stats(c.ID)
 	slots := math.Max(1, float64(c.Slots))
 	waiting := math.Max(0, float64(len(s.inFlight))+1-slots) / slots
-	cost := s.relativeTime(now)*(1+waiting) + errorPenalty*s.errorRate(now) + refusalPenalty*s.refusalRate(now)
+	cost := t.condition(now, c.ID) + s.relativeTime(now)*waiting + refusalPenalty*s.refusalRate(now)
 	if c.MaxInFlight > 0 && len(s.inFlight) >= c.MaxInFlight {
 		cost += crowdedPenalty
 	}
@@ -304,12 +304,6 @@
 	if now.Before(c.ColdUntil) {
 		cost += coldPenalty
 	}
-	if s.stuck(now) {
-		cost += stuckPenalty
-	}
-	if now.Before(s.downUntil) {
-		cost += backoffPenalty
-	}
 	return cost
 }
 
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -21,7 +21,6 @@
 	now := time.Now()
 	r.mu.Lock()
 	if cost, bad := r.tracker.Bad(now, wanted.Instance); bad && wanted.Optional {
-		r.counts.Declined++
 		r.mu.Unlock()
 		return nil, &relay.DeclinedError{Cost: cost}
 	}
@@ -62,8 +61,10 @@
 type batches struct {
 	search *search
 	kind   try
-	picked map[relayKey]*relay.Link
-	byLink map[*relay.Link]*relayed
+	// domains is the number of failure domains with relays.
+	domains int
+	picked  map[relayKey]*relay.Link
+	byLink  map[*relay.Link]*relayed
 }
 
 type relayKey struct {
@@ -73,7 +74,11 @@
 }
 
 func (s *search) newBatches(kind try) *batches {
-	return &batches{search: s, kind: kind, picked: map[relayKey]*relay.Link{}, byLink: map[*relay.Link]*relayed{}}
+	b := &batches{search: s, kind: kind, picked: map[relayKey]*relay.Link{}, byLink: map[*relay.Link]*relayed{}}
+	if s.router.peers != nil {
+		b.domains = s.router.peers.Domains()
+	}
+	return b
 }
 
 // add puts an attempt into a batch and reports whether it did. Upstreams of this VM's failure domain are asked directly
@@ -85,7 +90,7 @@
 		return false
 	}
 	domain := a.upstream.instance.FailureDomain
-	key := relayKey{domain: domain, group: relay.Group(shard, len(b.search.route.Shards), r.peers.Domains()), avoid: b.search.via[shard]}
+	key := relayKey{domain: domain, group: relay.Group(shard, len(b.search.route.Shards), b.domains), avoid: b.search.via[shard]}
 	link, known := b.picked[key]
 	if !known {
 		link = r.peers.Pick(domain, key.group, key.avoid, a.sent)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -80,8 +80,6 @@
 	// Relayed counts those of Attempts that were sent through another entry VM, and Carried those that this VM carried out
 	// for others.
 	Relayed, Carried int64
-	// Declined counts attempts that this VM did not make for others, because the upstream is in a bad condition.
-	Declined int64
 	// NoBudget counts extra attempts that were not made for lack of budget.
 	NoBudget int64
 }
--- /dev/null
+++ b/internal/rpcconn/pool.go
@@ -0,0 +1,64 @@
+package rpcconn
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+)
+
+// Pool keeps one connection for each address. It is safe for concurrent use.
+type Pool struct {
+	dial func(address string) (net.Conn, error)
+
+	// mu guards conns.
+	mu    sync.Mutex
+	conns map[string]*rpc.Client
+}
+
+// NewPool returns a pool without connections.
+func NewPool(dial func(address string) (net.Conn, error)) *Pool {
+	return &Pool{dial: dial, conns: map[string]*rpc.Client{}}
+}
+
+// Conn returns the connection to an address, or the error of the dial.
+func (p *Pool) Conn(address string) (*rpc.Client, error) {
+	p.mu.Lock()
+	conn, ok := p.conns[address]
+	p.mu.Unlock()
+	if ok {
+		return conn, nil
+	}
+	raw, err := p.dial(address)
+	if err != nil {
+		return nil, err
+	}
+	conn = rpc.NewClient(raw)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if other, ok := p.conns[address]; ok {
+		_ = conn.Close()
+		return other, nil
+	}
+	p.conns[address] = conn
+	return conn, nil
+}
+
+// Drop closes a connection that failed; the next call dials again.
+func (p *Pool) Drop(address string, conn *rpc.Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[address] == conn {
+		delete(p.conns, address)
+	}
+	_ = conn.Close()
+}
+
+// Close closes every connection.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conn := range p.conns {
+		_ = conn.Close()
+		delete(p.conns, address)
+	}
+}
