Bound what an upstream's response may take from an entry VM

Cause: http.ReadResponse reads a header of any size from a plain reader, and every body could take 16 MB, so that an upstream that sends a status line, header lines or a body without end filled the memory of an entry VM. http.Transport allows wmux-entry 10 MB of header for each connection.

Reading a header through a LimitReader of its own would lose what the connection's buffer holds.

Change: 64 KiB for a header; for a part of a search 64 KiB or 64 times what the route can use; max_response_kb for a forwarded response; one memory of response_memory_kb for all bodies above 64 KiB that a VM is reading.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -42,12 +42,14 @@
 	SnapshotRetired Code = "snapshot_retired"
 	UpstreamFailed  Code = "upstream_failed"
 	UpstreamCrashed Code = "upstream_crashed"
-	Cancelled       Code = "cancelled"
-	Unavailable     Code = "unavailable"
-	StorageFailed   Code = "storage_failed"
-	Corrupt         Code = "corrupt"
-	Settings        Code = "settings"
-	Internal        Code = "internal"
+	// ResponseTooLarge means that an upstream's response was given up because it exceeded a limit.
+	ResponseTooLarge Code = "response_too_large"
+	Cancelled        Code = "cancelled"
+	Unavailable      Code = "unavailable"
+	StorageFailed    Code = "storage_failed"
+	Corrupt          Code = "corrupt"
+	Settings         Code = "settings"
+	Internal         Code = "internal"
 )
 
 // Error is an error with its code, the operation that failed and the cause.
--- a/internal/gather/merge.go
+++ b/internal/gather/merge.go
@@ -8,6 +8,17 @@
 // RecordBytes is the size of one record of a search result.
 const RecordBytes = 16
 
+const (
+	// partRecords is how many times the records that a search can use a part may hold. Upstreams send a few more records
+	// than the search asks for, in no order.
+	partRecords = 64
+	// minPartBytes is the limit of a part of a search for few records.
+	minPartBytes = 64 << 10
+)
+
+// MaxPartBytes returns the limit of the size of one part of a search for the top records.
+func MaxPartBytes(top int) int64 { return max(minPartBytes, partRecords*RecordBytes*int64(top)) }
+
 // Merge returns the greatest records of all parts, at most top, in descending byte order. Duplicates are kept. Trailing
 // bytes of a part that do not fill a record are ignored.
 func Merge(parts [][]byte, top int) []byte {
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/gather"
 	"github.com/wisteriamux/wisteriamux/internal/rpcconn"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
@@ -162,7 +163,7 @@
 		r.cancels[attempt.Number] = cancel
 		request := &upstreamconn.Request{
 			ID: args.Request, Method: args.Method, Target: args.Target, Host: args.Host, Header: args.Header,
-			Instance: attempt.Instance, Remaining: args.Remaining,
+			Instance: attempt.Instance, Remaining: args.Remaining, MaxBodyBytes: gather.MaxPartBytes(args.Top),
 		}
 		go func() {
 			defer cancel()
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/wisteriamux/wisteriamux/internal/gather"
 	"github.com/wisteriamux/wisteriamux/internal/replica"
 	"github.com/wisteriamux/wisteriamux/internal/route"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
@@ -89,6 +90,10 @@
 	upstreamRequest := request.Request
 	upstreamRequest.Instance = a.upstream.instance.ID
 	upstreamRequest.Remaining = remaining(rt, request, a)
+	upstreamRequest.MaxBodyBytes = r.config.MaxResponseBytes
+	if len(rt.Shards) > 0 {
+		upstreamRequest.MaxBodyBytes = gather.MaxPartBytes(rt.Top)
+	}
 	response, err := a.upstream.pool.Do(ctx, &upstreamRequest)
 	took := time.Since(a.sent)
 	r.recordEnd(rt, request, a, attemptEnd{result: directResult(response, err, ctx.Err() != nil), took: took, observedAfter: took, cause: err})
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -5,9 +5,11 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -28,9 +30,11 @@
 	instance registry.Instance
 	records  []byte
 	requests atomic.Int64
-	// delay is the response time in ns, and refuse makes the upstream state that it did not run the request.
-	delay  atomic.Int64
-	refuse atomic.Bool
+	// delay is the response time in ns, and refuse makes the upstream state that it did not run the request. endless makes
+	// it send a header without end.
+	delay   atomic.Int64
+	refuse  atomic.Bool
+	endless atomic.Bool
 }
 
 func record(first byte) []byte { return append([]byte{first}, make([]byte, gather.RecordBytes-1)...) }
@@ -67,6 +71,10 @@
 		}
 		u.requests.Add(1)
 		time.Sleep(time.Duration(u.delay.Load()))
+		if u.endless.Load() {
+			_, _ = io.Copy(conn, io.MultiReader(strings.NewReader("HTTP/1.1 200 OK\r\nX: "), endlessReader{}))
+			return
+		}
 		status := "200 OK\r\nStamp: stamp-" + u.instance.ID
 		if u.refuse.Load() {
 			status = "503 Service Unavailable\r\nRefused: 1"
@@ -78,6 +86,16 @@
 	}
 }
 
+// endlessReader returns the same byte without end.
+type endlessReader struct{}
+
+func (endlessReader) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
+
 // fakeCodec is a minimal upstream protocol.
 type fakeCodec struct{}
 
@@ -216,6 +234,26 @@
 		Expect(g.Stamps).To(HaveLen(3))
 	})
 
+	It("takes the parts of other upstreams when an upstream here and one behind the relay respond without end", func() {
+		spareNear := startFakeUpstream("near-1", "near", "a", 5, 1)
+		spareFar := startFakeUpstream("far1-1", "far1", "b", 9, 2)
+		// A cold upstream is chosen only after another one has failed.
+		spareNear.instance.ColdMillis, spareFar.instance.ColdMillis = time.Minute.Milliseconds(), time.Minute.Milliseconds()
+		near.endless.Store(true)
+		far1.endless.Store(true)
+		requester.adopt(near, far1, far2, spareNear, spareFar)
+		relaying.adopt(near, far1, far2, spareNear, spareFar)
+		for range 10 {
+			requester.router.budget("near", time.Now()).Add(10)
+			requester.router.budget("far1", time.Now()).Add(10)
+			g, err := requester.search(rt)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(g.Records).To(Equal(bytes.Join([][]byte{record(9), record(7), record(5)}, nil)))
+			Expect(g.Stamps).To(ConsistOf("stamp-near-1", "stamp-far1-1", "stamp-far2-0"))
+		}
+		Expect(requester.router.Counts().Oversized + relaying.router.Counts().Oversized).To(BeNumerically(">", 0))
+	})
+
 	It("does not report that nothing ran when the lost relay may have sent the request", func() {
 		far1.delay.Store(int64(200 * time.Millisecond))
 		conn := <-relaying.conns
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -42,6 +43,10 @@
 	// relay addresses of those VMs. Without an address the VM sends all requests to upstreams directly.
 	RelayAddress string
 	DialRelay    controlrpc.Dialer
+	// MaxResponseBytes limits the body of the response to a forwarded request, and ResponseMemoryBytes the memory of all
+	// large responses that are being read. If 0, the defaults of upstreamconn apply.
+	MaxResponseBytes    int64
+	ResponseMemoryBytes int64
 }
 
 // Router routes requests to upstreams. It is safe for concurrent use.
@@ -50,6 +55,8 @@
 	control ControlClient
 	log     *slog.Logger
 	builder *viewBuilder
+	// memory is shared by all responses that this VM reads from upstreams.
+	memory *upstreamconn.Memory
 	// peers are the entry VMs that act as relays, nil if relaying is disabled on this VM.
 	peers *relay.Peers
 	view  atomic.Pointer[View]
@@ -83,6 +90,9 @@
 	Relayed, Executed int64
 	// Denied counts extra attempts that were not sent because the budget was exhausted.
 	Denied int64
+	// Oversized counts the responses that were given up because they exceeded a limit, and ResponseMemory is the number of
+	// bytes that large responses occupy now.
+	Oversized, ResponseMemory int64
 }
 
 // routeStats holds the statistics of one route.
@@ -96,9 +106,10 @@
 
 // New returns a router with an empty view. It serves once WatchControl and SweepIdleConnections run.
 func New(config Config, control ControlClient, codec upstreamconn.Codec, log *slog.Logger) *Router {
+	memory := upstreamconn.NewMemory(cmp.Or(config.ResponseMemoryBytes, upstreamconn.DefaultMemoryBytes))
 	r := &Router{
-		config: config, control: control, log: log,
-		builder: &viewBuilder{domain: config.FailureDomain, codec: codec, upstreams: map[string]*upstream{}},
+		config: config, control: control, log: log, memory: memory,
+		builder: &viewBuilder{domain: config.FailureDomain, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
 		overload: map[string]*overload.Controller{},
 	}
@@ -120,7 +131,9 @@
 func (r *Router) Counts() Counts {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.counts
+	counts := r.counts
+	counts.Oversized, counts.ResponseMemory = r.memory.Exceeded(), r.memory.InUse()
+	return counts
 }
 
 // Request is a caller's request.
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -60,6 +60,7 @@
 type viewBuilder struct {
 	domain    string
 	codec     upstreamconn.Codec
+	memory    *upstreamconn.Memory
 	upstreams map[string]*upstream
 	routes    *route.Index
 	watchers  int
@@ -139,7 +140,7 @@
 		obsolete = append(obsolete, existing.pool)
 		fallthrough
 	default:
-		next.pool = upstreamconn.NewPool(instance.Address, b.codec)
+		next.pool = upstreamconn.NewPool(instance.Address, b.codec, b.memory)
 	}
 	b.upstreams[instance.ID] = next
 	return obsolete
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,6 +101,10 @@
 	LameDuckMillis int `toml:"lame_duck_ms" validate:"min=0,max=60000"`
 	// DrainMillis limits how long a stop waits for requests in flight, in ms.
 	DrainMillis int `toml:"drain_ms" validate:"min=100,max=600000"`
+	// MaxResponseKB limits the response to a forwarded request, and ResponseMemoryKB the memory of all responses above
+	// 64 KB that are being read at the same time, in KB.
+	MaxResponseKB    int64 `toml:"max_response_kb" validate:"min=1,max=1048576"`
+	ResponseMemoryKB int64 `toml:"response_memory_kb" validate:"min=1,max=16777216"`
 	// LogLevel is the minimum level of log events.
 	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error"`
 	// TLS secures the connections to control members. If absent, TLS is off.
@@ -167,7 +171,8 @@
 
 // LoadRouter reads the settings of wmux-router.
 func LoadRouter(path string) (Router, error) {
-	loaded := Router{ExtraShare: 0.1, ExtraFloor: 10, ExtraWindowSeconds: 10, AnswerMarginMillis: 1, CPUShare: 1, LameDuckMillis: 2_300, DrainMillis: 3_000, LogLevel: "info"}
+	loaded := Router{ExtraShare: 0.1, ExtraFloor: 10, ExtraWindowSeconds: 10, AnswerMarginMillis: 1, CPUShare: 1, LameDuckMillis: 2_300, DrainMillis: 3_000,
+		MaxResponseKB: 8 << 10, ResponseMemoryKB: 16 << 10, LogLevel: "info"}
 	err := load(path, &loaded)
 	return loaded, err
 }
--- a/internal/upstreamapi/client.go
+++ b/internal/upstreamapi/client.go
@@ -21,6 +21,8 @@
 	idleTimeout = 90 * time.Second
 	// MaxResponseBytes limits the body of a response.
 	MaxResponseBytes = 8 << 20
+	// MaxResponseHeaderBytes limits the header of a response.
+	MaxResponseHeaderBytes = 64 << 10
 	// MaxBookingResponseBytes limits the response to a booking, which is stored in the Raft log.
 	MaxBookingResponseBytes = 64 << 10
 )
@@ -77,7 +79,9 @@
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     idleTimeout,
-		DisableKeepAlives:   dedicated,
+		// The default is 10 MB for each connection.
+		MaxResponseHeaderBytes: MaxResponseHeaderBytes,
+		DisableKeepAlives:      dedicated,
 	}
 }
 
--- a/internal/upstreamconn/upstreamconn.go
+++ b/internal/upstreamconn/upstreamconn.go
@@ -4,9 +4,9 @@
 
 import (
 	"bufio"
-	"bytes"
+	"cmp"
 	"context"
-	"io"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -32,8 +32,6 @@
 	// network partition would go unnoticed.
 	userTimeoutMillis = 1500
 	readBufferBytes   = 2048
-	// maxResponseBytes limits the memory used by one response body.
-	maxResponseBytes = 16 << 20
 	// maxMismatchedResponses limits how many late responses to earlier requests are skipped on one connection.
 	maxMismatchedResponses = 2
 )
@@ -59,6 +57,8 @@
 	Remaining time.Duration
 	// Instance is the ID of the intended process. Another process at the same address refuses the request.
 	Instance string
+	// MaxBodyBytes limits the body of the response; 0 means DefaultMaxBodyBytes.
+	MaxBodyBytes int64
 }
 
 // Response is a complete response from an upstream.
@@ -99,6 +99,8 @@
 
 type conn struct {
 	net.Conn
+	// bounded is the source of reader.
+	bounded   *boundedReader
 	reader    *bufio.Reader
 	raw       syscall.RawConn
 	idleUntil time.Time
@@ -108,6 +110,7 @@
 type Pool struct {
 	address string
 	codec   Codec
+	memory  *Memory
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -115,8 +118,10 @@
 	closed bool
 }
 
-// NewPool returns an empty pool.
-func NewPool(address string, codec Codec) *Pool { return &Pool{address: address, codec: codec} }
+// NewPool returns an empty pool. The memory is shared by all pools of a VM.
+func NewPool(address string, codec Codec, memory *Memory) *Pool {
+	return &Pool{address: address, codec: codec, memory: memory}
+}
 
 // IdleCount returns the number of idle connections.
 func (p *Pool) IdleCount() int {
@@ -211,7 +216,8 @@
 	if err != nil {
 		return nil, newRequestError(false, ctx.Err() == nil, "dial", "%w", err)
 	}
-	c := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	bounded := &boundedReader{source: raw}
+	c := &conn{Conn: raw, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes)}
 	if tcp, ok := raw.(*net.TCPConn); ok {
 		c.setUserTimeout(tcp)
 	}
@@ -310,14 +316,19 @@
 
 // readNext returns the next response, and whether the connection closes after it.
 func (p *Pool) readNext(c *conn, request *Request) (response *Response, closes bool, err error) {
+	c.bounded.boundHead()
 	httpResponse, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
-	if err != nil {
+	c.bounded.unbound()
+	switch {
+	case errors.Is(err, errHeadTooLarge):
+		return nil, false, p.memory.tooLarge("response header exceeds the limit of %d bytes", maxHeadBytes)
+	case err != nil:
 		return nil, false, newRequestError(true, false, "read", "response header: %w", err)
-	}
-	if httpResponse.StatusCode < http.StatusOK {
+	case httpResponse.StatusCode < http.StatusOK:
 		return nil, false, newRequestError(true, false, "read", "unexpected interim status %d", httpResponse.StatusCode)
 	}
-	body, err := readBody(httpResponse)
+	reader := &bodyReader{memory: p.memory, limit: cmp.Or(request.MaxBodyBytes, DefaultMaxBodyBytes)}
+	body, err := reader.read(httpResponse)
 	if err != nil {
 		return nil, false, err
 	}
@@ -325,21 +336,3 @@
 	p.codec.DecodeHeader(response)
 	return response, httpResponse.Close || (httpResponse.ContentLength < 0 && len(httpResponse.TransferEncoding) == 0), nil
 }
-
-func readBody(httpResponse *http.Response) ([]byte, error) {
-	if httpResponse.ContentLength > maxResponseBytes {
-		return nil, newRequestError(true, false, "read", "response body of %d bytes exceeds the limit of %d", httpResponse.ContentLength, maxResponseBytes)
-	}
-	var body bytes.Buffer
-	if httpResponse.ContentLength > 0 {
-		body.Grow(int(httpResponse.ContentLength))
-	}
-	n, err := io.Copy(&body, io.LimitReader(httpResponse.Body, maxResponseBytes+1))
-	switch {
-	case err != nil:
-		return nil, newRequestError(true, false, "read", "response body: %w", err)
-	case n > maxResponseBytes:
-		return nil, newRequestError(true, false, "read", "response body exceeds the limit of %d bytes", maxResponseBytes)
-	}
-	return body.Bytes(), nil
-}
