Spend parts of tokens of the shared budget

Cause: the budget of a service is divided among all entry VMs, and a VM sent an extra attempt only with a whole token.

Ruled out: a debt of up to a token for each VM; if all want more than there is, all are in debt at once and the budget is exceeded by a token for each.

Change: with a part of a token, it is spent and the attempt is sent with that probability. The sum over all VMs follows what they earn. No VM may collect a whole token any more if its part of the floor is less.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -52,6 +52,16 @@
 	return true
 }
 
+// TakeShare is Take for a bucket that is one of many for the same budget and holds less than one token most of the
+// time: with a part of a token it takes that part and succeeds with the same probability. The draw is a random number
+// from [0, 1). All buckets together grant as many tokens as they take on average, so that a budget that is divided among
+// many buckets is neither left unused nor exceeded by one token for each bucket.
+func (b *Bucket) TakeShare(draw float64) bool {
+	granted := draw < b.tokens
+	b.tokens = math.Max(0, b.tokens-1)
+	return granted
+}
+
 // Budget holds the hedge and the retry budget of one entry VM. It is not safe for concurrent use.
 type Budget struct {
 	hedges     *Bucket
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/gather"
@@ -61,7 +62,7 @@
 	switch {
 	case kind == firstAttempt:
 		bucket.Deposit()
-	case kind == extraAttempt && !bucket.Take():
+	case kind == extraAttempt && !bucket.TakeShare(rand.Float64()):
 		r.counts.Denied++
 		return nil
 	case kind == extraAttempt:
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -23,22 +23,19 @@
 	return floorShare * r.config.ExtraFloor / float64(max(1, watchers))
 }
 
-// burst returns how many tokens this VM may accumulate: at least one, or it could never send an extra request.
-func (r *Router) burst(watchers int) float64 { return max(1, r.floorPerVM(watchers)) }
-
 // resizeBudgets adjusts the bucket sizes after the number of VMs has changed.
 func (r *Router) resizeBudgets(watchers int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, b := range r.budgets {
-		b.bucket.SetBurst(r.burst(watchers))
+		b.bucket.SetBurst(r.floorPerVM(watchers))
 	}
 }
 
 // budget returns the token bucket of the service after adding the tokens that are due. A process starts without tokens,
 // since the current window may still include what its predecessor spent. The caller must hold mu.
 func (r *Router) budget(service string, now time.Time) *budget.Bucket {
-	burst := r.burst(r.View().watchers)
+	burst := r.floorPerVM(r.View().watchers)
 	b, ok := r.budgets[service]
 	if !ok {
 		b = &serviceBudget{bucket: budget.NewBucket(r.config.ExtraShare, burst), lastRefill: r.started}
--- a/internal/router/budget_test.go
+++ b/internal/router/budget_test.go
@@ -46,6 +46,38 @@
 		return granted
 	}
 
+	// grantedOfMany returns the extra attempts that many VMs make together, each of which wants one for each of its few
+	// requests.
+	grantedOfMany := func(vms, requestsEach int, floor float64, uptime time.Duration) (granted int) {
+		for range vms {
+			r := start(uptime)
+			r.config.ExtraFloor = floor
+			r.builder.watchers = vms
+			r.view.Store(r.builder.build(controlrpc.WatchReply{Revision: 1}))
+			r.resizeBudgets(vms)
+			granted += spend(r, requestsEach)
+		}
+		return granted
+	}
+
+	It("is used although each of many VMs has only a part of a token", func() {
+		const vms, floor = 68, 176
+		granted := grantedOfMany(vms, 1, floor, window/4)
+		earned := vms * (0.9*ratio + floorShare*floor/vms/4)
+		Expect(granted).To(BeNumerically("~", earned, earned/2))
+	})
+
+	It("is not exceeded by many VMs that all want more than there is", func() {
+		for _, size := range []struct {
+			vms   int
+			floor float64
+		}{{68, 176}, {300, 630}, {300, 54}} {
+			const requestsEach = 2
+			allowed := ratio*float64(size.vms*requestsEach) + size.floor
+			Expect(grantedOfMany(size.vms, requestsEach, size.floor, window)).To(BeNumerically("<=", allowed), "%d VMs", size.vms)
+		}
+	})
+
 	It("is not exceeded by all VMs together if each of them restarts within the window", func() {
 		granted := 0
 		for range routers {
