Hedge only what a relay has not heard from

A VM without samples hedged after 4 ms. A relay holds parts back until 5 ms before the hedge; on 0.19 core its report took longer, so that parts lying at the relay were hedged, which used up the budget of the next ten seconds, cancelled attempts and closed their connections. The held time counted as response time and pushed the hedge delay to its maximum. Parts of hedges were held back as well. The first search of a VM went without relays, since it connected to them only then.

Ruled out: budget (denied only after such a wave), processor time (0.023 of 0.19 core at most), declining relays.

Change: no hedge before the latest useful time until 20 responses have been seen; response times as the relay measures them; hedges of relayed shards wait for the report that covers the hedge delay (10 ms at most); parts of hedges are not held back; VMs connect to their relays ahead.

--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -46,6 +46,8 @@
 
 type shard struct {
 	sentAt time.Time
+	// reportUntil is the time until which a hedge waits for the report of a relay, zero if no report is due.
+	reportUntil time.Time
 	// attempts counts the attempts so far. It is -1 once the shard has failed.
 	attempts int
 	pending  int
@@ -72,10 +74,18 @@
 func (s *Search) Sent(now time.Time, index int) {
 	sh := &s.shards[index]
 	sh.sentAt = now
+	sh.reportUntil = time.Time{}
 	sh.attempts++
 	sh.pending++
 }
 
+// AwaitReport delays the hedge of a shard until Reported or the given time, because the result of its latest attempt may
+// be held back by a relay.
+func (s *Search) AwaitReport(index int, until time.Time) { s.shards[index].reportUntil = until }
+
+// Reported records that the relay of the latest attempt at a shard has reported everything that has ended.
+func (s *Search) Reported(index int) { s.shards[index].reportUntil = time.Time{} }
+
 // MarkExhausted records that no further attempt at the shard is possible.
 func (s *Search) MarkExhausted(index int) {
 	s.shards[index].exhausted = true
@@ -123,17 +133,28 @@
 // AnsweredCount returns the number of shards that have returned their result.
 func (s *Search) AnsweredCount() int { return s.answered }
 
-// HedgesDue returns the shards whose latest attempt is older than the hedge delay and that may have another attempt.
+// HedgesDue returns the shards whose latest attempt is older than the hedge delay, that wait for no report and that may
+// have another attempt.
 func (s *Search) HedgesDue(now time.Time) []int {
 	var due []int
 	for i := range s.shards {
-		if s.canHedge(i) && !now.Before(s.shards[i].sentAt.Add(s.config.HedgeDelay)) {
+		if s.canHedge(i) && !now.Before(s.hedgeAt(i)) {
 			due = append(due, i)
 		}
 	}
 	return due
 }
 
+// hedgeAt returns the time at which the shard is hedged unless it answers before.
+func (s *Search) hedgeAt(index int) time.Time {
+	sh := &s.shards[index]
+	at := sh.sentAt.Add(s.config.HedgeDelay)
+	if sh.reportUntil.After(at) {
+		return sh.reportUntil
+	}
+	return at
+}
+
 func (s *Search) canHedge(index int) bool {
 	sh := &s.shards[index]
 	return !sh.answered && !sh.exhausted && sh.pending > 0 && sh.attempts < s.config.Attempts
@@ -167,7 +188,7 @@
 		if !s.canHedge(i) {
 			continue
 		}
-		if hedgeAt := s.shards[i].sentAt.Add(s.config.HedgeDelay); hedgeAt.After(now) && hedgeAt.Before(wakeup) {
+		if hedgeAt := s.hedgeAt(i); hedgeAt.After(now) && hedgeAt.Before(wakeup) {
 			wakeup = hedgeAt
 		}
 	}
--- a/internal/gather/gather_test.go
+++ b/internal/gather/gather_test.go
@@ -67,6 +67,17 @@
 		Expect(s.Decide(at(5))).To(Equal(gather.Abort))
 	})
 
+	It("hedges a shard whose result a relay may hold back only after the report, or when the report is overdue", func() {
+		s := newSearch(3, 3)
+		s.AwaitReport(0, at(30))
+		s.AwaitReport(1, at(30))
+		Expect(s.HedgesDue(at(20))).To(Equal([]int{2}))
+		s.Reported(0)
+		Expect(s.HedgesDue(at(20))).To(Equal([]int{0, 2}))
+		Expect(s.NextWakeup(at(20))).To(Equal(at(30)))
+		Expect(s.HedgesDue(at(30))).To(Equal([]int{0, 1, 2}))
+	})
+
 	It("aborts at the deadline", func() {
 		Expect(newSearch(4, 1).Decide(at(1000))).To(Equal(gather.Abort))
 	})
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -103,6 +103,8 @@
 type BatchReport struct {
 	Fault *fault.WireError
 	Ended []Ended
+	// Settled is set if the report was made after Quiet, so that attempts that it does not contain had not ended by then.
+	Settled bool
 	// Records holds the merged records of the parts in Ended, without those that rank below the top records of all parts
 	// reported so far. They are complete only if all reported parts are used.
 	Records []byte
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -114,6 +116,34 @@
 	return best
 }
 
+// Connect starts to connect to the preferred relays of all groups of a search over the number of shards, so that the
+// first searches do not have to do without them. Relays of the own failure domain are needed only for some services.
+func (p *Peers) Connect(shards int, ownDomain bool, now time.Time) {
+	for _, domain := range p.domainNames() {
+		if domain == p.domain && !ownDomain {
+			continue
+		}
+		for group := range GroupOf(shards-1, shards, p.DomainCount()) + 1 {
+			ranked := p.rankedLinks(groupKey{domain, group})
+			for _, link := range ranked[:min(len(ranked), relaysPerGroup)] {
+				if link != nil {
+					link.usable(now)
+				}
+			}
+		}
+	}
+}
+
+func (p *Peers) domainNames() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := map[string]bool{}
+	for _, link := range p.links {
+		names[link.peer.FailureDomain] = true
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
 // rankedLinks returns the links of a failure domain in order of preference for a group. In this VM's own failure
 // domain, a nil link stands for this VM.
 func (p *Peers) rankedLinks(key groupKey) []*Link {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -100,6 +100,21 @@
 		Expect(wake).To(Equal(at(20).Add(minReportInterval)))
 	})
 
+	It("are sent when the requesting VM would hedge even if nothing has ended, since hedges wait for them", func() {
+		b := newReporter(RunArgs{Top: 1, Quiet: 20 * time.Millisecond, Attempts: attempts(2)}, epoch)
+		due, wake := b.due(at(5))
+		Expect(due).To(BeFalse())
+		Expect(wake).To(Equal(at(20)))
+		b.end(Ended{Number: 0, Outcome: Failed}, nil)
+		Expect(b.report(at(6)).Settled).To(BeFalse(), "parts may still be held back")
+		due, _ = b.due(at(20))
+		Expect(due).To(BeTrue())
+		Expect(b.report(at(20)).Settled).To(BeTrue())
+		due, wake = b.due(at(21))
+		Expect(due).To(BeFalse())
+		Expect(wake).To(Equal(at(20).Add(maxReportDelay)))
+	})
+
 	It("are sent at once after a failure and after the last part", func() {
 		b := newReporter(RunArgs{Top: 1, Quiet: time.Second, Attempts: attempts(2)}, epoch)
 		b.end(Ended{Number: 0, Outcome: Refused}, nil)
--- a/internal/relay/reporter.go
+++ b/internal/relay/reporter.go
@@ -26,6 +26,8 @@
 	// quietUntil is the time until which parts are held back, since the requesting VM cannot use single parts earlier.
 	quietUntil time.Time
 	lastReport time.Time
+	// settled is set once a report has been sent at quietUntil or later.
+	settled    bool
 	unreported []Ended
 	// parts holds the records of the answered attempts in unreported.
 	parts [][]byte
@@ -62,6 +64,9 @@
 	if len(r.unreported) > 0 {
 		at = earlier(at, later(r.quietUntil, r.lastReport.Add(minReportInterval)))
 	}
+	if !r.settled {
+		at = earlier(at, r.quietUntil)
+	}
 	return !now.Before(at), at
 }
 
@@ -82,7 +87,8 @@
 // report returns the attempts that ended since the last report. Records that rank below the top records of all reported
 // parts are omitted, since the requesting VM includes all of those parts in its result.
 func (r *reporter) report(now time.Time) BatchReport {
-	report := BatchReport{Ended: r.unreported}
+	r.settled = r.settled || !now.Before(r.quietUntil)
+	report := BatchReport{Ended: r.unreported, Settled: r.settled}
 	if len(r.parts) > 0 {
 		fresh := gather.Merge(r.parts, r.top)
 		r.topRecords = gather.Merge([][]byte{r.topRecords, fresh}, r.top)
--- a/internal/replica/quantile.go
+++ b/internal/replica/quantile.go
@@ -11,11 +11,13 @@
 	// Rank is the quantile to estimate, between 0 and 1: the share of samples that lie below the estimate.
 	Rank     float64
 	estimate float64
+	count    int
 }
 
 // Add records a sample.
 func (q *Quantile) Add(sample time.Duration) {
 	x := float64(sample)
+	q.count++
 	switch {
 	case q.estimate == 0:
 		q.estimate = x
@@ -26,5 +28,8 @@
 	}
 }
 
+// Count returns the number of samples.
+func (q *Quantile) Count() int { return q.count }
+
 // Value returns the estimate, or 0 before the first sample.
 func (q *Quantile) Value() time.Duration { return time.Duration(q.estimate) }
--- a/internal/route/match.go
+++ b/internal/route/match.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -12,6 +13,8 @@
 	// hosts maps each normalized host to its routes, longest prefix first.
 	hosts    map[string][]*Route
 	services map[string]Service
+	// shardCounts holds the different numbers of shards of the routes.
+	shardCounts []int
 }
 
 // NewIndex returns the index of a table that Validate accepts.
@@ -21,6 +24,9 @@
 		r := &idx.Table.Routes[i]
 		host := NormalizeHost(r.Host)
 		idx.hosts[host] = append(idx.hosts[host], r)
+		if len(r.Shards) > 0 && !slices.Contains(idx.shardCounts, len(r.Shards)) {
+			idx.shardCounts = append(idx.shardCounts, len(r.Shards))
+		}
 	}
 	for _, routes := range idx.hosts {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
@@ -41,6 +47,9 @@
 	return nil
 }
 
+// ShardCounts returns the different numbers of shards of the routes.
+func (idx *Index) ShardCounts() []int { return idx.shardCounts }
+
 // Service returns the service with the name and whether it exists.
 func (idx *Index) Service(name string) (Service, bool) {
 	service, ok := idx.services[name]
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -77,10 +77,8 @@
 // attemptEnd describes how an attempt ended.
 type attemptEnd struct {
 	result replica.Result
-	// took is the upstream's response time, and observedAfter the time until this VM learned of it. The two differ if a
-	// relay reported the end.
-	took          time.Duration
-	observedAfter time.Duration
+	// took is the upstream's response time. For a relayed attempt it was measured by the relay, which holds parts back.
+	took time.Duration
 	// relay is the ID of the entry VM that executed the attempt, empty if it was this one.
 	relay string
 	cause error
@@ -97,7 +95,7 @@
 	}
 	response, err := a.upstream.pool.Do(ctx, &upstreamRequest)
 	took := time.Since(a.sent)
-	r.recordEnd(rt, request, a, attemptEnd{result: directResult(response, err, ctx.Err() != nil), took: took, observedAfter: took, cause: err})
+	r.recordEnd(rt, request, a, attemptEnd{result: directResult(response, err, ctx.Err() != nil), took: took, cause: err})
 	return response, err
 }
 
@@ -111,11 +109,11 @@
 	s := r.stats(rt)
 	switch e.result {
 	case replica.Answered:
-		s.expected += (float64(e.observedAfter) - s.expected) * expectedWeight
-		s.slowQuantile.Add(e.observedAfter)
+		s.expected += (float64(e.took) - s.expected) * expectedWeight
+		s.slowQuantile.Add(e.took)
 	case replica.Abandoned:
-		if e.observedAfter > s.slowQuantile.Value() {
-			s.slowQuantile.Add(e.observedAfter)
+		if e.took > s.slowQuantile.Value() {
+			s.slowQuantile.Add(e.took)
 		}
 	}
 	r.mu.Unlock()
--- a/internal/router/deadlines.go
+++ b/internal/router/deadlines.go
@@ -11,8 +11,11 @@
 
 const (
 	minHedgeDelay = 4 * time.Millisecond
-	// maxHedgeShare is the fraction of the latency objective after which a hedge is too late to help.
+	// maxHedgeShare is the fraction of the latency objective after which a hedge is too late to help. It is also the hedge
+	// delay until enough responses have been observed.
 	maxHedgeShare = 0.4
+	// minHedgeSamples is the number of responses from which the hedge delay is estimated.
+	minHedgeSamples = 20
 )
 
 // overloadController returns the controller of the route's set of shards. The caller must hold mu.
@@ -66,9 +69,19 @@
 	if goal.After(deadline) {
 		goal = deadline
 	}
-	hedge = max(s.slowQuantile.Value(), minHedgeDelay)
-	if rt.Objective > 0 {
-		hedge = min(hedge, time.Duration(maxHedgeShare*float64(rt.Objective)))
+	return goal, deadline, s.hedgeDelay(rt.Objective)
+}
+
+// hedgeDelay returns the delay before a hedge. Without enough samples there is no telling a slow response from a usual
+// one, and a hedge of every shard would use up the budget, so that it is the latest at which a hedge helps.
+func (s *routeStats) hedgeDelay(objective time.Duration) time.Duration {
+	latest := time.Duration(maxHedgeShare * float64(objective))
+	estimate := max(s.slowQuantile.Value(), minHedgeDelay)
+	switch {
+	case objective <= 0:
+		return estimate
+	case s.slowQuantile.Count() < minHedgeSamples:
+		return max(latest, minHedgeDelay)
 	}
-	return goal, deadline, hedge
+	return min(estimate, latest)
 }
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -32,9 +32,14 @@
 	return response, err
 }
 
-// reportLead is how long before the hedge delay a relay reports the parts it has, so that they arrive in time. It
-// covers a round trip between failure domains and some processing.
-const reportLead = 5 * time.Millisecond
+const (
+	// reportLead is the time that the report of a relay takes in addition to the attempts in it: a round trip between
+	// failure domains and some processing. Relayed attempts are hedged later by it than direct ones.
+	reportLead = 5 * time.Millisecond
+	// reportGrace is how much longer a hedge waits for the report of a relay that is short of processor time. Most of the
+	// parts of a late report are in it, and hedging them would use up the budget.
+	reportGrace = 10 * time.Millisecond
+)
 
 // minAlternatives is the number of untried upstreams of a shard from which a relay may decline an attempt: one to
 // replace the attempt and one for a hedge or retry.
@@ -128,7 +133,8 @@
 			continue
 		}
 		s.relayed = append(s.relayed, batch)
-		for shard := range batch.open {
+		for shard, a := range batch.open {
+			s.state.AwaitReport(shard, a.sent.Add(s.hedgeAfter+reportLead+reportGrace))
 			s.cancels[shard] = append(s.cancels[shard], func() { s.abandonShard(batch, shard) })
 		}
 	}
@@ -138,7 +144,11 @@
 	r := s.request
 	args := relay.RunArgs{
 		Request: r.ID, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Top: s.route.Top, Whole: batch.kind != firstAttempt,
-		Quiet: max(0, s.hedgeAfter-reportLead), Attempts: make([]relay.Attempt, 0, len(batch.open)),
+		Attempts: make([]relay.Attempt, 0, len(batch.open)),
+	}
+	// Parts of second attempts are not held back: the search waits for little else.
+	if batch.kind == firstAttempt {
+		args.Quiet = s.hedgeAfter
 	}
 	for shard, a := range batch.open {
 		args.Remaining = remaining(s.route, r, a)
@@ -169,7 +179,6 @@
 func (s *search) finishRelayed(batch *relayed, shard int, a *attempt, e attemptEnd) {
 	delete(batch.open, shard)
 	s.inFlight--
-	e.observedAfter = time.Since(a.sent)
 	e.relay = batch.link.PeerID()
 	s.router.recordEnd(s.route, s.request, a, e)
 }
@@ -211,6 +220,11 @@
 			failedShards = append(failedShards, shard)
 		}
 	}
+	if r.report.Settled {
+		for shard := range r.from.open {
+			s.state.Reported(shard)
+		}
+	}
 	s.cancelAnswered(r.report.Ended)
 	s.send(ctx, failedShards, extraAttempt)
 	s.resendUnseen(ctx, unsent, r.from.kind)
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -59,7 +59,13 @@
 		r.relayList, r.peersDigest = reply.Peers, reply.PeersDigest
 		r.log.Info("relay list adopted", "relays", len(reply.Peers), "revision", reply.Revision)
 	}
-	r.peers.Update(r.relayList, time.Now())
+	now := time.Now()
+	r.peers.Update(r.relayList, now)
+	if view := r.View(); view.Routes != nil {
+		for _, shards := range view.Routes.ShardCounts() {
+			r.peers.Connect(shards, len(view.connectionLimited) > 0, now)
+		}
+	}
 }
 
 func (r *Router) watchOnce(ctx context.Context) (controlrpc.WatchReply, error) {
