Grant no floor of the budget before the number of entry VMs is known

Cause: after a restart of all VMs an entry VM serves from a provisional view, which holds no number of entry VMs and was read as one. A new leader, too, reported a number that had only begun to grow.

Ruled out: existing VMs; they keep a higher number for 15 s.

Change: a leader reports the number 1.5 s after its election at the earliest; until a VM has one, it earns tokens by its requests only and the connections of an upstream are not divided.

--- a/internal/control/presence.go
+++ b/internal/control/presence.go
@@ -52,6 +52,18 @@
 	return now.Sub(last)
 }
 
+// settledCount returns how many names were seen within the window, or 0 until settle has passed since the term began,
+// since not all names have reported to the new leader before.
+func (p *presence) settledCount(window, settle time.Duration, now time.Time) int {
+	seen := p.count(window, now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.since) < settle {
+		return 0
+	}
+	return seen
+}
+
 // count returns how many names were seen within the window, and removes the others.
 func (p *presence) count(window time.Duration, now time.Time) int {
 	p.mu.Lock()
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -21,6 +21,9 @@
 	// watcherTimeout is how long a process counts as a watcher after its last watch, which lasts up to
 	// controlrpc.MaxWatchWait.
 	watcherTimeout = 3 * time.Second
+	// watcherSettleTime is the time after an election in which every entry VM in touch has found the new leader: two
+	// watches, and the restart of a VM.
+	watcherSettleTime = 1500 * time.Millisecond
 )
 
 // Watch returns the changes after a revision, and waits for a change for a bounded time.
@@ -56,7 +59,7 @@
 	}
 	s.machine.fillDelta(args.Known, reply)
 	reply.Members, reply.Leader = s.knownMembers()
-	reply.Watchers = s.watchers.count(watcherTimeout, s.now())
+	reply.Watchers = s.watchers.settledCount(watcherTimeout, watcherSettleTime, s.now())
 	s.fillPeers(args, reply)
 	return nil
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -108,6 +108,7 @@
 	}
 	s.leases.enterTerm(s.replicator.Term(), s.now())
 	s.instances.enterTerm(s.replicator.Term(), s.now())
+	s.watchers.enterTerm(s.replicator.Term(), s.now())
 	return nil
 }
 
--- a/internal/controlrpc/routes.go
+++ b/internal/controlrpc/routes.go
@@ -49,7 +49,7 @@
 	Leader  string
 	// Provisional is set if the reply comes from a member that is not the leader, so that no quorum has confirmed it.
 	Provisional bool
-	// Watchers is the number of processes that have watched recently.
+	// Watchers is the number of processes that have watched recently, or 0 while the leader does not know it yet.
 	Watchers int
 	// PeersDigest is a digest of the entry VMs that relay for this one. Peers lists them if the digest differs from that
 	// in the request.
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -18,9 +18,13 @@
 }
 
 // floorPerVM returns this VM's part of the extra requests that all VMs together may send in a window on top of
-// ExtraShare.
+// ExtraShare. While the number of VMs is not known, it is none: after a restart of all VMs each of them would otherwise
+// take the whole.
 func (r *Router) floorPerVM(watchers int) float64 {
-	return floorShare * r.config.ExtraFloor / float64(max(1, watchers))
+	if watchers == 0 {
+		return 0
+	}
+	return floorShare * r.config.ExtraFloor / float64(watchers)
 }
 
 // resizeBudgets adjusts the bucket sizes after the number of VMs has changed.
--- a/internal/router/budget_test.go
+++ b/internal/router/budget_test.go
@@ -67,6 +67,21 @@
 		Expect(granted).To(BeNumerically("~", earned, earned/2))
 	})
 
+	It("has no floor for a VM that does not know the number of VMs, as after a restart of all of them without a leader", func() {
+		r := New(Config{ID: "x", ExtraShare: 0.9 * ratio, ExtraFloor: floor, ExtraWindow: window}, nil, nil, slog.New(slog.DiscardHandler))
+		r.started = time.Now().Add(-window)
+		reply := controlrpc.WatchReply{Revision: 1, Provisional: true, Instances: registry.Delta{Whole: true, Changed: []registry.Instance{
+			{ID: "a", Service: "s", Address: "127.0.0.1:1", Slots: 2, State: registry.Ready},
+			{ID: "b", Service: "s", Address: "127.0.0.1:2", Slots: 2, State: registry.Ready},
+		}}}
+		r.adopt(reply)
+		// Each request earns 0.18 of a token, and the draws are random.
+		Expect(spend(r, 100)).To(BeNumerically("<", 40))
+		reply.Revision, reply.Provisional, reply.Watchers = 2, false, routers
+		r.adopt(reply)
+		Expect(r.floorPerVM(r.View().watchers)).To(BeNumerically(">", 0))
+	})
+
 	It("is not exceeded by many VMs that all want more than there is", func() {
 		for _, size := range []struct {
 			vms   int
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -32,7 +32,7 @@
 	connectionLimited map[string]bool
 	// candidates holds the candidates of byService in the same order.
 	candidates map[string][]replica.Candidate
-	// watchers is the number of entry VMs.
+	// watchers is the number of entry VMs, or 0 while it is not known.
 	watchers int
 }
 
@@ -68,10 +68,11 @@
 	watchersAt time.Time
 }
 
-// updateWatchers adopts a reported number of entry VMs; a lower one only after watcherRetention.
+// updateWatchers adopts a reported number of entry VMs; a lower one only after watcherRetention, and none if the leader
+// does not know it yet.
 func (b *viewBuilder) updateWatchers(seen int, now time.Time) {
-	if seen >= b.watchers || now.Sub(b.watchersAt) > watcherRetention {
-		b.watchers = max(1, seen)
+	if seen > 0 && (seen >= b.watchers || now.Sub(b.watchersAt) > watcherRetention) {
+		b.watchers = seen
 		b.watchersAt = now
 	}
 }
@@ -114,9 +115,10 @@
 	return b.build(reply), obsolete
 }
 
-// connectionQuota returns this VM's part of the connection limit of the service's upstreams, or 0 if there is no limit.
+// connectionQuota returns this VM's part of the connection limit of the service's upstreams, or 0 if there is no limit
+// or the number of VMs is not known.
 func (b *viewBuilder) connectionQuota(service string) float64 {
-	if b.routes == nil {
+	if b.routes == nil || b.watchers == 0 {
 		return 0
 	}
 	existing, ok := b.routes.Service(service)
