Stop shedding when queues are short

The shed fraction only decays over 1.5 s, whatever the queues show.

Change: a search in time while the usual latency of a shard is below 0.4 of the available time lowers the shed fraction by a tenth.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -27,6 +27,10 @@
 	// The slowest of some twenty shards takes about three times the usual latency. Searches that are late although the
 	// shards respond fast lack single shards, which shedding does not help.
 	queueingShare = 0.6
+	// shortQueueShare is the share of the available time below which the usual latency of one shard indicates that the
+	// slots keep up, and releaseStep the weight with which a search that is in time then lowers the shed fraction.
+	shortQueueShare = 0.4
+	releaseStep     = 0.1
 )
 
 // Controller holds the shed fraction of one set of shards at one entry VM. It is not safe for concurrent use.
@@ -47,6 +51,16 @@
 	c.updatedAt = now
 }
 
+// RecordInTime records a search that met its soft deadline. While the usual latency of its shards shows that queues are
+// short, the spike is over or smaller than assumed, and the shed fraction is lowered faster than by its decay.
+func (c *Controller) RecordInTime(now time.Time, latency, available time.Duration) {
+	if c.fraction == 0 || float64(latency) >= shortQueueShare*float64(available) {
+		return
+	}
+	c.fraction = c.ShedFraction(now) * (1 - releaseStep)
+	c.updatedAt = now
+}
+
 // ShedFraction returns the fraction of first attempts that is refused.
 func (c *Controller) ShedFraction(now time.Time) float64 {
 	if c.fraction == 0 {
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -124,6 +124,35 @@
 		Expect(c.Admit(at.Add(4*time.Second), false, 0.05)).To(BeTrue())
 	})
 
+	// shedHeavily returns a controller whose shed fraction is close to its maximum.
+	shedHeavily := func(at time.Time) *overload.Controller {
+		c := &overload.Controller{}
+		for range 100 {
+			c.RecordLate(at, softDeadline, softDeadline)
+		}
+		return c
+	}
+
+	It("stops refusing after a few searches in time while queues are short, although lateness was high a moment ago", func() {
+		at := time.Unix(1000, 0)
+		c := shedHeavily(at)
+		// All of it happens within 0.1 s: 25 searches at the capacity.
+		for i := range 25 {
+			c.RecordInTime(at.Add(time.Duration(i)*time.Duration(float64(time.Second)/capacity)), softDeadline/5, softDeadline)
+		}
+		Expect(c.Admit(at.Add(100*time.Millisecond), false, 0)).To(BeTrue())
+	})
+
+	It("goes on refusing while searches are in time only because others are refused", func() {
+		at := time.Unix(1000, 0)
+		c := shedHeavily(at)
+		before := c.ShedFraction(at)
+		for range 25 {
+			c.RecordInTime(at, softDeadline/2, softDeadline)
+		}
+		Expect(c.ShedFraction(at)).To(Equal(before))
+	})
+
 	It("refuses retries more often, so that refused load does not return at once", func() {
 		c := &overload.Controller{}
 		at := time.Unix(1000, 0)
--- a/internal/router/deadlines.go
+++ b/internal/router/deadlines.go
@@ -50,6 +50,13 @@
 	r.overloadController(rt).RecordLate(now, time.Duration(r.stats(rt).expected), available)
 }
 
+// inTime records a search that met its goal, where available is the time from its receipt to the goal.
+func (r *Router) inTime(rt *route.Route, now time.Time, available time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.overloadController(rt).RecordInTime(now, time.Duration(r.stats(rt).expected), available)
+}
+
 // deadlines returns the goal, by which the response should be sent to meet the latency objective, the deadline, by which
 // it must be sent before the caller gives up, and the delay before a hedge.
 func (r *Router) deadlines(rt *route.Route, request *Request) (goal, deadline time.Time, hedge time.Duration) {
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -162,6 +162,9 @@
 		s.hedge(ctx, s.state.HedgesDue(now))
 		switch s.state.Decide(now) {
 		case gather.Finish:
+			if !late {
+				s.router.inTime(s.route, now, s.goal.Sub(s.request.Received))
+			}
 			return s.finish(), nil
 		case gather.Abort:
 			return nil, s.failure(now)
