Adopt replaced control members, and log to standard output

Ruled out: needless replacement of the addresses; the client keeps the member that it prefers.

Change: the addresses are compared as a whole; both daemons log to standard output, and the scripts and process tests collect it.

--- a/cmd/wmux-control/run.go
+++ b/cmd/wmux-control/run.go
@@ -35,7 +35,7 @@
 // again at any time. A failure before the data directory was opened for the first time is returned.
 func run(cmd *cobra.Command, loaded settings.Control) error {
 	ctx := cmd.Context()
-	output := telemetry.NewBoundedWriter(os.Stderr)
+	output := telemetry.NewBoundedWriter(os.Stdout)
 	defer output.Close()
 	log := telemetry.NewLogger(output, "wmux-control", loaded.ID)
 	faultRules, err := netcut.Open(loaded.FaultRulesFile, log)
--- a/cmd/wmux-entry/main.go
+++ b/cmd/wmux-entry/main.go
@@ -60,7 +60,7 @@
 }
 
 func run(ctx context.Context, loaded settings.Entry) error {
-	log := telemetry.NewLogger(os.Stderr, "wmux-entry", loaded.ID)
+	log := telemetry.NewLogger(os.Stdout, "wmux-entry", loaded.ID)
 	callerListener, err := net.Listen("tcp", loaded.CallerAddress)
 	if err != nil {
 		return err
--- a/internal/formation/join.go
+++ b/internal/formation/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strconv"
 	"time"
 
@@ -78,7 +79,7 @@
 			addresses = append(addresses, member.Address)
 		}
 	}
-	if len(addresses) != len(j.Client.Addresses()) {
+	if !slices.Equal(addresses, j.Client.Addresses()) {
 		j.Client.SetAddresses(addresses)
 	}
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,7 +14,7 @@
 trap finish EXIT
 
 go build -o "$work/" ./cmd/...
-start() { "$@" 2>>"$work/log" & pids+=($!); }
+start() { "$@" >>"$work/log" 2>&1 & pids+=($!); }
 
 port=${WMUX_DEMO_PORT:-17100}
 control=127.0.0.1:$port,127.0.0.1:$((port + 1)),127.0.0.1:$((port + 2))
--- a/scripts/experiment-lib.sh
+++ b/scripts/experiment-lib.sh
@@ -28,7 +28,7 @@
 
 start() { # NAME COMMAND...
   names+=("$1")
-  "${@:2}" 2>>"$results/processes.log" & pids+=($!)
+  "${@:2}" >>"$results/processes.log" 2>&1 & pids+=($!)
 }
 
 start_cluster() { # DIR, as written by "wmux-load shape"
--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -118,7 +118,7 @@
 
 func (m *member) start() {
 	m.command = exec.Command(filepath.Join(binaryDir, "wmux-control"), "run", "--settings", m.settings())
-	m.command.Stderr = GinkgoWriter
+	m.command.Stdout, m.command.Stderr = GinkgoWriter, GinkgoWriter
 	Expect(m.command.Start()).To(Succeed())
 }
 
--- a/test/processes/tier_test.go
+++ b/test/processes/tier_test.go
@@ -37,7 +37,7 @@
 
 func (p *process) start(program string) {
 	p.command = exec.Command(filepath.Join(binaryDir, program), p.args...)
-	p.command.Stderr = GinkgoWriter
+	p.command.Stdout, p.command.Stderr = GinkgoWriter, GinkgoWriter
 	Expect(p.command.Start()).To(Succeed())
 	p.exited = make(chan struct{})
 	go func(command *exec.Cmd, exited chan struct{}) {
