Let a request use the share of the budget that it earns

Cause, found reading the diff: with the cap of a bucket at the VM's part of the floor, a request's own 0.18 of a token was cut to that part. A VM that did not know the number of VMs, or a deployment without a floor or with next to none for each of its VMs, sent no extra attempt at all.

Ruled out: a cap of a whole token as before; 300 VMs would hold 300 tokens where 54 may be spent.

Change: the cap is the part of the floor and what one request earns.

Before: the specs of an unknown number of VMs and of a floor of 0 fail with 0 attempts. After: pass, six runs of the package.

--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -27,19 +27,24 @@
 	return floorShare * r.config.ExtraFloor / float64(watchers)
 }
 
+// burst returns how many tokens this VM may accumulate: its part of the floor and what one request earns, so that a
+// request can use its own share however small the floor is. If each VM sends a request in a window, all VMs together
+// spend at most twice floorShare of the floor and the share of their requests.
+func (r *Router) burst(watchers int) float64 { return r.floorPerVM(watchers) + r.config.ExtraShare }
+
 // resizeBudgets adjusts the bucket sizes after the number of VMs has changed.
 func (r *Router) resizeBudgets(watchers int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, b := range r.budgets {
-		b.bucket.SetBurst(r.floorPerVM(watchers))
+		b.bucket.SetBurst(r.burst(watchers))
 	}
 }
 
 // budget returns the token bucket of the service after adding the tokens that are due. A process starts without tokens,
 // since the current window may still include what its predecessor spent. The caller must hold mu.
 func (r *Router) budget(service string, now time.Time) *budget.Bucket {
-	burst := r.floorPerVM(r.View().watchers)
+	burst := r.burst(r.View().watchers)
 	b, ok := r.budgets[service]
 	if !ok {
 		b = &serviceBudget{bucket: budget.NewBucket(r.config.ExtraShare, burst), lastRefill: r.started}
--- a/internal/router/budget_test.go
+++ b/internal/router/budget_test.go
@@ -76,12 +76,20 @@
 		}}}
 		r.adopt(reply)
 		// Each request earns 0.18 of a token, and the draws are random.
-		Expect(spend(r, 100)).To(BeNumerically("<", 40))
+		Expect(spend(r, 100)).To(And(BeNumerically(">", 3), BeNumerically("<", 40)))
 		reply.Revision, reply.Provisional, reply.Watchers = 2, false, routers
 		r.adopt(reply)
 		Expect(r.floorPerVM(r.View().watchers)).To(BeNumerically(">", 0))
 	})
 
+	It("is earned by requests where there is no floor, or next to none for each of many VMs", func() {
+		for _, floor := range []float64{0, 54} {
+			const vms, requestsEach = 300, 4
+			earned := int(0.9 * ratio * vms * requestsEach)
+			Expect(grantedOfMany(vms, requestsEach, floor, window)).To(BeNumerically("~", earned, earned/2), "floor %v", floor)
+		}
+	})
+
 	It("is not exceeded by many VMs that all want more than there is", func() {
 		for _, size := range []struct {
 			vms   int
