Log and count the rate limits that upstreams name

Logs and metrics could not tell whether a limit that an upstream names arrives at an entry VM, and at which. The header is now decoded and its changes are logged; nothing acts on it yet. A text that is no positive decimal number, or is given twice, is a typed error, a log line and a metric.

--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -39,6 +39,8 @@
 		"wisteriamux.attempts.denied":     func() int64 { return r.Counts().Denied },
 		"wisteriamux.responses.oversized": func() int64 { return r.Counts().Oversized },
 		"wisteriamux.responses.memory":    func() int64 { return r.Counts().ResponseMemory },
+		"wisteriamux.limits":              func() int64 { return r.Counts().Limited },
+		"wisteriamux.limits.unreadable":   func() int64 { return r.Counts().LimitsUnreadable },
 		"wisteriamux.log.dropped":         output.Dropped,
 	}
 	for name, read := range gauges {
--- /dev/null
+++ b/internal/ratelimit/book.go
@@ -0,0 +1,103 @@
+package ratelimit
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Key identifies an upstream process. A process that starts again under the same ID has a later Born and no limit yet.
+type Key struct {
+	Instance string
+	Born     int64
+}
+
+// entry is what is known about one upstream. It is kept after the end of a limit, so that an older statement that
+// arrives late does not bring the limit back.
+type entry struct {
+	perSecond float64
+	// unreadable is set while the upstream names a limit that cannot be read.
+	unreadable bool
+	observedAt time.Time
+}
+
+// Book holds the limits that one entry VM knows. It is not safe for concurrent use.
+type Book struct {
+	entries map[Key]*entry
+	// unreadable counts the statements that could not be read.
+	unreadable int64
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{entries: map[Key]*entry{}} }
+
+// Change is the effect of a statement: the limits in force before and after, 0 for none.
+type Change struct {
+	Before, After float64
+	// BecameUnreadable is set for the first of several statements that cannot be read.
+	BecameUnreadable bool
+}
+
+// Observe records what a response that arrived at the given time says. Of two statements the one that arrived later
+// holds.
+func (b *Book) Observe(at time.Time, key Key, s Statement) Change {
+	e, known := b.entries[key]
+	perSecond := s.PerSecond
+	if s.Err != nil {
+		b.unreadable++
+		perSecond = UnreadablePerSecond
+		if known && e.perSecond > 0 {
+			perSecond = e.perSecond
+		}
+	}
+	switch {
+	case !known && perSecond == 0:
+		return Change{}
+	case !known:
+		e = &entry{}
+		b.entries[key] = e
+	case at.Before(e.observedAt):
+		return Change{Before: e.perSecond, After: e.perSecond}
+	}
+	change := Change{Before: e.perSecond, After: perSecond, BecameUnreadable: s.Err != nil && !e.unreadable}
+	e.perSecond, e.observedAt, e.unreadable = perSecond, at, s.Err != nil
+	return change
+}
+
+// Limit returns the limit in force in requests per second, or 0 if there is none.
+func (b *Book) Limit(key Key) float64 {
+	if e, ok := b.entries[key]; ok {
+		return e.perSecond
+	}
+	return 0
+}
+
+// InForce is a limit in force.
+type InForce struct {
+	Key       Key
+	PerSecond float64
+}
+
+// InForce returns all limits in force, ordered by instance.
+func (b *Book) InForce() []InForce {
+	var all []InForce
+	for key, e := range b.entries {
+		if e.perSecond > 0 {
+			all = append(all, InForce{Key: key, PerSecond: e.perSecond})
+		}
+	}
+	slices.SortFunc(all, func(a, c InForce) int { return strings.Compare(a.Key.Instance, c.Key.Instance) })
+	return all
+}
+
+// Unreadable returns how many statements could not be read.
+func (b *Book) Unreadable() int64 { return b.unreadable }
+
+// Retain drops every upstream for which keep returns false.
+func (b *Book) Retain(keep func(Key) bool) {
+	for key := range b.entries {
+		if !keep(key) {
+			delete(b.entries, key)
+		}
+	}
+}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -93,7 +93,7 @@
 	if len(rt.Shards) > 0 {
 		upstreamRequest.MaxBodyBytes = gather.MaxPartBytes(rt.Top)
 	}
-	response, err := a.upstream.pool.Do(ctx, &upstreamRequest)
+	response, err := r.send(ctx, a.upstream, &upstreamRequest)
 	took := time.Since(a.sent)
 	r.recordEnd(rt, request, a, attemptEnd{result: directResult(response, err, ctx.Err() != nil), took: took, cause: err})
 	return response, err
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -27,7 +27,7 @@
 	r.counts.Executed++
 	a := &attempt{upstream: u, sent: now, ticket: r.tracker.Sent(now, requested.Instance, expected)}
 	r.mu.Unlock()
-	response, err := u.pool.Do(ctx, request)
+	response, err := r.send(ctx, u, request)
 	r.updateTracker(a, directResult(response, err, ctx.Err() != nil), time.Since(now))
 	return response, err
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/overload"
+	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/replica"
 	"github.com/wisteriamux/wisteriamux/internal/route"
@@ -74,6 +75,8 @@
 	routes  map[string]*routeStats
 	// overload holds the controller of each set of shards, keyed by the first shard.
 	overload map[string]*overload.Controller
+	// limits holds the request rates that upstreams have named.
+	limits *ratelimit.Book
 	// roundTrip estimates the round-trip time to callers.
 	roundTrip roundTrip
 	counts    Counts
@@ -93,6 +96,9 @@
 	// Oversized counts the responses that were given up because they exceeded a limit, and ResponseMemory is the number of
 	// bytes that large responses occupy now.
 	Oversized, ResponseMemory int64
+	// Limited is the number of upstreams whose request rate is limited now, and LimitsUnreadable counts the responses that
+	// named a limit that could not be read.
+	Limited, LimitsUnreadable int64
 }
 
 // routeStats holds the statistics of one route.
@@ -111,7 +117,7 @@
 		config: config, control: control, log: log, memory: memory,
 		builder: &viewBuilder{domain: config.FailureDomain, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
-		overload: map[string]*overload.Controller{},
+		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(),
 	}
 	if config.RelayAddress != "" {
 		r.peers = relay.NewPeers(config.ID, config.FailureDomain, config.DialRelay, log)
@@ -133,6 +139,7 @@
 	defer r.mu.Unlock()
 	counts := r.counts
 	counts.Oversized, counts.ResponseMemory = r.memory.Exceeded(), r.memory.InUse()
+	counts.Limited, counts.LimitsUnreadable = int64(len(r.limits.InForce())), r.limits.Unreadable()
 	return counts
 }
 
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -8,6 +8,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/overload"
+	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 )
 
 const (
@@ -139,6 +140,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tracker.Retain(func(id string) bool { return live[id] })
+	r.limits.Retain(func(key ratelimit.Key) bool {
+		u, ok := view.byID[key.Instance]
+		return ok && u.limitKey() == key
+	})
 	if view.Routes == nil {
 		return
 	}
