--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -19,6 +19,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/gather"
+	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 	"github.com/wisteriamux/wisteriamux/internal/registry"
 	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/route"
@@ -35,8 +36,12 @@
 	delay   atomic.Int64
 	refuse  atomic.Bool
 	endless atomic.Bool
+	// rateLimit is the rate limit that the responses name, nil for none.
+	rateLimit atomic.Pointer[string]
 }
 
+func (u *fakeUpstream) setRateLimit(text string) { u.rateLimit.Store(&text) }
+
 func record(first byte) []byte { return append([]byte{first}, make([]byte, gather.RecordBytes-1)...) }
 
 func startFakeUpstream(id, service, domain string, firsts ...byte) *fakeUpstream {
@@ -79,6 +84,9 @@
 		if u.refuse.Load() {
 			status = "503 Service Unavailable\r\nRefused: 1"
 		}
+		if text := u.rateLimit.Load(); text != nil {
+			status += "\r\nLimit: " + *text
+		}
 		if _, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(u.records), u.records); err != nil {
 			return
 		}
@@ -106,6 +114,7 @@
 func (fakeCodec) DecodeHeader(a *upstreamconn.Response) {
 	a.Stamp = a.Header.Get("Stamp")
 	a.NotRun = a.Header.Get("Refused") != ""
+	a.RateLimit = ratelimit.ParseStatement(a.Header.Values("Limit"))
 }
 
 // relayVM is an entry VM that also acts as a relay.
