Keep to the rate limits that upstreams name, all VMs together

The VMs that choose an upstream often are not those that hear it, since attempts go through relays.

Change: one VM, by rendezvous hashing among all entry VMs, holds the token bucket of an upstream (internal/ratelimit), and every request to a limited upstream needs a permit from it: first attempts, hedges, retries, those executed for other VMs. A VM without a permit sends nothing, takes another upstream without spending the retry budget, and skips the full one until there is room. The next VM holds the bucket while the first is away, at half the rate for 4 s. What cannot be served within the limits is refused before anything runs, with the time until there is room.

Ruled out: equal shares of the limit without coordination. Relaying everything through the holder: costs a hop and the bytes of each response instead of one small call.

--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -82,6 +82,7 @@
 		"extra_share", loaded.ExtraShare, "extra_floor", loaded.ExtraFloor, "answer_margin_ms", loaded.AnswerMarginMillis)
 	<-ctx.Done()
 	stopping.Store(true)
+	r.Leave()
 	relayServer.NotifyShutdown()
 	shutDown(server, relayServer, loaded, log)
 	return nil
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -10,12 +10,14 @@
 // Code classifies an error by what its receiver can do about it, for example whether a retry is safe.
 type Code string
 
-// The error codes. NotRun, OverShare and Overloaded guarantee that no upstream ran the request.
+// The error codes. NotRun, OverShare, Overloaded and RateLimited guarantee that no upstream ran the request.
 const (
 	NotRun Code = "not_run"
 	// OverShare rejects a request of a caller that exceeds its fair share while the system is overloaded.
 	OverShare  Code = "over_share"
 	Overloaded Code = "overloaded"
+	// RateLimited means that the upstreams that could serve the request are at the rate limits that they have named.
+	RateLimited Code = "rate_limited"
 	// OutcomeUnknown means that the request may or may not have run.
 	OutcomeUnknown Code = "outcome_unknown"
 	// Incomplete means that too few shards or upstreams answered in time.
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -19,6 +19,8 @@
 	// unreadable is set while the upstream names a limit that cannot be read.
 	unreadable bool
 	observedAt time.Time
+	// fullUntil is the time until which no permit is expected.
+	fullUntil time.Time
 }
 
 // Book holds the limits that one entry VM knows. It is not safe for concurrent use.
@@ -64,14 +66,34 @@
 	return change
 }
 
-// Limit returns the limit in force in requests per second, or 0 if there is none.
-func (b *Book) Limit(key Key) float64 {
+// Known returns the limit in force, 0 for none, and when it was stated last. It returns false if the upstream has named
+// none so far.
+func (b *Book) Known(key Key) (perSecond float64, statedAt time.Time, ok bool) {
+	e, ok := b.entries[key]
+	if !ok {
+		return 0, time.Time{}, false
+	}
+	return e.perSecond, e.observedAt, true
+}
+
+// Full records that no permit for the upstream is expected until the given time.
+func (b *Book) Full(key Key, until time.Time) {
 	if e, ok := b.entries[key]; ok {
-		return e.perSecond
+		e.fullUntil = until
 	}
-	return 0
 }
 
+// RoomAt returns the time from which a permit for the upstream is expected, which is not after now if there is no limit.
+func (b *Book) RoomAt(key Key) time.Time {
+	if e, ok := b.entries[key]; ok && e.perSecond > 0 {
+		return e.fullUntil
+	}
+	return time.Time{}
+}
+
+// Empty reports whether no upstream has named a limit.
+func (b *Book) Empty() bool { return len(b.entries) == 0 }
+
 // InForce is a limit in force.
 type InForce struct {
 	Key       Key
--- /dev/null
+++ b/internal/ratelimit/issuer.go
@@ -0,0 +1,146 @@
+package ratelimit
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+const (
+	// usableShare is the fraction of a limit that is granted. The rest allows for the time between a permit and the arrival
+	// of its request.
+	usableShare = 0.9
+	// independentShare is the fraction that is granted by VMs that grant permits independently of each other. Their permits
+	// are drawn at random, and the rest allows for chance.
+	independentShare = 0.6
+	// minPerSecond is granted whatever the limit, so that the end of a very low limit is noticed.
+	minPerSecond = 0.25
+	// handOver is how long a VM that begins to grant permits for an upstream grants them at half the rate: for a while some
+	// VMs may still ask the one that did so before. A VM that was not asked for this long begins anew.
+	handOver = 4 * time.Second
+	// burstBase and burstSeconds give the number of permits that can accumulate: a number that does not depend on the limit,
+	// and those of this many seconds.
+	burstBase    = 2.0
+	burstSeconds = 0.25
+	// maxDrawInterval bounds the time between two draws for a part of a token.
+	maxDrawInterval = 100 * time.Millisecond
+	// urgentReserve is the number of permits that are kept for the most urgent requests.
+	urgentReserve = 1.0
+	// firstPermits is what a new bucket holds, so that an upstream with few requests does not refuse the first one.
+	firstPermits = 1.0
+)
+
+// NoRoomError is returned for a request that was not sent because of the rate limits of upstreams.
+type NoRoomError struct {
+	// RetryAfter is the time after which there may be room.
+	RetryAfter time.Duration
+}
+
+// Error implements the error interface.
+func (e *NoRoomError) Error() string {
+	return fmt.Sprintf("upstreams are at their rate limit, room expected in %d ms", e.RetryAfter.Milliseconds())
+}
+
+// Demand describes a request for a permit.
+type Demand struct {
+	// PerSecond is the limit of the upstream.
+	PerSecond float64
+	// Rank is the priority of the request, where 0 is the most urgent.
+	Rank int
+	// Issuers is the number of VMs that grant permits for the upstream independently of each other. Each grants its part.
+	Issuers int
+}
+
+// Grant is the answer to a request for a permit.
+type Grant struct {
+	Granted bool
+	// RetryAfter is the time after which a permit may be available, if none was granted.
+	RetryAfter time.Duration
+}
+
+// bucket is the token bucket of one upstream.
+type bucket struct {
+	tokens     float64
+	refilledAt time.Time
+	// since is when this VM began to grant permits.
+	since time.Time
+	// urgentRank is the most urgent rank that asked lately, urgentAt when it did so last.
+	urgentRank int
+	urgentAt   time.Time
+}
+
+// Issuer grants the permits of the upstreams whose bucket this VM holds. It is not safe for concurrent use.
+type Issuer struct {
+	buckets map[Key]*bucket
+}
+
+// NewIssuer returns an issuer without any bucket.
+func NewIssuer() *Issuer { return &Issuer{buckets: map[Key]*bucket{}} }
+
+// Take grants a permit to send one request now, or tells when to ask again. The draw is a random number from [0, 1): a
+// bucket that is too small for a whole token grants its part of a token with the same probability.
+func (i *Issuer) Take(now time.Time, key Key, d Demand, draw float64) Grant {
+	issuers := float64(max(1, d.Issuers))
+	burst := (burstBase + burstSeconds*d.PerSecond) / issuers
+	b := i.bucket(now, key, math.Min(firstPermits, burst)/issuers)
+	rate := math.Max(usableShare*d.PerSecond, minPerSecond)
+	if issuers > 1 {
+		rate = math.Max(independentShare*d.PerSecond, minPerSecond) / issuers
+	}
+	if now.Sub(b.since) < handOver {
+		rate /= 2
+	}
+	b.tokens = math.Min(burst, b.tokens+rate*now.Sub(b.refilledAt).Seconds())
+	b.refilledAt = now
+	needed := math.Min(1+b.reserve(now, d.Rank), math.Max(burst, 1))
+	if burst < 1 {
+		return b.drawPart(draw, rate)
+	}
+	if b.tokens >= needed {
+		b.tokens--
+		return Grant{Granted: true}
+	}
+	return Grant{RetryAfter: secondsDuration((needed - b.tokens) / rate)}
+}
+
+// drawPart takes the part of a token that the bucket holds, and grants a permit with the same probability.
+func (b *bucket) drawPart(draw, rate float64) Grant {
+	granted := draw < b.tokens
+	b.tokens = 0
+	if granted {
+		return Grant{Granted: true}
+	}
+	return Grant{RetryAfter: min(secondsDuration(1/rate), maxDrawInterval)}
+}
+
+func secondsDuration(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// bucket returns the bucket of the upstream. One that was not used lately begins anew.
+func (i *Issuer) bucket(now time.Time, key Key, first float64) *bucket {
+	b, ok := i.buckets[key]
+	if !ok || now.Sub(b.refilledAt) > handOver {
+		b = &bucket{tokens: first, refilledAt: now, since: now, urgentRank: math.MaxInt}
+		i.buckets[key] = b
+	}
+	return b
+}
+
+// reserve returns the number of permits that a request of the rank leaves to more urgent ones.
+func (b *bucket) reserve(now time.Time, rank int) float64 {
+	if rank <= b.urgentRank || now.Sub(b.urgentAt) > handOver {
+		b.urgentRank, b.urgentAt = rank, now
+		return 0
+	}
+	return urgentReserve
+}
+
+// Retain drops every upstream for which keep returns false.
+func (i *Issuer) Retain(keep func(Key) bool) {
+	for key := range i.buckets {
+		if !keep(key) {
+			delete(i.buckets, key)
+		}
+	}
+}
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -40,6 +40,9 @@
 // usable reports whether batches may be sent to the peer.
 func (h *health) usable() bool { return h.condition == connected && !h.silent && !h.shuttingDown }
 
+// firstDial reports whether the peer is being dialled and no dial has failed since the last report from it.
+func (h *health) firstDial() bool { return h.condition == connecting && h.backoff == 0 }
+
 // dial reports whether the caller must open a connection now, and marks the peer as connecting if so.
 func (h *health) dial(now time.Time) bool {
 	switch h.condition {
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -46,6 +46,15 @@
 	return l.health.usable()
 }
 
+// available reports whether the relay can be called now, or pending if that is not known yet because it is being dialled
+// for the first time.
+func (l *Link) available(now time.Time) (usable, pending bool) {
+	usable = l.usable(now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return usable, !usable && l.health.firstDial()
+}
+
 func (l *Link) connect() {
 	raw, err := l.dial(l.peer.Address)
 	l.mu.Lock()
@@ -187,6 +196,32 @@
 	}
 }
 
+// Permit asks the peer for a permit. A peer that does not answer in time counts as silent.
+func (l *Link) Permit(ctx context.Context, args PermitArgs) (PermitReply, error) {
+	l.mu.Lock()
+	conn := l.conn
+	l.mu.Unlock()
+	if conn == nil {
+		return PermitReply{}, fault.New(fault.Unavailable, "relay.permit", "no connection to %s", l.peer.ID)
+	}
+	var reply PermitReply
+	call := conn.Go(ServiceName+".Permit", args, &reply, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(silentAfter)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return PermitReply{}, fault.New(fault.Cancelled, "relay.permit", "request ended: %w", ctx.Err())
+	case <-timer.C:
+		l.markSilent(conn)
+		return PermitReply{}, fault.New(fault.Unavailable, "relay.permit", "no answer from %s within %s", l.peer.ID, silentAfter)
+	case <-call.Done:
+		if call.Error != nil {
+			return PermitReply{}, fault.New(fault.Unavailable, "relay.permit", "RPC to %s failed: %w", l.peer.ID, call.Error)
+		}
+		return reply, nil
+	}
+}
+
 // Cancel cancels the given attempts, or the whole batch if numbers is empty.
 func (b *Batch) Cancel(numbers []int) {
 	// The reply is empty, and a lost call is noticed by the next batch.
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -27,6 +27,8 @@
 	cancelled map[string]bool
 }
 
+func (e *executor) Permit(PermitArgs) PermitReply { return PermitReply{} }
+
 func (e *executor) Attempt(ctx context.Context, a Attempt, _ time.Duration, _ *upstreamconn.Request) (*upstreamconn.Response, error) {
 	e.mu.Lock()
 	response, err := e.responses[a.Instance], e.errors[a.Instance]
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 )
 
 // ServiceName is the name of the RPC service.
@@ -24,6 +25,8 @@
 	// Optional means that the relay may decline the attempt if it knows the upstream to be slow or failing, since the
 	// requesting VM has alternatives.
 	Optional bool
+	// Rank is the priority of the request, where 0 is the most urgent.
+	Rank int
 }
 
 // RunArgs are the arguments of Run, which starts a batch of attempts with the same request and returns the first report.
@@ -70,6 +73,8 @@
 	Declined
 	// Failed covers every other end. The upstream may have run the request.
 	Failed
+	// Limited means that the request was not sent because of the rate limit of the upstream.
+	Limited
 )
 
 // Ended describes how one attempt ended.
@@ -86,6 +91,29 @@
 	Reason string
 	// Cost is the cost from DeclinedError.
 	Cost float64
+	// RateLimit is the rate limit that the upstream named to the relay, in requests per second, nil if that is not known. 0
+	// means that the response named none.
+	RateLimit *float64
+	// RetryAfter is set for Limited: the time after which the upstream may have room.
+	RetryAfter time.Duration
+}
+
+// PermitArgs ask the VM that holds the bucket of an upstream for a permit to send one request.
+type PermitArgs struct {
+	Upstream ratelimit.Key
+	// PerSecond is the limit that the asking VM knows, and Age the time since it heard of it.
+	PerSecond float64
+	Age       time.Duration
+	// Rank is the priority of the request, where 0 is the most urgent.
+	Rank int
+}
+
+// PermitReply is the answer to PermitArgs.
+type PermitReply struct {
+	Grant ratelimit.Grant
+	// PerSecond is the limit that the answering VM knows, 0 for none, and Age the time since it heard of it.
+	PerSecond float64
+	Age       time.Duration
 }
 
 // DeclinedError is returned for an optional attempt that was declined.
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -30,8 +30,12 @@
 	lastListed map[string]time.Time
 	// domains is the number of failure domains of the links.
 	domains int
-	// ranked caches the results of rankedLinks.
-	ranked map[groupKey][]*Link
+	// ranked caches the results of rankedLinks, and holders those of rankedHolders.
+	ranked  map[groupKey][]*Link
+	holders map[string][]*Link
+	// listed is set once the control group has sent a list, and leaving when this VM is about to stop.
+	listed  bool
+	leaving bool
 }
 
 type groupKey struct {
@@ -41,14 +45,16 @@
 
 // NewPeers returns an empty set of peers for the VM with the ID self in the failure domain.
 func NewPeers(self, domain string, dial controlrpc.Dialer, log *slog.Logger) *Peers {
-	return &Peers{self: self, domain: domain, dial: dial, log: log, links: map[string]*Link{}, lastListed: map[string]time.Time{}, ranked: map[groupKey][]*Link{}}
+	return &Peers{self: self, domain: domain, dial: dial, log: log, links: map[string]*Link{}, lastListed: map[string]time.Time{}, ranked: map[groupKey][]*Link{},
+		holders: map[string][]*Link{}}
 }
 
 // Update applies the list of peers from the control group.
 func (p *Peers) Update(peers []controlrpc.Peer, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	changed := false
+	changed := !p.listed
+	p.listed = true
 	for _, peer := range peers {
 		existing, ok := p.links[peer.ID]
 		if peer.ID == p.self || (ok && existing.peer == peer) {
@@ -78,6 +84,7 @@
 // invalidateOrder clears the cached orders and recounts the failure domains. The caller must hold mu.
 func (p *Peers) invalidateOrder() {
 	clear(p.ranked)
+	clear(p.holders)
 	domains := map[string]bool{}
 	for _, link := range p.links {
 		domains[link.peer.FailureDomain] = true
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -13,6 +13,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/gather"
+	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 	"github.com/wisteriamux/wisteriamux/internal/rpcconn"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
@@ -28,6 +29,8 @@
 // not accept requests, and a DeclinedError that it is slow or failing. In both cases nothing was sent.
 type Executor interface {
 	Attempt(ctx context.Context, attempt Attempt, expected time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error)
+	// Permit grants or denies a permit for an upstream with a rate limit.
+	Permit(args PermitArgs) PermitReply
 }
 
 // Server executes the batches of other entry VMs. It is safe for concurrent use.
@@ -178,6 +181,7 @@
 			if errors.As(err, &declined) {
 				ended.Cost = declined.Cost
 			}
+			ended.RateLimit, ended.RetryAfter = rateLimitOf(response, err)
 			r.end(ended, response)
 		}()
 	}
@@ -280,6 +284,12 @@
 	return nil
 }
 
+// Permit grants or denies a permit for an upstream with a rate limit.
+func (p *session) Permit(args PermitArgs, reply *PermitReply) error {
+	*reply = p.server.executor.Permit(args)
+	return nil
+}
+
 // Ping returns immediately.
 func (p *session) Ping(_ Empty, _ *Empty) error { return nil }
 
@@ -287,9 +297,12 @@
 func Classify(response *upstreamconn.Response, err error) Outcome {
 	var failed *upstreamconn.RequestError
 	var declined *DeclinedError
+	var noRoom *ratelimit.NoRoomError
 	switch {
 	case errors.As(err, &declined):
 		return Declined
+	case errors.As(err, &noRoom):
+		return Limited
 	case fault.Is(err, fault.Moved):
 		return Unsent
 	case errors.As(err, &failed) && failed.Unreachable:
@@ -308,6 +321,18 @@
 	return Failed
 }
 
+// rateLimitOf returns the rate limit that a response names, and when an upstream at its limit may have room.
+func rateLimitOf(response *upstreamconn.Response, err error) (perSecond *float64, retryAfter time.Duration) {
+	var noRoom *ratelimit.NoRoomError
+	if errors.As(err, &noRoom) {
+		return nil, noRoom.RetryAfter
+	}
+	if err != nil || response.Misdirected || response.RateLimit.Err != nil {
+		return nil, 0
+	}
+	return &response.RateLimit.PerSecond, 0
+}
+
 func failureReason(response *upstreamconn.Response, err error) string {
 	if err != nil {
 		return err.Error()
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -40,7 +40,8 @@
 	replacementAttempt
 )
 
-// chooseUpstream selects an upstream of the service that has not been tried yet and records the attempt. It returns nil
+// chooseUpstream selects an upstream of the service that has not been tried yet and is not at its rate limit, and records
+// the attempt. It returns nil
 // if there is none or if the budget has no token for an extra attempt.
 func (r *Router) chooseUpstream(view *View, rt *route.Route, service string, tried []*upstream, kind attemptKind) *attempt {
 	now := time.Now()
@@ -53,7 +54,7 @@
 				return true
 			}
 		}
-		return false
+		return !r.limits.Empty() && r.limits.RoomAt(view.byID[id].limitKey()).After(now)
 	})
 	if index < 0 {
 		return nil
@@ -93,7 +94,7 @@
 	if len(rt.Shards) > 0 {
 		upstreamRequest.MaxBodyBytes = gather.MaxPartBytes(rt.Top)
 	}
-	response, err := r.send(ctx, a.upstream, &upstreamRequest)
+	response, err := r.send(ctx, a.upstream, rt.Rank, &upstreamRequest)
 	took := time.Since(a.sent)
 	r.recordEnd(rt, request, a, attemptEnd{result: directResult(response, err, ctx.Err() != nil), took: took, cause: err})
 	return response, err
@@ -145,6 +146,8 @@
 func directResult(response *upstreamconn.Response, err error, abandoned bool) replica.Result {
 	var requestErr *upstreamconn.RequestError
 	switch {
+	case isNoRoom(err):
+		return replica.Declined
 	case err != nil && abandoned:
 		return replica.Abandoned
 	case errors.As(err, &requestErr) && requestErr.Unreachable:
@@ -172,5 +175,8 @@
 // mayHaveArrived reports whether an upstream may have received the attempt, in which case a retry costs a token.
 func mayHaveArrived(response *upstreamconn.Response, err error) bool {
 	var requestErr *upstreamconn.RequestError
+	if isNoRoom(err) {
+		return false
+	}
 	return response != nil || !errors.As(err, &requestErr) || requestErr.Sent
 }
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 	"github.com/wisteriamux/wisteriamux/internal/route"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
@@ -27,7 +28,10 @@
 	request  *Request
 	deadline time.Time
 	results  chan attemptResult
+	// tried holds all upstreams that were chosen, and attempts is the number of those that did not turn out to be at their
+	// rate limit.
 	tried    []*upstream
+	attempts int
 	pending  int
 	// mayHaveRun is set once an upstream may have run the request.
 	mayHaveRun   bool
@@ -43,8 +47,8 @@
 	_, deadline, _ := r.deadlines(rt, request)
 	f := &forwardCall{
 		router: r, view: view, route: rt, service: r.pickService(rt), request: request, deadline: deadline,
-		results: make(chan attemptResult, max(1, rt.Attempts)),
 	}
+	f.results = make(chan attemptResult, max(1, rt.Attempts, len(view.byService[f.service])))
 	f.send(ctx, firstAttempt)
 	return f.await(ctx)
 }
@@ -72,7 +76,7 @@
 }
 
 func (f *forwardCall) send(ctx context.Context, kind attemptKind) {
-	if len(f.tried) >= max(1, f.route.Attempts) {
+	if f.attempts >= max(1, f.route.Attempts) {
 		return
 	}
 	a := f.router.chooseUpstream(f.view, f.route, f.service, f.tried, kind)
@@ -80,6 +84,7 @@
 		return
 	}
 	f.tried = append(f.tried, a.upstream)
+	f.attempts++
 	f.pending++
 	go func() {
 		response, err := f.router.run(ctx, f.route, a, f.request)
@@ -121,6 +126,9 @@
 func (f *forwardCall) handleResult(ctx context.Context, done attemptResult) *upstreamconn.Response {
 	notRun := !mayHaveArrived(done.response, done.err) || (done.response != nil && done.response.NotRun)
 	f.mayHaveRun = f.mayHaveRun || !notRun
+	if isNoRoom(done.err) {
+		f.attempts--
+	}
 	if done.response != nil && !done.response.NotRun {
 		if done.response.Status < 500 {
 			return done.response
@@ -133,10 +141,20 @@
 	return nil
 }
 
+// noRoomFor returns how long all upstreams of the service stay at their rate limits, or 0 if one has room.
+func (f *forwardCall) noRoomFor() time.Duration {
+	f.router.mu.Lock()
+	defer f.router.mu.Unlock()
+	return f.router.waitForRoom(f.view, f.service, time.Now())
+}
+
 func (f *forwardCall) outcome() (*upstreamconn.Response, error) {
 	switch {
 	case f.lastResponse != nil:
 		return f.lastResponse, nil
+	case !f.mayHaveRun && f.noRoomFor() > 0:
+		return nil, fault.New(fault.RateLimited, "router.forward", "no upstream of %q has room: %w", f.service,
+			&ratelimit.NoRoomError{RetryAfter: f.noRoomFor()})
 	case !f.mayHaveRun:
 		return nil, fault.New(fault.NotRun, "router.forward", "none of %d upstreams accepted the request", len(f.tried))
 	}
--- a/internal/router/ratelimit.go
+++ b/internal/router/ratelimit.go
@@ -2,9 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
+	"github.com/wisteriamux/wisteriamux/internal/relay"
+	"github.com/wisteriamux/wisteriamux/internal/route"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
 
@@ -13,8 +19,12 @@
 	return ratelimit.Key{Instance: u.instance.ID, Born: u.instance.Born}
 }
 
-// send sends a request to an upstream. Every request of this VM to an upstream passes here.
-func (r *Router) send(ctx context.Context, u *upstream, request *upstreamconn.Request) (*upstreamconn.Response, error) {
+// send sends a request of the rank to an upstream. Every request of this VM to an upstream passes here, so that all of
+// them count towards the upstream's rate limit. A NoRoomError means that nothing was sent.
+func (r *Router) send(ctx context.Context, u *upstream, rank int, request *upstreamconn.Request) (*upstreamconn.Response, error) {
+	if err := r.permit(ctx, u, rank); err != nil {
+		return nil, err
+	}
 	response, err := u.pool.Do(ctx, request)
 	if err == nil && !response.Misdirected {
 		r.observeLimit(u, response.RateLimit)
@@ -22,10 +32,12 @@
 	return response, err
 }
 
-// observeLimit records what a response of the upstream says about its request rate.
-func (r *Router) observeLimit(u *upstream, s ratelimit.Statement) {
+// observeLimit records what a response of the upstream that has just arrived says about its request rate.
+func (r *Router) observeLimit(u *upstream, s ratelimit.Statement) { r.observeLimitAt(time.Now(), u, s) }
+
+func (r *Router) observeLimitAt(at time.Time, u *upstream, s ratelimit.Statement) {
 	r.mu.Lock()
-	change := r.limits.Observe(time.Now(), u.limitKey(), s)
+	change := r.limits.Observe(at, u.limitKey(), s)
 	r.mu.Unlock()
 	if change.BecameUnreadable {
 		r.log.Warn("upstream rate limit cannot be read", "upstream", u.instance.ID, "service", u.instance.Service,
@@ -36,3 +48,132 @@
 			"before", change.Before, "after", change.After)
 	}
 }
+
+// holderRetry is how long an upstream counts as full while the VM that holds its bucket is not known or does not answer.
+const holderRetry = 50 * time.Millisecond
+
+// isNoRoom reports whether a request was not sent because of a rate limit.
+func isNoRoom(err error) bool {
+	var noRoom *ratelimit.NoRoomError
+	return errors.As(err, &noRoom)
+}
+
+// permit returns a NoRoomError unless the upstream has no rate limit or a permit was granted.
+func (r *Router) permit(ctx context.Context, u *upstream, rank int) error {
+	now := time.Now()
+	key := u.limitKey()
+	r.mu.Lock()
+	perSecond, statedAt, _ := r.limits.Known(key)
+	r.mu.Unlock()
+	if perSecond == 0 {
+		return nil
+	}
+	args := relay.PermitArgs{Upstream: key, PerSecond: perSecond, Age: now.Sub(statedAt), Rank: rank}
+	grant := r.askHolder(ctx, u, args)
+	if grant.Granted {
+		return nil
+	}
+	r.recordFull(u, grant.RetryAfter)
+	return &ratelimit.NoRoomError{RetryAfter: grant.RetryAfter}
+}
+
+// askHolder asks the VM that holds the bucket of the upstream for a permit, and adopts newer knowledge of the limit.
+func (r *Router) askHolder(ctx context.Context, u *upstream, args relay.PermitArgs) ratelimit.Grant {
+	if r.peers == nil {
+		return r.issue(args, r.View().watchers)
+	}
+	link, self := r.peers.Holder(args.Upstream.Instance, time.Now())
+	if self {
+		return r.issue(args, 1)
+	}
+	if link == nil {
+		return ratelimit.Grant{RetryAfter: holderRetry}
+	}
+	reply, err := link.Permit(ctx, args)
+	if err != nil {
+		if ctx.Err() == nil {
+			r.log.Warn("permit not obtained", "upstream", args.Upstream.Instance, "holder", link.PeerID(), "code", fault.CodeOf(err), "error", err)
+		}
+		return ratelimit.Grant{RetryAfter: holderRetry}
+	}
+	r.observeLimitAt(time.Now().Add(-reply.Age), u, ratelimit.Statement{PerSecond: reply.PerSecond})
+	return reply.Grant
+}
+
+// issue takes a permit from the bucket that this VM holds. The number of issuers is that of the VMs with such a bucket.
+func (r *Router) issue(args relay.PermitArgs, issuers int) ratelimit.Grant {
+	demand := ratelimit.Demand{PerSecond: args.PerSecond, Rank: args.Rank, Issuers: issuers}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.issuer.Take(time.Now(), args.Upstream, demand, rand.Float64())
+}
+
+// Permit grants or denies a permit to another entry VM. It implements relay.Executor. Only the VM that holds the bucket of
+// the upstream grants permits, so that two VMs do not grant the whole limit at the same time.
+func (r *Router) Permit(args relay.PermitArgs) relay.PermitReply {
+	now := time.Now()
+	reply := relay.PermitReply{Grant: ratelimit.Grant{RetryAfter: holderRetry}, PerSecond: args.PerSecond, Age: args.Age}
+	if u, ok := r.View().byID[args.Upstream.Instance]; ok && u.limitKey() == args.Upstream {
+		r.observeLimitAt(now.Add(-args.Age), u, ratelimit.Statement{PerSecond: args.PerSecond})
+		r.mu.Lock()
+		perSecond, statedAt, _ := r.limits.Known(args.Upstream)
+		r.mu.Unlock()
+		reply.PerSecond, reply.Age = perSecond, now.Sub(statedAt)
+	}
+	if reply.PerSecond == 0 {
+		reply.Grant = ratelimit.Grant{Granted: true}
+		return reply
+	}
+	if _, self := r.peers.Holder(args.Upstream.Instance, now); self {
+		args.PerSecond = reply.PerSecond
+		reply.Grant = r.issue(args, 1)
+	}
+	return reply
+}
+
+// recordFull records that the upstream is at its rate limit.
+func (r *Router) recordFull(u *upstream, retryAfter time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts.NoRoom++
+	r.limits.Full(u.limitKey(), time.Now().Add(retryAfter))
+}
+
+// Leave hands the buckets of this VM over to others, because it is about to stop.
+func (r *Router) Leave() {
+	if r.peers != nil {
+		r.peers.Leave()
+	}
+}
+
+// refuseLimited returns an error if so many shards are at their rate limit that the search cannot reach its coverage, so
+// that it is refused before any upstream runs it.
+func (r *Router) refuseLimited(view *View, rt *route.Route, now time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limits.Empty() {
+		return nil
+	}
+	waits := make([]time.Duration, len(rt.Shards))
+	for shard, service := range rt.Shards {
+		waits[shard] = r.waitForRoom(view, service, now)
+	}
+	slices.Sort(waits)
+	if wait := waits[minShards(len(waits), rt.Coverage)-1]; wait > 0 {
+		return fault.New(fault.RateLimited, "router.admit", "too few of %d shards have room: %w", len(waits), &ratelimit.NoRoomError{RetryAfter: wait})
+	}
+	return nil
+}
+
+// waitForRoom returns how long all upstreams of the service stay at their rate limits. It is 0 if one of them has room, or
+// if there is none, since that is not a matter of limits. The caller must hold mu.
+func (r *Router) waitForRoom(view *View, service string, now time.Time) time.Duration {
+	var earliest time.Duration
+	for n, u := range view.byService[service] {
+		wait := max(0, r.limits.RoomAt(u.limitKey()).Sub(now))
+		if n == 0 || wait < earliest {
+			earliest = wait
+		}
+	}
+	return earliest
+}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -6,6 +6,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/gather"
+	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/replica"
 	"github.com/wisteriamux/wisteriamux/internal/route"
@@ -27,7 +28,7 @@
 	r.counts.Executed++
 	a := &attempt{upstream: u, sent: now, ticket: r.tracker.Sent(now, requested.Instance, expected)}
 	r.mu.Unlock()
-	response, err := r.send(ctx, u, request)
+	response, err := r.send(ctx, u, requested.Rank, request)
 	r.updateTracker(a, directResult(response, err, ctx.Err() != nil), time.Since(now))
 	return response, err
 }
@@ -153,7 +154,7 @@
 	for shard, a := range batch.open {
 		args.Remaining = remaining(s.route, r, a)
 		args.Attempts = append(args.Attempts, relay.Attempt{
-			Number: shard, Instance: a.upstream.instance.ID,
+			Number: shard, Instance: a.upstream.instance.ID, Rank: s.route.Rank,
 			Optional: len(s.view.byService[s.route.Shards[shard]])-len(s.tried[shard]) >= minAlternatives,
 		})
 	}
@@ -207,8 +208,14 @@
 		if !open {
 			continue
 		}
-		if ended.Outcome == relay.Declined {
+		switch ended.Outcome {
+		case relay.Declined:
 			s.router.recordPeerCost(a, ended.Cost)
+		case relay.Limited:
+			s.router.recordFull(a.upstream, ended.RetryAfter)
+		}
+		if ended.RateLimit != nil {
+			s.router.observeLimit(a.upstream, ratelimit.Statement{PerSecond: *ended.RateLimit})
 		}
 		s.finishRelayed(r.from, shard, a, attemptEnd{result: relayedResult(ended.Outcome), took: ended.Took, cause: reasonOf(ended)})
 		if !s.state.Ended(shard, outcome) {
@@ -263,7 +270,7 @@
 	switch outcome {
 	case relay.Answered:
 		return gather.Success
-	case relay.Unsent, relay.Unreachable, relay.Declined:
+	case relay.Unsent, relay.Unreachable, relay.Declined, relay.Limited:
 		return gather.NotSent
 	}
 	return gather.Failure
@@ -301,7 +308,7 @@
 		return replica.Misdirected
 	case relay.Unreachable:
 		return replica.Unreachable
-	case relay.Declined:
+	case relay.Declined, relay.Limited:
 		return replica.Declined
 	}
 	return replica.Failed
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -75,8 +75,10 @@
 	routes  map[string]*routeStats
 	// overload holds the controller of each set of shards, keyed by the first shard.
 	overload map[string]*overload.Controller
-	// limits holds the request rates that upstreams have named.
+	// limits holds the request rates that upstreams have named, and issuer the buckets of those upstreams that this VM
+	// holds.
 	limits *ratelimit.Book
+	issuer *ratelimit.Issuer
 	// roundTrip estimates the round-trip time to callers.
 	roundTrip roundTrip
 	counts    Counts
@@ -99,6 +101,8 @@
 	// Limited is the number of upstreams whose request rate is limited now, and LimitsUnreadable counts the responses that
 	// named a limit that could not be read.
 	Limited, LimitsUnreadable int64
+	// NoRoom counts the attempts that were not sent because their upstream was at its rate limit.
+	NoRoom int64
 }
 
 // routeStats holds the statistics of one route.
@@ -117,7 +121,7 @@
 		config: config, control: control, log: log, memory: memory,
 		builder: &viewBuilder{domain: config.FailureDomain, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
-		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(),
+		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(),
 	}
 	if config.RelayAddress != "" {
 		r.peers = relay.NewPeers(config.ID, config.FailureDomain, config.DialRelay, log)
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -73,6 +73,9 @@
 	if err := r.admit(rt, request); err != nil {
 		return nil, err
 	}
+	if err := r.refuseLimited(view, rt, request.Received); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	goal, deadline, hedge := r.deadlines(rt, request)
@@ -199,7 +202,11 @@
 		s.cancelShard(p.shard)
 		return
 	}
-	if s.state.Ended(p.shard, gather.Failure) {
+	outcome := gather.Failure
+	if isNoRoom(p.err) {
+		outcome = gather.NotSent
+	}
+	if s.state.Ended(p.shard, outcome) {
 		s.send(ctx, []int{p.shard}, retryKind(p.response, p.err))
 	}
 }
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -140,10 +140,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tracker.Retain(func(id string) bool { return live[id] })
-	r.limits.Retain(func(key ratelimit.Key) bool {
+	registered := func(key ratelimit.Key) bool {
 		u, ok := view.byID[key.Instance]
 		return ok && u.limitKey() == key
-	})
+	}
+	r.limits.Retain(registered)
+	r.issuer.Retain(registered)
 	if view.Routes == nil {
 		return
 	}
