Keep to rate limits in the data plane that owns upstreams, too

An entry VM of wmux-entry is the only one that sends to an upstream it owns, but did not read a rate limit.

Change: searches and bookings of an upstream pass a limiter, which uses the bucket of internal/ratelimit and outlives changes of the announcement. A request beyond the limit is refused as not run, so that a booking stays at most once and a search takes another replica. Stand-in upstreams name a limit on POST /admin/ratelimit.

Not covered: the baseline that sends directly from all VMs (ownership = direct).

--- a/internal/entry/announce_test.go
+++ b/internal/entry/announce_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"strings"
 	"sync"
@@ -186,7 +187,7 @@
 		upstream := startUpstream(control, "u1", "clerk", 8)
 		upstream.crashOn = "poison"
 		v := startVM(control, "entry-1", nil)
-		target := upstreamapi.NewClient(upstream.Listener.Addr().String(), 20, 8)
+		target := upstreamapi.NewClient(upstream.Listener.Addr().String(), 20, 8, upstreamapi.NewRateLimiter("u", slog.New(slog.DiscardHandler)))
 		var group sync.WaitGroup
 		var refused, failed atomic.Int64
 		for i := range 300 {
--- a/internal/entry/bookowner.go
+++ b/internal/entry/bookowner.go
@@ -28,9 +28,11 @@
 // bookingPool holds the slots and the connections of one upstream of a booking service. Such an upstream takes no
 // searches, so that its slots are not shared with a pool for searches.
 type bookingPool struct {
-	address string
-	slots   chan struct{}
-	client  *upstreamapi.Client
+	instance string
+	address  string
+	slots    chan struct{}
+	limiter  *upstreamapi.RateLimiter
+	client   *upstreamapi.Client
 }
 
 // bookingOwner sends booking attempts to the upstreams of this entry VM, each at most once.
@@ -212,14 +214,20 @@
 		return nil, fault.New(fault.NotRun, "bookowner.lane", "%d bookings already wait for or run on upstream %s", o.accepted[upstream.Name], upstream.Name)
 	}
 	current, ok := o.pools[upstream.Name]
-	if ok && current.address == upstream.Address && cap(current.slots) == upstream.Slots {
+	if ok && current.instance == upstream.Instance && current.address == upstream.Address && cap(current.slots) == upstream.Slots {
 		return current, nil
 	}
 	created := &bookingPool{
-		address: upstream.Address,
-		slots:   make(chan struct{}, upstream.Slots),
-		client:  upstreamapi.NewClient(upstream.Address, upstream.Connections, upstream.Slots),
+		instance: upstream.Instance,
+		address:  upstream.Address,
+		slots:    make(chan struct{}, upstream.Slots),
 	}
+	if ok && current.instance == upstream.Instance {
+		created.limiter = current.limiter
+	} else {
+		created.limiter = upstreamapi.NewRateLimiter(upstream.Name, o.guard.log)
+	}
+	created.client = upstreamapi.NewClient(upstream.Address, upstream.Connections, upstream.Slots, created.limiter)
 	o.pools[upstream.Name] = created
 	return created, nil
 }
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"strconv"
 	"sync"
 	"time"
@@ -55,6 +56,7 @@
 	// started holds the start time of each running job.
 	started  map[*job]time.Time
 	client   *upstreamapi.Client
+	limiter  *upstreamapi.RateLimiter
 	upstream model.Upstream
 	closed   bool
 }
@@ -125,13 +127,13 @@
 		p = &pool{name: upstream.Name, queue: admission.NewQueue[*job](upstream.Slots, admission.EqualWeight), started: map[*job]time.Time{}}
 		o.pools[upstream.Name] = p
 	}
-	p.applyAnnouncement(upstream)
+	p.applyAnnouncement(upstream, o.guard.log)
 	return p
 }
 
 // applyAnnouncement replaces the client and resizes the slots after a changed announcement. Requests in flight keep
 // their slots and connections.
-func (p *pool) applyAnnouncement(upstream model.Upstream) {
+func (p *pool) applyAnnouncement(upstream model.Upstream, log *slog.Logger) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.client != nil && p.upstream.Announcement == upstream.Announcement {
@@ -140,7 +142,10 @@
 	if p.client != nil {
 		p.client.Close()
 	}
-	p.client = upstreamapi.NewClient(upstream.Address, upstream.Connections, upstream.Slots)
+	if p.limiter == nil || p.upstream.Instance != upstream.Instance {
+		p.limiter = upstreamapi.NewRateLimiter(upstream.Name, log)
+	}
+	p.client = upstreamapi.NewClient(upstream.Address, upstream.Connections, upstream.Slots, p.limiter)
 	p.queue.Resize(upstream.Slots)
 	p.upstream = upstream
 }
--- a/internal/standin/admin.go
+++ b/internal/standin/admin.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
 )
 
 // SlowRequest is the body of POST /admin/slow. It starts a slow period.
@@ -16,6 +18,11 @@
 	DurationMillis int64   `json:"duration_ms"`
 }
 
+// RateLimitRequest is the body of POST /admin/ratelimit. It sets the limit that the responses name, empty for none.
+type RateLimitRequest struct {
+	Text string `json:"text"`
+}
+
 // ShardMapRequest is the body of POST /admin/shardmap. It replaces the shard map that the stand-in announces.
 type ShardMapRequest struct {
 	Generation uint64 `json:"generation"`
@@ -49,6 +56,7 @@
 	router.HandleFunc("/bookings", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, u.Bookings()) }).Methods(http.MethodGet)
 	router.HandleFunc("/drain", func(w http.ResponseWriter, _ *http.Request) { u.Drain() }).Methods(http.MethodPost)
 	router.HandleFunc("/slow", adminPost(u.startSlowPeriod)).Methods(http.MethodPost)
+	router.HandleFunc("/ratelimit", adminPost(u.setRateLimit)).Methods(http.MethodPost)
 	router.HandleFunc("/shardmap", adminPost(u.setShardMap)).Methods(http.MethodPost)
 	router.HandleFunc("/versions", adminPost(u.setVersions)).Methods(http.MethodPost)
 }
@@ -73,6 +81,15 @@
 	u.serviceTimes.startSlowPeriod(request.Factor, time.Now().Add(time.Duration(request.DurationMillis)*time.Millisecond))
 }
 
+func (u *Upstream) setRateLimit(request RateLimitRequest) { u.rateLimit.Store(&request.Text) }
+
+// nameRateLimit adds the rate limit to a response.
+func (u *Upstream) nameRateLimit(header http.Header) {
+	if text := u.rateLimit.Load(); text != nil && *text != "" {
+		header.Set(upstreamapi.HeaderRateLimit, *text)
+	}
+}
+
 func (u *Upstream) setShardMap(request ShardMapRequest) {
 	u.mu.Lock()
 	u.announcement.Generation = request.Generation
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -30,9 +31,11 @@
 // Upstream is a simulated upstream. It announces itself to entry VMs, serves searches and bookings with the configured
 // service times, and counts what it receives and runs.
 type Upstream struct {
-	config       Config
-	log          *slog.Logger
-	slots        chan struct{}
+	config Config
+	log    *slog.Logger
+	slots  chan struct{}
+	// rateLimit is the rate limit that the responses name, nil or empty for none.
+	rateLimit    atomic.Pointer[string]
 	serviceTimes *serviceTimes
 	listener     *boundedListener
 	router       *mux.Router
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -74,7 +74,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r := &testUpstream{
 		upstream: standin.New(config, slog.New(slog.NewTextHandler(io.Discard, nil))),
-		client:   upstreamapi.NewClient(listener.Addr().String(), 100, 100),
+		client:   upstreamapi.NewClient(listener.Addr().String(), 100, 100, upstreamapi.NewRateLimiter("u", slog.New(slog.DiscardHandler))),
 		base:     "http://" + listener.Addr().String(),
 		stop:     stop,
 		ended:    make(chan error, 1),
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -244,6 +244,7 @@
 	if refused.notRun {
 		w.Header().Set(upstreamapi.HeaderNotRun, "true")
 	}
+	u.nameRateLimit(w.Header())
 	time.Sleep(u.config.OneWayDelay)
 	http.Error(w, refused.reason, refused.status)
 }
@@ -252,6 +253,7 @@
 	if !sleep(ctx, u.config.OneWayDelay) {
 		return
 	}
+	u.nameRateLimit(w.Header())
 	writeJSON(w, body)
 }
 
--- a/internal/upstreamapi/client.go
+++ b/internal/upstreamapi/client.go
@@ -46,12 +46,14 @@
 	pooled    *http.Transport
 	dedicated *http.Transport
 	sparePool *sparePool
+	limiter   *RateLimiter
 }
 
 // NewClient returns a client of the upstream at the address. It divides the given number of connections among spare
 // connections, dedicated connections, of which each request with DedicatedConn uses one and occupies one slot, and
-// pooled connections. Together they never exceed that number.
-func NewClient(address string, connections, slots int) *Client {
+// pooled connections. Together they never exceed that number. The limiter outlives a client whose upstream process has
+// only changed its announcement.
+func NewClient(address string, connections, slots int, limiter *RateLimiter) *Client {
 	spareCount := min(maxSpareConns, max(0, connections-slots))
 	dedicated := min(slots, max(1, (connections-spareCount)/2))
 	sparePool := newSparePool(address, spareCount)
@@ -61,6 +63,7 @@
 		pooled:    newTransport(sparePool.dialContext, max(1, connections-spareCount-dedicated), false),
 		dedicated: newTransport(dialer.DialContext, dedicated, true),
 		sparePool: sparePool,
+		limiter:   limiter,
 	}
 }
 
@@ -155,6 +158,9 @@
 
 // post sends a request and returns the body of the response. A status other than 200 is an error.
 func (c *Client) post(ctx context.Context, path string, call Call, body []byte, header http.Header) ([]byte, error) {
+	if err := c.limiter.take(time.Now()); err != nil {
+		return nil, err
+	}
 	var conn *sealableConn
 	var writesBefore uint64
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -174,6 +180,7 @@
 		return nil, transportError(ctx, err, conn.sealIfUnwritten(writesBefore))
 	}
 	defer func() { _ = response.Body.Close() }()
+	c.limiter.observe(time.Now(), response.Header)
 	data, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes+1))
 	if err != nil {
 		return nil, transportError(ctx, err, false)
--- a/internal/upstreamapi/limits_test.go
+++ b/internal/upstreamapi/limits_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -36,7 +37,7 @@
 			}
 			taken <- total
 		}()
-		client := upstreamapi.NewClient(listener.Addr().String(), 1, 1)
+		client := upstreamapi.NewClient(listener.Addr().String(), 1, 1, upstreamapi.NewRateLimiter("u", slog.New(slog.DiscardHandler)))
 		defer client.Close()
 		_, err = client.Search(context.Background(), upstreamapi.Call{Timeout: 4 * time.Second}, upstreamapi.SearchRequest{})
 		Expect(err).To(HaveOccurred())
--- a/internal/upstreamapi/messages.go
+++ b/internal/upstreamapi/messages.go
@@ -13,6 +13,9 @@
 	HeaderAttempt         = "Wisteria-Attempt"
 	// HeaderNotRun is "true" in a response with status 503 if the upstream refused the request before it started it.
 	HeaderNotRun = "Wisteria-Not-Run"
+	// HeaderRateLimit is set in the responses of an upstream in need: the requests per second that it takes from all entry
+	// VMs together, a positive decimal number, for as long as its responses say so.
+	HeaderRateLimit = "Wisteria-Rate-Limit"
 )
 
 // Paths of the API. Upstreams serve PathSearch and PathBook, entry VMs serve PathAnnounce.
