Connect again to a relay that was stopped as planned

Cause: a relay announces its stop, and from then on its peers send it no batches. Nothing else watches the connection, so that its end goes unnoticed, and if the VM is back within the 8 s until it would leave the list, its peers never use it again: neither as relay nor as holder of a bucket.

Change: after an announced stop the link drops its connection when that ends, or after 8 s.

Ruled out: a lost announcement, as the log of each of the two VMs shows 'relay shutting down' for the other without a later 'relay connected'.

--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -12,6 +12,9 @@
 	silentAfter = maxReportDelay + 60*time.Millisecond
 	// lostAfter is how long a call waits for a report before the connection is considered lost.
 	lostAfter = time.Second
+	// shutdownLimit is how long a connection is kept after the relay has announced its shutdown. Planned stops take up to
+	// 6 s, and batches in progress are reported until then.
+	shutdownLimit = 8 * time.Second
 )
 
 // condition is the state of the connection to a peer.
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -68,18 +68,32 @@
 		_ = raw.Close()
 		return
 	}
-	l.conn = rpc.NewClient(rpcconn.WithWriteTimeout(raw))
+	ended := make(chan struct{})
+	l.conn = rpc.NewClient(rpcconn.OnReadError(rpcconn.WithWriteTimeout(raw), sync.OnceFunc(func() { close(ended) })))
 	l.health.onConnected()
-	go l.watchShutdown(l.conn)
+	go l.watchShutdown(l.conn, ended)
 	l.log.Info("relay connected", "relay", l.peer.ID, "failure_domain", l.peer.FailureDomain, "address", l.peer.Address)
 }
 
-// watchShutdown waits until the relay announces its shutdown or the connection ends.
-func (l *Link) watchShutdown(conn *rpc.Client) {
+// watchShutdown waits until the relay announces its shutdown or the connection ends. After an announced shutdown it drops
+// the connection when that ends, or after shutdownLimit, so that the link connects to the restarted process: no batch is
+// sent that would notice the end.
+func (l *Link) watchShutdown(conn *rpc.Client, ended <-chan struct{}) {
 	if err := conn.Call(ServiceName+".Stay", Empty{}, &Empty{}); err != nil {
 		l.dropConn(conn, fault.New(fault.Unavailable, "relay.stay", "connection lost: %w", err))
 		return
 	}
+	l.announceShutdown(conn)
+	timer := time.NewTimer(shutdownLimit)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+	}
+	l.dropConn(conn, fault.New(fault.Unavailable, "relay.stay", "the relay has shut down"))
+}
+
+func (l *Link) announceShutdown(conn *rpc.Client) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn == conn {
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -124,7 +124,8 @@
 		Expect(err).NotTo(HaveOccurred())
 		stalling = &stallListener{Listener: listener}
 		go server.Serve(stalling)
-		DeferCleanup(listener.Close)
+		// A spec may have closed the listener already.
+		DeferCleanup(func() { _ = listener.Close() })
 		peer := controlrpc.Peer{ID: "r", FailureDomain: "b", Address: listener.Addr().String()}
 		link = newLink(peer, controlrpc.PlainDialer, discard)
 		Eventually(func() bool { return link.usable(time.Now()) }).Should(BeTrue())
@@ -192,6 +193,19 @@
 		Eventually(exec.wasCancelled("hangs")).Should(BeTrue())
 	})
 
+	It("connects again to a relay that was stopped as planned and started at the same address", func() {
+		server.NotifyShutdown()
+		Eventually(func() bool { return link.usable(time.Now()) }).Should(BeFalse())
+		address := stalling.Addr().String()
+		Expect(stalling.Close()).To(Succeed())
+		stalling.closeConns()
+		listener, err := net.Listen("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go NewServer(exec, discard).Serve(listener)
+		Eventually(func() bool { return link.usable(time.Now()) }).WithTimeout(5 * time.Second).Should(BeTrue())
+	})
+
 	It("fails the batches of a lost connection and reconnects", func() {
 		_, out := start(RunArgs{}, "hangs")
 		time.Sleep(20 * time.Millisecond)
