Let all VMs of a large fleet name the same holder of a bucket

Each upstream had many holders, and each granted the whole rate limit.

Change: the samples now have the first four VMs of each failure domain in common, by a hash of their IDs, and only these hold buckets. A VM that holds a bucket because it cannot reach the VMs before it grants a half, an eighth, a thirty-second part, so that several holders together stay within one and a half times the limit however long that lasts.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -52,17 +52,26 @@
 	return samplePeers(all, watcher, peersPerDomain)
 }
 
-// samplePeers returns at most perDomain peers of each failure domain, ordered by ID. It selects them by rendezvous
-// hashing: different watchers get different peers, which spreads the load, and a watcher keeps most of its peers when
-// the fleet changes.
+// samplePeers returns at most perDomain peers of each failure domain, ordered by ID. The first ones are the same for all
+// watchers, so that all of them agree on which VM holds what is held once. It selects the others by rendezvous hashing:
+// different watchers get different peers, which spreads the load, and a watcher keeps most of its peers when the fleet
+// changes.
 func samplePeers(all []controlrpc.Peer, watcher string, perDomain int) []controlrpc.Peer {
-	slices.SortFunc(all, func(a, b controlrpc.Peer) int {
-		return cmp.Or(cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(peerScore(watcher, a.ID), peerScore(watcher, b.ID)))
-	})
-	var sample []controlrpc.Peer
+	slices.SortFunc(all, controlrpc.CommonOrder)
+	var sample, others []controlrpc.Peer
 	taken := map[string]int{}
 	for _, peer := range all {
-		if taken[peer.FailureDomain]++; taken[peer.FailureDomain] <= perDomain {
+		if taken[peer.FailureDomain] < min(controlrpc.CommonPeersPerDomain, perDomain) {
+			taken[peer.FailureDomain]++
+			sample = append(sample, peer)
+			continue
+		}
+		others = append(others, peer)
+	}
+	slices.SortFunc(others, func(a, b controlrpc.Peer) int { return cmp.Compare(peerScore(watcher, a.ID), peerScore(watcher, b.ID)) })
+	for _, peer := range others {
+		if taken[peer.FailureDomain] < perDomain {
+			taken[peer.FailureDomain]++
 			sample = append(sample, peer)
 		}
 	}
--- a/internal/controlrpc/routes.go
+++ b/internal/controlrpc/routes.go
@@ -1,10 +1,13 @@
 package controlrpc
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/registry"
 	"github.com/wisteriamux/wisteriamux/internal/route"
@@ -36,6 +39,15 @@
 	Address       string
 }
 
+// CommonPeersPerDomain is the number of entry VMs of each failure domain that the lists of all entry VMs have in common,
+// themselves included. They are the first ones by CommonOrder.
+const CommonPeersPerDomain = 4
+
+// CommonOrder compares two peers by a hash of their IDs, which is the same for all processes.
+func CommonOrder(a, b Peer) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
+}
+
 // WatchReply carries the changes after the known revision.
 type WatchReply struct {
 	Fault    *fault.WireError
--- a/internal/ratelimit/issuer.go
+++ b/internal/ratelimit/issuer.go
@@ -49,6 +49,23 @@
 	Rank int
 	// Issuers is the number of VMs that grant permits for the upstream independently of each other. Each grants its part.
 	Issuers int
+	// Deputy is the number of VMs that would grant the permits if the issuer could reach them.
+	Deputy int
+}
+
+// rate returns the number of permits per second that one issuer grants. If some VMs cannot reach each other for long,
+// several of them grant permits for an upstream. The parts of deputies are so small that all of them together stay below
+// the limit and a half that is allowed: a half, an eighth, a thirty-second part.
+func (d Demand) rate() float64 {
+	share := usableShare
+	if d.Issuers > 1 {
+		share = independentShare
+	}
+	rate := math.Max(share*d.PerSecond, minPerSecond) / math.Max(1, float64(d.Issuers))
+	if d.Deputy > 0 {
+		rate *= 2 * math.Pow(4, -float64(d.Deputy))
+	}
+	return rate
 }
 
 // Grant is the answer to a request for a permit.
@@ -83,10 +100,7 @@
 	issuers := float64(max(1, d.Issuers))
 	burst := (burstBase + burstSeconds*d.PerSecond) / issuers
 	b := i.bucket(now, key, math.Min(firstPermits, burst)/issuers)
-	rate := math.Max(usableShare*d.PerSecond, minPerSecond)
-	if issuers > 1 {
-		rate = math.Max(independentShare*d.PerSecond, minPerSecond) / issuers
-	}
+	rate := d.rate()
 	if now.Sub(b.since) < handOver {
 		rate /= 2
 	}
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -151,6 +151,19 @@
 				}
 			})
 
+			It("send no more than allowed in any window while several of them hold its bucket, because they cannot reach each other: "+name, func() {
+				issuers := []*Issuer{NewIssuer(), NewIssuer(), NewIssuer()}
+				var sends []time.Duration
+				for now := time.Duration(0); now < duration; now += 10 * time.Millisecond {
+					for deputy, issuer := range issuers {
+						if issuer.Take(at(now), key, Demand{PerSecond: perSecond, Deputy: deputy}, 0).Granted {
+							sends = append(sends, now)
+						}
+					}
+				}
+				Expect(most(sends)).To(BeNumerically("<=", allowed(perSecond)))
+			})
+
 			It("send no more than allowed in nearly all windows without a VM that holds its bucket: "+name, func() {
 				random := rand.New(rand.NewPCG(4, 5))
 				issuers := make([]*Issuer, vms)
--- a/internal/router/ratelimit.go
+++ b/internal/router/ratelimit.go
@@ -80,19 +80,19 @@
 // askHolder asks the VM that holds the bucket of the upstream for a permit, and adopts newer knowledge of the limit.
 func (r *Router) askHolder(ctx context.Context, u *upstream, args relay.PermitArgs) ratelimit.Grant {
 	if r.peers == nil {
-		return r.issue(args, r.View().watchers)
+		return r.issue(args, ratelimit.Demand{Issuers: r.View().watchers})
 	}
-	link, self := r.peers.Holder(args.Upstream.Instance, time.Now())
-	if self {
-		return r.issue(args, 1)
+	holder := r.peers.Holder(args.Upstream.Instance, time.Now())
+	if holder.Self {
+		return r.issue(args, ratelimit.Demand{Deputy: holder.Deputy})
 	}
-	if link == nil {
+	if holder.Link == nil {
 		return ratelimit.Grant{RetryAfter: holderRetry}
 	}
-	reply, err := link.Permit(ctx, args)
+	reply, err := holder.Link.Permit(ctx, args)
 	if err != nil {
 		if ctx.Err() == nil {
-			r.log.Warn("permit not obtained", "upstream", args.Upstream.Instance, "holder", link.PeerID(), "code", fault.CodeOf(err), "error", err)
+			r.log.Warn("permit not obtained", "upstream", args.Upstream.Instance, "holder", holder.Link.PeerID(), "code", fault.CodeOf(err), "error", err)
 		}
 		return ratelimit.Grant{RetryAfter: holderRetry}
 	}
@@ -100,9 +100,9 @@
 	return reply.Grant
 }
 
-// issue takes a permit from the bucket that this VM holds. The number of issuers is that of the VMs with such a bucket.
-func (r *Router) issue(args relay.PermitArgs, issuers int) ratelimit.Grant {
-	demand := ratelimit.Demand{PerSecond: args.PerSecond, Rank: args.Rank, Issuers: issuers}
+// issue takes a permit from the bucket that this VM holds.
+func (r *Router) issue(args relay.PermitArgs, demand ratelimit.Demand) ratelimit.Grant {
+	demand.PerSecond, demand.Rank = args.PerSecond, args.Rank
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.issuer.Take(time.Now(), args.Upstream, demand, rand.Float64())
@@ -124,9 +124,9 @@
 		reply.Grant = ratelimit.Grant{Granted: true}
 		return reply
 	}
-	if _, self := r.peers.Holder(args.Upstream.Instance, now); self {
+	if holder := r.peers.Holder(args.Upstream.Instance, now); holder.Self {
 		args.PerSecond = reply.PerSecond
-		reply.Grant = r.issue(args, 1)
+		reply.Grant = r.issue(args, ratelimit.Demand{Deputy: holder.Deputy})
 	}
 	return reply
 }
--- a/internal/router/ratelimit_test.go
+++ b/internal/router/ratelimit_test.go
@@ -184,8 +184,7 @@
 		asking.router.peers.Update([]controlrpc.Peer{holder.peer()}, time.Now())
 		holder.router.peers.Update([]controlrpc.Peer{asking.peer()}, time.Now())
 		heldBySelf := func() bool {
-			_, self := asking.router.peers.Holder(name, time.Now())
-			return self
+			return asking.router.peers.Holder(name, time.Now()).Self
 		}
 		Eventually(func() bool { return asking.canRelay("b") }).Should(BeTrue())
 		Expect(heldBySelf()).To(BeFalse())
@@ -202,12 +201,11 @@
 		leaving, next := startVM("leaving", "a"), startVM("next", "a")
 		name := upstreamHeldBy("leaving", "next")
 		leaving.router.peers.Update([]controlrpc.Peer{next.peer()}, time.Now())
-		_, self := leaving.router.peers.Holder(name, time.Now())
-		Expect(self).To(BeTrue())
+		Expect(leaving.router.peers.Holder(name, time.Now()).Self).To(BeTrue())
 		leaving.router.Leave()
 		Eventually(func() bool {
-			link, self := leaving.router.peers.Holder(name, time.Now())
-			return link != nil && !self
+			holder := leaving.router.peers.Holder(name, time.Now())
+			return holder.Link != nil && !holder.Self
 		}).Should(BeTrue())
 	})
 
@@ -216,8 +214,7 @@
 		name := upstreamHeldBy("holder", "asked")
 		asked.router.peers.Update([]controlrpc.Peer{holder.peer()}, time.Now())
 		Eventually(func() *relay.Link {
-			link, _ := asked.router.peers.Holder(name, time.Now())
-			return link
+			return asked.router.peers.Holder(name, time.Now()).Link
 		}).ShouldNot(BeNil())
 		reply := asked.router.Permit(relay.PermitArgs{Upstream: ratelimit.Key{Instance: name}, PerSecond: 1000})
 		Expect(reply.Grant.Granted).To(BeFalse())
@@ -225,9 +222,7 @@
 
 	It("is not known before the control group has sent the list of VMs, so that after a restart no VM holds every bucket", func() {
 		vm := startVM("restarted", "a")
-		link, self := vm.router.peers.Holder("u", time.Now())
-		Expect(link).To(BeNil())
-		Expect(self).To(BeFalse())
+		Expect(vm.router.peers.Holder("u", time.Now())).To(Equal(relay.Holder{}))
 	})
 })
 
@@ -237,7 +232,7 @@
 		id := fmt.Sprintf("u-%d", n)
 		peers := relay.NewPeers(holder, "a", func(string) (net.Conn, error) { return nil, net.ErrClosed }, slog.New(slog.DiscardHandler))
 		peers.Update([]controlrpc.Peer{{ID: other, FailureDomain: "a"}}, time.Now())
-		if _, self := peers.Holder(id, time.Now()); self {
+		if peers.Holder(id, time.Now()).Self {
 			return id
 		}
 	}
