--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -55,10 +56,19 @@
 	}
 	paths := mux.NewRouter()
 	paths.Handle("/metrics", metrics.Handler()).Methods(http.MethodGet)
+	paths.HandleFunc("/limits", func(w http.ResponseWriter, _ *http.Request) { writeLimits(w, r, log) }).Methods(http.MethodGet)
 	serve(listener, paths, log)
 	return func(rt *route.Route, status int, latency time.Duration) { recordRequest(metrics, rt, status, latency) }, nil
 }
 
+// writeLimits writes the rate limits in force as a JSON array.
+func writeLimits(w http.ResponseWriter, r *router.Router, log *slog.Logger) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(r.Limits()); err != nil {
+		log.Warn("writing the limits failed", "error", err)
+	}
+}
+
 func recordRequest(metrics *telemetry.Metrics, rt *route.Route, status int, latency time.Duration) {
 	if rt == nil {
 		metrics.Request("none", strconv.Itoa(status), latency)
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -83,6 +83,9 @@
 	// relay is the ID of the entry VM that executed the attempt, empty if it was this one.
 	relay string
 	cause error
+	// noRoom is set if the upstream was at its rate limit. Such ends are counted, not logged: there may be one for each
+	// request.
+	noRoom bool
 }
 
 // run executes an attempt and records its result. Cancelling the context aborts the attempt.
@@ -96,7 +99,7 @@
 	}
 	response, err := r.send(ctx, a.upstream, rt.Rank, &upstreamRequest)
 	took := time.Since(a.sent)
-	r.recordEnd(rt, request, a, attemptEnd{result: directResult(response, err, ctx.Err() != nil), took: took, cause: err})
+	r.recordEnd(rt, request, a, attemptEnd{result: directResult(response, err, ctx.Err() != nil), took: took, cause: err, noRoom: isNoRoom(err)})
 	return response, err
 }
 
@@ -119,7 +122,7 @@
 	}
 	r.mu.Unlock()
 	r.updateTracker(a, e.result, e.took)
-	if e.result != replica.Answered && e.result != replica.Abandoned {
+	if e.result != replica.Answered && e.result != replica.Abandoned && !e.noRoom {
 		r.log.Info("attempt failed", "request", request.ID, "route", rt.Name, "service", a.upstream.instance.Service,
 			"upstream", a.upstream.instance.ID, "upstream_since", a.upstream.instance.Since, "result", e.result.String(),
 			"took_ms", e.took.Milliseconds(), "relay", e.relay, "error", e.cause)
--- a/internal/router/ratelimit.go
+++ b/internal/router/ratelimit.go
@@ -177,3 +177,33 @@
 	}
 	return earliest
 }
+
+// LimitInForce is a rate limit that an upstream has named.
+type LimitInForce struct {
+	Upstream string `json:"upstream"`
+	Service  string `json:"service"`
+	// PerSecond is the number of requests per second that the upstream takes from all entry VMs together.
+	PerSecond float64 `json:"per_second"`
+	// Holder is the ID of the entry VM that grants permits, empty if it is not known.
+	Holder string `json:"holder"`
+}
+
+// Limits returns the rate limits in force, as far as this VM knows, ordered by upstream.
+func (r *Router) Limits() []LimitInForce {
+	view := r.View()
+	r.mu.Lock()
+	inForce := r.limits.InForce()
+	r.mu.Unlock()
+	all := []LimitInForce{}
+	for _, l := range inForce {
+		limit := LimitInForce{Upstream: l.Key.Instance, PerSecond: l.PerSecond}
+		if u, ok := view.byID[l.Key.Instance]; ok {
+			limit.Service = u.instance.Service
+		}
+		if r.peers != nil {
+			limit.Holder = r.peers.FirstHolder(l.Key.Instance)
+		}
+		all = append(all, limit)
+	}
+	return all
+}
--- a/internal/router/ratelimit_test.go
+++ b/internal/router/ratelimit_test.go
@@ -161,6 +161,12 @@
 		Expect(limited.requests.Load()).To(Equal(int64(2)))
 	})
 
+	It("are listed with the VM that grants permits", func() {
+		_, err := vm.forward("s")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(vm.router.Limits()).To(Equal([]LimitInForce{{Upstream: "limited", Service: "s", PerSecond: 0.5, Holder: "alone"}}))
+	})
+
 	It("take requests again as soon as one of their responses names no limit", func() {
 		_, err := vm.forward("s")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -217,7 +217,7 @@
 		if ended.RateLimit != nil {
 			s.router.observeLimit(a.upstream, ratelimit.Statement{PerSecond: *ended.RateLimit})
 		}
-		s.finishRelayed(r.from, shard, a, attemptEnd{result: relayedResult(ended.Outcome), took: ended.Took, cause: reasonOf(ended)})
+		s.finishRelayed(r.from, shard, a, attemptEnd{result: relayedResult(ended.Outcome), took: ended.Took, cause: reasonOf(ended), noRoom: ended.Outcome == relay.Limited})
 		if !s.state.Ended(shard, outcome) {
 			continue
 		}
