List the loss of a VM's links to all upstreams as a known fault

The new specs play four entry VMs in two failure domains, of which one, both of a failure domain, one of each, or three lose their links to all upstreams: silently, with refusals, or for new connections only. The pools of connections take a dialer, which the specs replace; no logic changes.

--- /dev/null
+++ b/internal/router/partition_test.go
@@ -0,0 +1,240 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/route"
+	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
+)
+
+// partition is what is wrong with the links between a VM and all upstreams.
+type partition int32
+
+const (
+	// intact means nothing is wrong.
+	intact partition = iota
+	// silent means that nothing arrives: open connections and new ones hang.
+	silent
+	// refused means that open connections are reset and new ones are refused.
+	refused
+	// refusedNew means that new connections are refused and open ones live on.
+	refusedNew
+)
+
+// upstreamLinks opens the connections of a VM to upstreams, and can partition the VM from all of them.
+type upstreamLinks struct {
+	state atomic.Int32
+	dials atomic.Int64
+
+	// mu guards conns.
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *upstreamLinks) set(p partition) {
+	l.state.Store(int32(p))
+	if p != refused {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, conn := range l.conns {
+		_ = conn.Close()
+	}
+	l.conns = nil
+}
+
+func (l *upstreamLinks) dial(ctx context.Context, address string) (net.Conn, error) {
+	l.dials.Add(1)
+	switch partition(l.state.Load()) {
+	case silent:
+		ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+		defer cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case refused, refusedNew:
+		return nil, syscall.ECONNREFUSED
+	}
+	conn, err := upstreamconn.DialTCP(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, conn)
+	return &partitionedConn{Conn: conn, links: l}, nil
+}
+
+// partitionedConn loses what is written and withholds what arrives while its VM is partitioned silently.
+type partitionedConn struct {
+	net.Conn
+	links *upstreamLinks
+}
+
+func (c *partitionedConn) Write(data []byte) (int, error) {
+	if partition(c.links.state.Load()) == silent {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
+// served is how many requests of each kind succeeded.
+type served struct{ searches, failedSearches, forwards, failedForwards int }
+
+// failures returns the number and the share of the requests that failed.
+func (s served) failures() (count int, share float64) {
+	count = s.failedSearches + s.failedForwards
+	return count, float64(count) / float64(max(1, count+s.searches+s.forwards))
+}
+
+// sendFor sends searches and forwarded requests to a VM, both at the interval, until the duration has passed.
+func sendFor(vm *relayVM, rt *route.Route, service string, duration, interval time.Duration) served {
+	var mu sync.Mutex
+	var s served
+	var wg sync.WaitGroup
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(interval) {
+		wg.Go(func() {
+			_, err := vm.search(rt)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				s.failedSearches++
+				return
+			}
+			s.searches++
+		})
+		wg.Go(func() {
+			_, err := vm.forward(service)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				s.failedForwards++
+				return
+			}
+			s.forwards++
+		})
+	}
+	wg.Wait()
+	return s
+}
+
+// fleet consists of VMs in two failure domains and of upstreams: two for each of some shards, and three of a service that
+// takes forwarded requests.
+type fleet struct {
+	a1, a2, b1, b2 *relayVM
+	search         *route.Route
+	upstreams      []*fakeUpstream
+}
+
+const plainService = "plain"
+
+func startFleet() *fleet {
+	const shards = 6
+	// callerLimit is about the shortest time that callers of the users' sites wait.
+	const callerLimit = 500 * time.Millisecond
+	f := &fleet{a1: startVM("a1", "a"), a2: startVM("a2", "a"), b1: startVM("b1", "b"), b2: startVM("b2", "b"), search: searchRoute()}
+	f.search.Timeout = callerLimit
+	for shard := range shards {
+		service := fmt.Sprintf("s%d", shard)
+		f.search.Shards = append(f.search.Shards, service)
+		f.upstreams = append(f.upstreams, startFakeUpstream(service+"-a", service, "a", byte(shard+1)), startFakeUpstream(service+"-b", service, "b", byte(shard+1)))
+	}
+	for n, domain := range []string{"a", "b", "b"} {
+		f.upstreams = append(f.upstreams, startFakeUpstream(fmt.Sprintf("%s-%d", plainService, n), plainService, domain, 1))
+	}
+	var peers []controlrpc.Peer
+	for _, vm := range f.vms() {
+		vm.adopt(f.upstreams...)
+		peers = append(peers, vm.peer())
+	}
+	for _, vm := range f.vms() {
+		vm.router.peers.Update(peers, time.Now())
+		vm.router.peers.Connect(shards, true, time.Now())
+	}
+	for _, vm := range f.vms() {
+		Eventually(func() bool { return vm.canRelay("a") || vm.canRelay("b") }).Should(BeTrue())
+	}
+	return f
+}
+
+func (f *fleet) vms() []*relayVM { return []*relayVM{f.a1, f.a2, f.b1, f.b2} }
+
+var _ = Describe("entry VMs that are partitioned from all upstreams", func() {
+	const (
+		warmUp   = 500 * time.Millisecond
+		noticing = 1200 * time.Millisecond
+		measured = time.Second
+		interval = 10 * time.Millisecond
+		// failedShare is the share of all first tries that the users allow to fail.
+		failedShare = 1.0 / 50
+	)
+	var f *fleet
+
+	BeforeEach(func() {
+		f = startFleet()
+		var warm sync.WaitGroup
+		for _, vm := range f.vms() {
+			warm.Go(func() { sendFor(vm, f.search, plainService, warmUp, interval) })
+		}
+		warm.Wait()
+	})
+
+	// playPartition partitions VMs, and returns what the VM served once the others have had time to notice.
+	playPartition := func(p partition, observed *relayVM, partitioned ...*relayVM) served {
+		for _, vm := range partitioned {
+			vm.links.set(p)
+		}
+		var background sync.WaitGroup
+		for _, vm := range f.vms() {
+			if vm != observed {
+				background.Go(func() { sendFor(vm, f.search, plainService, noticing+measured, interval) })
+			}
+		}
+		sendFor(observed, f.search, plainService, noticing, interval)
+		s := sendFor(observed, f.search, plainService, measured, interval)
+		background.Wait()
+		return s
+	}
+
+	for name, p := range map[string]partition{"silently": silent, "with refusals": refused, "for new connections only": refusedNew} {
+		It("serve their callers through VMs in touch when they are partitioned "+name, func() {
+			s := playPartition(p, f.a1, f.a1)
+			_, share := s.failures()
+			Expect(share).To(BeNumerically("<=", failedShare), "%+v", s)
+		})
+
+		It("serve their callers through the other failure domain when all of theirs is partitioned "+name, func() {
+			s := playPartition(p, f.a1, f.a1, f.a2)
+			_, share := s.failures()
+			Expect(share).To(BeNumerically("<=", failedShare), "%+v", s)
+		})
+
+		It("serve their callers when some of the VMs that relay for them are partitioned, too, "+name, func() {
+			s := playPartition(p, f.a1, f.a1, f.b2)
+			_, share := s.failures()
+			Expect(share).To(BeNumerically("<=", failedShare), "%+v", s)
+		})
+
+		It("do not make the callers of a VM in touch fail when its relays are partitioned "+name, func() {
+			s := playPartition(p, f.a1, f.b1, f.b2)
+			_, share := s.failures()
+			Expect(share).To(BeNumerically("<=", failedShare), "%+v", s)
+		})
+
+		It("do not make the callers of a VM in touch fail when most VMs are partitioned "+name, func() {
+			s := playPartition(p, f.b1, f.a1, f.a2, f.b2)
+			_, share := s.failures()
+			Expect(share).To(BeNumerically("<=", failedShare), "%+v", s)
+		})
+	}
+})
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -123,6 +123,7 @@
 	server   *relay.Server
 	listener net.Listener
 	conns    chan net.Conn
+	links    *upstreamLinks
 }
 
 func startVM(id, domain string) *relayVM {
@@ -131,10 +132,10 @@
 	// A test may have closed the listener already.
 	DeferCleanup(func() { _ = listener.Close() })
 	log := slog.New(slog.NewTextHandler(GinkgoWriter, nil))
-	vm := &relayVM{listener: listener, conns: make(chan net.Conn, 16)}
+	vm := &relayVM{listener: listener, conns: make(chan net.Conn, 16), links: &upstreamLinks{}}
 	vm.router = New(Config{
 		ID: id, FailureDomain: domain, ExtraShare: 0.2, ExtraFloor: 500, ExtraWindow: time.Second,
-		RelayAddress: listener.Addr().String(), DialRelay: controlrpc.PlainDialer,
+		RelayAddress: listener.Addr().String(), DialRelay: controlrpc.PlainDialer, DialUpstream: vm.links.dial,
 	}, nil, fakeCodec{}, log)
 	vm.server = relay.NewServer(vm.router, log)
 	go vm.server.Serve(&recordingListener{Listener: listener, conns: vm.conns})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,6 +44,8 @@
 	// relay addresses of those VMs. Without an address the VM sends all requests to upstreams directly.
 	RelayAddress string
 	DialRelay    controlrpc.Dialer
+	// DialUpstream opens connections to upstreams. The default is upstreamconn.DialTCP.
+	DialUpstream upstreamconn.Dialer
 	// MaxResponseBytes limits the body of the response to a forwarded request, and ResponseMemoryBytes the memory of all
 	// large responses that are being read. If 0, the defaults of upstreamconn apply.
 	MaxResponseBytes    int64
@@ -116,10 +118,13 @@
 
 // New returns a router with an empty view. It serves once WatchControl and SweepIdleConnections run.
 func New(config Config, control ControlClient, codec upstreamconn.Codec, log *slog.Logger) *Router {
+	if config.DialUpstream == nil {
+		config.DialUpstream = upstreamconn.DialTCP
+	}
 	memory := upstreamconn.NewMemory(cmp.Or(config.ResponseMemoryBytes, upstreamconn.DefaultMemoryBytes))
 	r := &Router{
 		config: config, control: control, log: log, memory: memory,
-		builder: &viewBuilder{domain: config.FailureDomain, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
+		builder: &viewBuilder{domain: config.FailureDomain, dialer: config.DialUpstream, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
 		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(),
 	}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -59,6 +59,7 @@
 // viewBuilder applies watch replies to the set of upstreams and builds views from it. Only WatchControl uses it.
 type viewBuilder struct {
 	domain    string
+	dialer    upstreamconn.Dialer
 	codec     upstreamconn.Codec
 	memory    *upstreamconn.Memory
 	upstreams map[string]*upstream
@@ -142,7 +143,7 @@
 		obsolete = append(obsolete, existing.pool)
 		fallthrough
 	default:
-		next.pool = upstreamconn.NewPool(instance.Address, b.codec, b.memory)
+		next.pool = upstreamconn.NewPool(instance.Address, b.dialer, b.codec, b.memory)
 	}
 	b.upstreams[instance.ID] = next
 	return obsolete
--- a/internal/upstreamconn/limits_test.go
+++ b/internal/upstreamconn/limits_test.go
@@ -60,7 +60,7 @@
 var _ = Describe("a response without end", func() {
 	DescribeTable("is given up at once, and its connection is closed so that the upstream stops", func(prefix, chunk string) {
 		e := serveEndless(prefix, chunk)
-		pool := upstreamconn.NewPool(e.address, codec{}, upstreamconn.NewMemory(1<<20))
+		pool := upstreamconn.NewPool(e.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(1<<20))
 		begin := time.Now()
 		_, err := doLimited(pool)
 		var requestErr *upstreamconn.RequestError
@@ -88,7 +88,7 @@
 
 	It("has an error code of its own if a limit is exceeded", func() {
 		for _, prefix := range []string{"HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\n\r\n"} {
-			_, err := doLimited(upstreamconn.NewPool(serveEndless(prefix, "x").address, codec{}, upstreamconn.NewMemory(1<<20)))
+			_, err := doLimited(upstreamconn.NewPool(serveEndless(prefix, "x").address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(1<<20)))
 			Expect(fault.CodeOf(err)).To(Equal(fault.ResponseTooLarge), "%v", err)
 		}
 	})
@@ -104,7 +104,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 		defer cancel()
 		begin := time.Now()
-		_, err := upstreamconn.NewPool(u.address, codec{}, upstreamconn.NewMemory(1<<20)).Do(ctx, &upstreamconn.Request{ID: "1", Method: http.MethodGet, Target: "/"})
+		_, err := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(1<<20)).Do(ctx, &upstreamconn.Request{ID: "1", Method: http.MethodGet, Target: "/"})
 		Expect(err).To(HaveOccurred())
 		Expect(time.Since(begin)).To(BeNumerically("<", time.Second))
 	})
@@ -118,7 +118,7 @@
 	It("is shared by the pools of a VM, released after each response, and not needed for small ones", func() {
 		memory := upstreamconn.NewMemory(300 << 10)
 		large, small := respond(strings.Repeat("x", 100<<10)), respond("small")
-		largePool := upstreamconn.NewPool(large.address, codec{}, memory)
+		largePool := upstreamconn.NewPool(large.address, upstreamconn.DialTCP, codec{}, memory)
 		for range 10 {
 			response, err := doLimited(largePool)
 			Expect(err).NotTo(HaveOccurred())
@@ -129,7 +129,7 @@
 		Expect(memory.Reserve(290 << 10)).To(BeTrue())
 		_, err := doLimited(largePool)
 		Expect(fault.CodeOf(err)).To(Equal(fault.ResponseTooLarge))
-		response, err := doLimited(upstreamconn.NewPool(small.address, codec{}, memory))
+		response, err := doLimited(upstreamconn.NewPool(small.address, upstreamconn.DialTCP, codec{}, memory))
 		Expect(err).NotTo(HaveOccurred(), "a small response must not fail because of large ones")
 		Expect(response.Body).To(BeEquivalentTo("small"))
 	})
@@ -142,7 +142,7 @@
 			go func() {
 				ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
 				defer cancel()
-				_, err := upstreamconn.NewPool(e.address, codec{}, memory).Do(ctx, &upstreamconn.Request{ID: "1", Method: http.MethodGet, Target: "/"})
+				_, err := upstreamconn.NewPool(e.address, upstreamconn.DialTCP, codec{}, memory).Do(ctx, &upstreamconn.Request{ID: "1", Method: http.MethodGet, Target: "/"})
 				errs <- err
 			}()
 		}
--- a/internal/upstreamconn/upstreamconn.go
+++ b/internal/upstreamconn/upstreamconn.go
@@ -109,9 +109,19 @@
 	idleUntil time.Time
 }
 
+// Dialer opens a connection to an address.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP is the Dialer for upstreams.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Pool holds the connections to one upstream address. It is safe for concurrent use.
 type Pool struct {
 	address string
+	dialer  Dialer
 	codec   Codec
 	memory  *Memory
 
@@ -122,8 +132,8 @@
 }
 
 // NewPool returns an empty pool. The memory is shared by all pools of a VM.
-func NewPool(address string, codec Codec, memory *Memory) *Pool {
-	return &Pool{address: address, codec: codec, memory: memory}
+func NewPool(address string, dialer Dialer, codec Codec, memory *Memory) *Pool {
+	return &Pool{address: address, dialer: dialer, codec: codec, memory: memory}
 }
 
 // IdleCount returns the number of idle connections.
@@ -214,8 +224,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", p.address)
+	raw, err := p.dialer(ctx, p.address)
 	if err != nil {
 		return nil, newRequestError(false, ctx.Err() == nil, "dial", "%w", err)
 	}
