Serve callers of VMs without links to upstreams through VMs in touch

Cause: a VM blamed each upstream by itself and went on sending directly, 400 ms a try. As a relay it executed what others sent it, and its failures were blamed on the upstreams. Forwarded requests had no other way.

Change: internal/reach counts failures since the last success, and after three connects to upstreams that responded lately; only if that fails, too, the VM counts as partitioned. It then ends the requests that wait, uses open connections that still work, and sends everything else through a VM in touch, one hop only: searches through a relay of any failure domain, forwarded requests by the new call Relay.Forward, with body, deadline, cancellation and the truth about what may have run. As a relay it refuses attempts, and is avoided for 0.5 s at a time. What it observed of upstreams is forgotten. It returns to its links over 1.5 s, and later the more often they were lost within 20 s.

Ruled out: being unready. Open connections stay with their VM, the balancer needs 2 s, and uses all VMs of a failure domain again if fewer than half are ready. Counting failed upstreams only: half of them may fail at once.

--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -41,6 +41,7 @@
 		"wisteriamux.responses.oversized": func() int64 { return r.Counts().Oversized },
 		"wisteriamux.responses.memory":    func() int64 { return r.Counts().ResponseMemory },
 		"wisteriamux.limits":              func() int64 { return r.Counts().Limited },
+		"wisteriamux.links.lost":          func() int64 { return r.Counts().Partitioned },
 		"wisteriamux.attempts.noroom":     func() int64 { return r.Counts().NoRoom },
 		"wisteriamux.limits.unreadable":   func() int64 { return r.Counts().LimitsUnreadable },
 		"wisteriamux.log.dropped":         output.Dropped,
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -38,8 +38,13 @@
 	shuttingDown bool
 	backoff      time.Duration
 	dialAt       time.Time
+	// partitionedUntil is the time until which the peer counts as cut off from the upstreams.
+	partitionedUntil time.Time
 }
 
+// partitionedFor is how long a relay gets no attempts after it has reported that it lost its links to the upstreams.
+const partitionedFor = 500 * time.Millisecond
+
 // usable reports whether batches may be sent to the peer.
 func (h *health) usable() bool { return h.condition == connected && !h.silent && !h.shuttingDown }
 
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -46,6 +46,22 @@
 	return l.health.usable()
 }
 
+// MarkPartitioned takes the relay out of use for attempts, because it has lost its links to the upstreams.
+func (l *Link) MarkPartitioned(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !now.Before(l.health.partitionedUntil) {
+		l.log.Info("relay without links to upstreams", "relay", l.peer.ID, "avoided_ms", partitionedFor.Milliseconds())
+	}
+	l.health.partitionedUntil = now.Add(partitionedFor)
+}
+
+func (l *Link) isPartitioned(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.health.partitionedUntil)
+}
+
 // available reports whether the relay can be called now, or pending if that is not known yet because it is being dialled
 // for the first time.
 func (l *Link) available(now time.Time) (usable, pending bool) {
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -13,6 +15,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
 
@@ -25,12 +28,15 @@
 	responses map[string]*upstreamconn.Response
 	errors    map[string]error
 	cancelled map[string]bool
+	// lastRequest is the request of the last attempt.
+	lastRequest *upstreamconn.Request
 }
 
 func (e *executor) Permit(PermitArgs) PermitReply { return PermitReply{} }
 
-func (e *executor) Attempt(ctx context.Context, a Attempt, _ time.Duration, _ *upstreamconn.Request) (*upstreamconn.Response, error) {
+func (e *executor) Attempt(ctx context.Context, a Attempt, _ time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error) {
 	e.mu.Lock()
+	e.lastRequest = request
 	response, err := e.responses[a.Instance], e.errors[a.Instance]
 	e.mu.Unlock()
 	if response != nil || err != nil {
@@ -193,6 +199,72 @@
 		Eventually(exec.wasCancelled("hangs")).Should(BeTrue())
 	})
 
+	forward := func(ctx context.Context, instance string) (*upstreamconn.Response, error) {
+		response, _, err := link.Forward(ctx, ForwardArgs{
+			Attempt: Attempt{Instance: instance}, Request: "1", Method: "POST", Target: "/x", Body: []byte("body"), Remaining: 5 * time.Second,
+		})
+		return response, err
+	}
+
+	It("forwards a request with its body and returns the whole response, also one of an upstream that failed", func() {
+		exec.responses["fails"] = &upstreamconn.Response{
+			Status: 500, Header: http.Header{"X": {"y"}}, Body: []byte("failed"), RequestID: "1", Stamp: "s",
+		}
+		response, err := forward(ctx, "fails")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*response).To(Equal(*exec.responses["fails"]))
+		Expect(exec.lastRequest.Method).To(Equal("POST"))
+		Expect(exec.lastRequest.Body).To(Equal([]byte("body")))
+	})
+
+	It("tells apart forwarded requests that were not sent from those that may have run, so that a booking runs at most once", func() {
+		exec.errors["unreachable"] = &upstreamconn.RequestError{Err: net.ErrClosed, Unreachable: true}
+		exec.errors["broken"] = &upstreamconn.RequestError{Err: net.ErrClosed, Sent: true}
+		exec.errors["links-lost"] = &LinkLostError{Sent: true}
+		exec.errors["full"] = &ratelimit.NoRoomError{RetryAfter: time.Second}
+		mayHaveRun := func(instance string) bool {
+			_, err := forward(ctx, instance)
+			Expect(err).To(HaveOccurred())
+			var failed *upstreamconn.RequestError
+			var linkLost *LinkLostError
+			return (errors.As(err, &failed) && failed.Sent) || (errors.As(err, &linkLost) && linkLost.Sent)
+		}
+		for _, instance := range []string{"moved", "slow", "unreachable", "full"} {
+			Expect(mayHaveRun(instance)).To(BeFalse(), instance)
+		}
+		for _, instance := range []string{"broken", "links-lost"} {
+			Expect(mayHaveRun(instance)).To(BeTrue(), instance)
+		}
+		time.AfterFunc(20*time.Millisecond, stalling.closeConns)
+		Expect(mayHaveRun("hangs")).To(BeTrue(), "the connection to the relay ends")
+	})
+
+	It("cancels a forwarded request when its caller leaves, so that the upstream does no needless work", func() {
+		time.AfterFunc(20*time.Millisecond, cancel)
+		_, err := forward(ctx, "hangs")
+		Expect(err).To(HaveOccurred())
+		Eventually(exec.wasCancelled("hangs")).Should(BeTrue())
+	})
+
+	It("gives up a forwarded request at a relay that has frozen, instead of waiting for the caller's deadline", func() {
+		stalling.setStalled(true)
+		started := time.Now()
+		_, err := forward(ctx, "hangs")
+		Expect(err).To(HaveOccurred())
+		Expect(time.Since(started)).To(BeNumerically("<", 3*time.Second))
+	})
+
+	It("avoids a relay that has lost its links to upstreams for a while", func() {
+		exec.errors["lost"] = &LinkLostError{}
+		_, err := forward(ctx, "lost")
+		var linkLost *LinkLostError
+		Expect(errors.As(err, &linkLost)).To(BeTrue())
+		Expect(linkLost.Sent).To(BeFalse())
+		now := time.Now()
+		Expect(pick([]*Link{link}, nil, now, true)).To(BeNil())
+		Expect(pick([]*Link{link}, nil, now.Add(partitionedFor), true)).To(Equal(link))
+	})
+
 	It("connects again to a relay that was stopped as planned and started at the same address", func() {
 		server.NotifyShutdown()
 		Eventually(func() bool { return link.usable(time.Now()) }).Should(BeFalse())
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -51,8 +51,50 @@
 	// Whole requests the records of each part separately, so that the requesting VM may use one part without another.
 	Whole    bool
 	Attempts []Attempt
+	// Body is the body of the request. It is set only if the requesting VM has lost its links to upstreams.
+	Body []byte
 }
 
+// ForwardArgs are the arguments of Forward, which executes one attempt and returns the whole response. The requesting VM
+// uses it while it has lost its links to upstreams.
+type ForwardArgs struct {
+	// Call is unique on the connection.
+	Call    uint64
+	Attempt Attempt
+	Request string
+	Method  string
+	Target  string
+	Host    string
+	Header  http.Header
+	Body    []byte
+	// Remaining and Expected are as in RunArgs. MaxBodyBytes limits the body of the response.
+	Remaining    time.Duration
+	Expected     time.Duration
+	MaxBodyBytes int64
+}
+
+// ForwardReply is the end of the attempt. Its Ended has neither records nor a number.
+type ForwardReply struct {
+	Ended
+	// Sent is set if the upstream may have received the request.
+	Sent bool
+	// Response is nil if there was no complete response.
+	Response *ForwardedResponse
+}
+
+// ForwardedResponse is the response of an upstream.
+type ForwardedResponse struct {
+	Status      int
+	Header      http.Header
+	Body        []byte
+	RequestID   string
+	NotRun      bool
+	Misdirected bool
+}
+
+// CancelForwardArgs are the arguments of CancelForward, which cancels a call of Forward.
+type CancelForwardArgs struct{ Call uint64 }
+
 // Outcome is how an attempt ended.
 type Outcome int
 
@@ -75,6 +117,8 @@
 	Failed
 	// Limited means that the request was not sent because of the rate limit of the upstream.
 	Limited
+	// Partitioned means that the request was not sent because the relay has lost its links to all upstreams.
+	Partitioned
 )
 
 // Ended describes how one attempt ended.
@@ -96,6 +140,9 @@
 	RateLimit *float64
 	// RetryAfter is set for Limited: the time after which the upstream may have room.
 	RetryAfter time.Duration
+	// LinkLost is set for Failed if the relay lost its links to all upstreams after it had sent the request, so that the
+	// failure says nothing about the upstream.
+	LinkLost bool
 }
 
 // PermitArgs ask the VM that holds the bucket of an upstream for a permit to send one request.
@@ -127,6 +174,15 @@
 	return fmt.Sprintf("declined: expected to take %.1f times the usual response time", d.Cost)
 }
 
+// LinkLostError is returned for an attempt that ended because this VM has lost its links to all upstreams.
+type LinkLostError struct {
+	// Sent is set if the upstream may have received the request.
+	Sent bool
+}
+
+// Error implements the error interface.
+func (e *LinkLostError) Error() string { return "this VM has lost its links to all upstreams" }
+
 // BatchReport contains the attempts that ended since the last report of the batch.
 type BatchReport struct {
 	Fault *fault.WireError
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -103,22 +103,48 @@
 // because it ranks among the preferred relays of the group itself, or because no link is usable. The link to avoid is
 // that of an earlier attempt, since a second attempt should not depend on the same relay.
 func (p *Peers) Pick(domain string, group int, avoid *Link, now time.Time) *Link {
+	return pick(p.rankedLinks(groupKey{domain, group}), avoid, now, false)
+}
+
+// PickOther is Pick for a VM that has lost its links to upstreams: it never returns nil for this VM, and falls back to the
+// other failure domains.
+func (p *Peers) PickOther(domain string, group int, avoid *Link, now time.Time) *Link {
+	if link := pick(p.rankedLinks(groupKey{domain, group}), avoid, now, true); link != nil {
+		return link
+	}
+	for _, other := range p.domainNames() {
+		if other == domain {
+			continue
+		}
+		if link := pick(p.rankedLinks(groupKey{other, group}), avoid, now, true); link != nil {
+			return link
+		}
+	}
+	return nil
+}
+
+// pick returns the least loaded of the first usable links. A nil link stands for this VM: the result is nil if it is reached
+// and not skipped. Relays without links to upstreams do not count as candidates, since most VMs may be among them.
+func pick(ranked []*Link, avoid *Link, now time.Time, skipSelf bool) *Link {
 	var best *Link
-	compared := 0
-	rankedLinks := p.rankedLinks(groupKey{domain, group})
-	for _, link := range rankedLinks[:min(len(rankedLinks), maxCandidates)] {
-		if link == nil {
+	candidates, compared := 0, 0
+	for _, link := range ranked {
+		switch {
+		case link == nil && skipSelf, link != nil && link.isPartitioned(now):
+			continue
+		case link == nil:
 			return nil
+		case candidates == maxCandidates || compared == relaysPerGroup:
+			return best
 		}
+		candidates++
 		if link == avoid || !link.usable(now) {
 			continue
 		}
+		compared++
 		if best == nil || link.inFlight.Load() < best.inFlight.Load() {
 			best = link
 		}
-		if compared++; compared == relaysPerGroup {
-			break
-		}
 	}
 	return best
 }
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -87,7 +87,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	server := rpc.NewServer()
-	peer := &session{server: s, ctx: ctx, batches: map[uint64]*running{}}
+	peer := &session{server: s, ctx: ctx, batches: map[uint64]*running{}, forwards: map[uint64]context.CancelFunc{}}
 	if err := server.RegisterName(ServiceName, peer); err != nil {
 		s.log.Error("relay service registration failed", "error", err)
 		return
@@ -102,9 +102,11 @@
 	// ctx is cancelled when the connection ends.
 	ctx context.Context
 
-	// mu guards batches.
+	// mu guards the fields below.
 	mu      sync.Mutex
 	batches map[uint64]*running
+	// forwards cancels the calls of Forward in progress.
+	forwards map[uint64]context.CancelFunc
 }
 
 // running is a batch in progress.
@@ -166,27 +168,36 @@
 		r.cancels[attempt.Number] = cancel
 		request := &upstreamconn.Request{
 			ID: args.Request, Method: args.Method, Target: args.Target, Host: args.Host, Header: args.Header,
-			Instance: attempt.Instance, Remaining: args.Remaining, MaxBodyBytes: gather.MaxPartBytes(args.Top),
+			Body: args.Body, Instance: attempt.Instance, Remaining: args.Remaining, MaxBodyBytes: gather.MaxPartBytes(args.Top),
 		}
 		go func() {
 			defer cancel()
 			response, err := s.executor.Attempt(ctx, attempt, args.Expected, request)
-			ended := Ended{Number: attempt.Number, Took: time.Since(received), Outcome: Classify(response, err)}
-			if ended.Outcome == Answered {
-				ended.Stamp = response.Stamp
-			} else {
-				ended.Reason = failureReason(response, err)
-			}
-			var declined *DeclinedError
-			if errors.As(err, &declined) {
-				ended.Cost = declined.Cost
-			}
-			ended.RateLimit, ended.RetryAfter = rateLimitOf(response, err)
+			ended := endOf(response, err)
+			ended.Number, ended.Took = attempt.Number, time.Since(received)
 			r.end(ended, response)
 		}()
 	}
 }
 
+// endOf describes how an attempt ended.
+func endOf(response *upstreamconn.Response, err error) Ended {
+	ended := Ended{Outcome: Classify(response, err)}
+	if ended.Outcome == Answered {
+		ended.Stamp = response.Stamp
+	} else {
+		ended.Reason = failureReason(response, err)
+	}
+	var declined *DeclinedError
+	if errors.As(err, &declined) {
+		ended.Cost = declined.Cost
+	}
+	var linkLost *LinkLostError
+	ended.LinkLost = errors.As(err, &linkLost)
+	ended.RateLimit, ended.RetryAfter = rateLimitOf(response, err)
+	return ended
+}
+
 func (r *running) end(ended Ended, response *upstreamconn.Response) {
 	var records []byte
 	if response != nil {
@@ -298,7 +309,10 @@
 	var failed *upstreamconn.RequestError
 	var declined *DeclinedError
 	var noRoom *ratelimit.NoRoomError
+	var linkLost *LinkLostError
 	switch {
+	case errors.As(err, &linkLost) && !linkLost.Sent:
+		return Partitioned
 	case errors.As(err, &declined):
 		return Declined
 	case errors.As(err, &noRoom):
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -270,6 +270,14 @@
 	return false
 }
 
+// Forgive ends all backoffs and forgets failures and stalls. Latencies are kept.
+func (t *Tracker) Forgive() {
+	for _, s := range t.upstreams {
+		s.errors, s.refusals, s.backoff, s.stallBackoff = 0, 0, 0, 0
+		s.backoffUntil, s.stalledUntil = time.Time{}, time.Time{}
+	}
+}
+
 // RecordPeerCost records the cost of an upstream as another entry VM observes it, in multiples of the usual latency.
 func (t *Tracker) RecordPeerCost(now time.Time, id string, cost float64) {
 	s := t.stats(id)
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/gather"
+	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/replica"
 	"github.com/wisteriamux/wisteriamux/internal/route"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
@@ -25,6 +26,8 @@
 	upstream *upstream
 	ticket   uint64
 	sent     time.Time
+	// expected is the usual response time of the route.
+	expected time.Duration
 }
 
 // attemptKind determines how an attempt is charged to the shared retry budget.
@@ -72,7 +75,7 @@
 	r.counts.Attempts++
 	chosen := view.byService[service][index]
 	expected := time.Duration(r.stats(rt).expected)
-	return &attempt{upstream: chosen, sent: now, ticket: r.tracker.Sent(now, chosen.instance.ID, expected)}
+	return &attempt{upstream: chosen, sent: now, expected: expected, ticket: r.tracker.Sent(now, chosen.instance.ID, expected)}
 }
 
 // attemptEnd describes how an attempt ended.
@@ -97,7 +100,7 @@
 	if len(rt.Shards) > 0 {
 		upstreamRequest.MaxBodyBytes = gather.MaxPartBytes(rt.Top)
 	}
-	response, err := r.send(ctx, a.upstream, rt.Rank, &upstreamRequest)
+	response, err := r.send(ctx, a.upstream, rt.Rank, a.expected, &upstreamRequest)
 	took := time.Since(a.sent)
 	r.recordEnd(rt, request, a, attemptEnd{result: directResult(response, err, ctx.Err() != nil), took: took, cause: err, noRoom: isNoRoom(err)})
 	return response, err
@@ -148,9 +151,12 @@
 
 func directResult(response *upstreamconn.Response, err error, abandoned bool) replica.Result {
 	var requestErr *upstreamconn.RequestError
+	var linkLost *relay.LinkLostError
 	switch {
 	case isNoRoom(err):
 		return replica.Declined
+	case errors.As(err, &linkLost):
+		return replica.Unknown
 	case err != nil && abandoned:
 		return replica.Abandoned
 	case errors.As(err, &requestErr) && requestErr.Unreachable:
@@ -178,7 +184,7 @@
 // mayHaveArrived reports whether an upstream may have received the attempt, in which case a retry costs a token.
 func mayHaveArrived(response *upstreamconn.Response, err error) bool {
 	var requestErr *upstreamconn.RequestError
-	if isNoRoom(err) {
+	if isNoRoom(err) || isUnsentForLinks(err) {
 		return false
 	}
 	return response != nil || !errors.As(err, &requestErr) || requestErr.Sent
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
+	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/route"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
@@ -15,6 +18,7 @@
 
 // attemptResult is the response or the error of one attempt.
 type attemptResult struct {
+	upstream *upstream
 	response *upstreamconn.Response
 	err      error
 }
@@ -87,8 +91,8 @@
 	f.attempts++
 	f.pending++
 	go func() {
-		response, err := f.router.run(ctx, f.route, a, f.request)
-		f.results <- attemptResult{response, err}
+		response, err := f.router.runForward(ctx, f.route, a, f.request)
+		f.results <- attemptResult{a.upstream, response, err}
 	}()
 }
 
@@ -126,8 +130,12 @@
 func (f *forwardCall) handleResult(ctx context.Context, done attemptResult) *upstreamconn.Response {
 	notRun := !mayHaveArrived(done.response, done.err) || (done.response != nil && done.response.NotRun)
 	f.mayHaveRun = f.mayHaveRun || !notRun
-	if isNoRoom(done.err) {
+	switch {
+	case isNoRoom(done.err):
+		f.attempts--
+	case isUnsentForLinks(done.err):
 		f.attempts--
+		f.tried = without(f.tried, done.upstream)
 	}
 	if done.response != nil && !done.response.NotRun {
 		if done.response.Status < 500 {
@@ -160,3 +168,37 @@
 	}
 	return nil, fault.New(fault.UpstreamFailed, "router.forward", "request failed at all %d upstreams tried", len(f.tried))
 }
+
+// forwardGroups is the number of groups into which upstreams are divided to spread forwarded requests over relays.
+const forwardGroups = 8
+
+// runForward executes an attempt of a forwarded request: on this VM's own link, or by another VM if this one has lost its
+// links to upstreams.
+func (r *Router) runForward(ctx context.Context, rt *route.Route, a *attempt, request *Request) (*upstreamconn.Response, error) {
+	if r.peers == nil || !r.avoidsOwnLink(a.upstream) {
+		return r.run(ctx, rt, a, request)
+	}
+	group := int(xxhash.Sum64String(a.upstream.instance.ID) % forwardGroups)
+	link := r.peers.PickOther(a.upstream.instance.FailureDomain, group, nil, a.sent)
+	if link == nil {
+		return r.run(ctx, rt, a, request)
+	}
+	response, reply, err := link.Forward(ctx, relay.ForwardArgs{
+		Attempt: relay.Attempt{Instance: a.upstream.instance.ID, Rank: rt.Rank}, Request: request.ID, Method: request.Method, Target: request.Target,
+		Host: request.Host, Header: request.Header, Body: request.Body, Remaining: remaining(rt, request, a), Expected: a.expected,
+		MaxBodyBytes: r.config.MaxResponseBytes,
+	})
+	r.mu.Lock()
+	r.counts.Relayed++
+	r.mu.Unlock()
+	if reply.RateLimit != nil {
+		r.observeLimit(a.upstream, ratelimit.Statement{PerSecond: *reply.RateLimit})
+	}
+	if isNoRoom(err) {
+		r.recordFull(a.upstream, reply.RetryAfter)
+	}
+	r.recordEnd(rt, request, a, attemptEnd{
+		result: directResult(response, err, ctx.Err() != nil), took: time.Since(a.sent), relay: link.PeerID(), cause: err, noRoom: isNoRoom(err),
+	})
+	return response, err
+}
--- a/internal/router/partition_test.go
+++ b/internal/router/partition_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/route"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
@@ -237,4 +238,67 @@
 			Expect(share).To(BeNumerically("<=", failedShare), "%+v", s)
 		})
 	}
+
+	It("run a request that must not be repeated at most once, and say so truly when it did not run", func() {
+		rt := *f.search
+		rt.Shards, rt.Service, rt.Idempotent = nil, plainService, false
+		succeeded, refused := 0, 0
+		f.a1.links.set(silent)
+		// Each request waits for its limit until enough of them have shown that the links are lost.
+		for end := time.Now().Add(2 * noticing); time.Now().Before(end); time.Sleep(interval) {
+			before := plainRequests(f)
+			request := &Request{
+				Request: upstreamconn.Request{ID: "1", Method: "POST", Target: "/x", Host: "x", Body: []byte("order")}, Received: time.Now(), Limit: rt.Timeout,
+			}
+			_, err := f.a1.router.Forward(context.Background(), f.a1.router.View(), &rt, request)
+			ran := plainRequests(f) - before
+			Expect(ran).To(BeNumerically("<=", 1))
+			switch {
+			case err == nil:
+				succeeded++
+			case fault.CodeOf(err) == fault.NotRun:
+				refused++
+				Expect(ran).To(BeZero())
+			}
+		}
+		Expect(succeeded).To(BeNumerically(">", refused), "%d succeeded, %d were refused", succeeded, refused)
+	})
+
+	It("use their own links again after the partition, without a burst of connections", func() {
+		f.a1.links.set(silent)
+		sendFor(f.a1, f.search, plainService, noticing, interval)
+		Expect(f.a1.router.Counts().Partitioned).To(Equal(int64(1)))
+		f.a1.links.set(intact)
+		Eventually(func() int64 {
+			sendFor(f.a1, f.search, plainService, 50*time.Millisecond, interval)
+			return f.a1.router.Counts().Partitioned
+		}).WithTimeout(5 * time.Second).Should(BeZero())
+		before := f.a1.links.dials.Load()
+		s := sendFor(f.a1, f.search, plainService, 100*time.Millisecond, interval)
+		Expect(s.failures()).To(BeZero())
+		Expect(f.a1.links.dials.Load() - before).To(BeNumerically("<", len(f.upstreams)))
+	})
+
+	It("are not mistaken for VMs whose upstreams have failed, even if those are half of all", func() {
+		for n, u := range f.upstreams {
+			if n%2 == 0 {
+				u.delay.Store(int64(5 * time.Second))
+			}
+		}
+		for range 4 {
+			sendFor(f.a1, f.search, plainService, noticing/4, interval)
+			Expect(f.a1.router.Counts().Partitioned).To(BeZero())
+		}
+	})
 })
+
+// plainRequests returns how many requests the upstreams of the plain service got.
+func plainRequests(f *fleet) int64 {
+	total := int64(0)
+	for _, u := range f.upstreams {
+		if u.instance.Service == plainService {
+			total += u.requests.Load()
+		}
+	}
+	return total
+}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -19,6 +19,9 @@
 	if !ok {
 		return nil, fault.New(fault.Moved, "router.attempt", "upstream %q is unknown or does not accept requests", requested.Instance)
 	}
+	if r.partitionedFrom(u) {
+		return nil, &relay.LinkLostError{}
+	}
 	now := time.Now()
 	r.mu.Lock()
 	if cost, bad := r.tracker.Degraded(now, requested.Instance); bad && requested.Optional {
@@ -28,7 +31,7 @@
 	r.counts.Executed++
 	a := &attempt{upstream: u, sent: now, ticket: r.tracker.Sent(now, requested.Instance, expected)}
 	r.mu.Unlock()
-	response, err := r.send(ctx, u, requested.Rank, request)
+	response, err := r.send(ctx, u, requested.Rank, expected, request)
 	r.updateTracker(a, directResult(response, err, ctx.Err() != nil), time.Since(now))
 	return response, err
 }
@@ -78,6 +81,8 @@
 	domain string
 	group  int
 	avoid  *relay.Link
+	// elsewhere is set if this VM has lost its own links.
+	elsewhere bool
 }
 
 func (s *search) newBatchBuilder(kind attemptKind) *batchBuilder {
@@ -89,19 +94,29 @@
 }
 
 // add adds an attempt to a batch, or returns false if the attempt must be sent directly: because relaying is disabled,
-// the request has a body, the upstream is in this VM's failure domain and accepts a connection from every entry VM, or
-// the upstream's failure domain has no usable relay.
+// no relay is usable, or this VM has its links to upstreams and the request has a body or the upstream is in this VM's
+// failure domain and accepts a connection from every entry VM.
 func (b *batchBuilder) add(shard int, a *attempt) bool {
 	r := b.search.router
+	if r.peers == nil {
+		return false
+	}
+	elsewhere := r.avoidsOwnLink(a.upstream)
 	direct := a.upstream.candidate.Local && !b.search.view.connectionLimited[a.upstream.instance.Service]
-	if r.peers == nil || direct || len(b.search.request.Body) > 0 {
+	if !elsewhere && (direct || len(b.search.request.Body) > 0) {
 		return false
 	}
 	domain := a.upstream.instance.FailureDomain
-	key := relayKey{domain: domain, group: relay.GroupOf(shard, len(b.search.route.Shards), b.domains), avoid: b.search.lastRelay[shard]}
+	key := relayKey{
+		domain: domain, group: relay.GroupOf(shard, len(b.search.route.Shards), b.domains), avoid: b.search.lastRelay[shard], elsewhere: elsewhere,
+	}
 	link, known := b.picked[key]
 	if !known {
-		link = r.peers.Pick(domain, key.group, key.avoid, a.sent)
+		pick := r.peers.Pick
+		if elsewhere {
+			pick = r.peers.PickOther
+		}
+		link = pick(domain, key.group, key.avoid, a.sent)
 		b.picked[key] = link
 	}
 	if link == nil {
@@ -145,7 +160,7 @@
 	r := s.request
 	args := relay.RunArgs{
 		Request: r.ID, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Top: s.route.Top, Whole: batch.kind != firstAttempt,
-		Attempts: make([]relay.Attempt, 0, len(batch.open)),
+		Body: r.Body, Attempts: make([]relay.Attempt, 0, len(batch.open)),
 	}
 	// Parts of second attempts are not held back: the search waits for little else.
 	if batch.kind == firstAttempt {
@@ -193,6 +208,7 @@
 	if len(r.report.Records) > 0 {
 		s.merged = append(s.merged, r.report.Records)
 	}
+	now := time.Now()
 	var failedShards, unsent []int
 	for _, ended := range r.report.Ended {
 		shard := ended.Number
@@ -213,11 +229,14 @@
 			s.router.recordPeerCost(a, ended.Cost)
 		case relay.Limited:
 			s.router.recordFull(a.upstream, ended.RetryAfter)
+		case relay.Partitioned:
+			r.from.link.MarkPartitioned(now)
+			s.tried[shard] = without(s.tried[shard], a.upstream)
 		}
 		if ended.RateLimit != nil {
 			s.router.observeLimit(a.upstream, ratelimit.Statement{PerSecond: *ended.RateLimit})
 		}
-		s.finishRelayed(r.from, shard, a, attemptEnd{result: relayedResult(ended.Outcome), took: ended.Took, cause: reasonOf(ended), noRoom: ended.Outcome == relay.Limited})
+		s.finishRelayed(r.from, shard, a, attemptEnd{result: relayedResult(ended), took: ended.Took, cause: reasonOf(ended), noRoom: ended.Outcome == relay.Limited})
 		if !s.state.Ended(shard, outcome) {
 			continue
 		}
@@ -270,7 +289,7 @@
 	switch outcome {
 	case relay.Answered:
 		return gather.Success
-	case relay.Unsent, relay.Unreachable, relay.Declined, relay.Limited:
+	case relay.Unsent, relay.Unreachable, relay.Declined, relay.Limited, relay.Partitioned:
 		return gather.NotSent
 	}
 	return gather.Failure
@@ -298,8 +317,11 @@
 	s.send(ctx, lost, extraAttempt)
 }
 
-func relayedResult(outcome relay.Outcome) replica.Result {
-	switch outcome {
+func relayedResult(ended relay.Ended) replica.Result {
+	if ended.LinkLost {
+		return replica.Unknown
+	}
+	switch ended.Outcome {
 	case relay.Answered:
 		return replica.Answered
 	case relay.Refused, relay.Unsent:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/overload"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
+	"github.com/wisteriamux/wisteriamux/internal/reach"
 	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/replica"
 	"github.com/wisteriamux/wisteriamux/internal/route"
@@ -69,6 +70,8 @@
 	started     time.Time
 
 	seeds atomic.Pointer[[]string]
+	// epoch ends when this VM loses its links to upstreams.
+	epoch atomic.Pointer[linkEpoch]
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -81,6 +84,8 @@
 	// holds.
 	limits *ratelimit.Book
 	issuer *ratelimit.Issuer
+	// links observes this VM's own links to upstreams.
+	links *reach.Monitor
 	// roundTrip estimates the round-trip time to callers.
 	roundTrip roundTrip
 	counts    Counts
@@ -105,6 +110,8 @@
 	Limited, LimitsUnreadable int64
 	// NoRoom counts the attempts that were not sent because their upstream was at its rate limit.
 	NoRoom int64
+	// Partitioned is 1 while this VM has lost its links to all upstreams.
+	Partitioned int64
 }
 
 // routeStats holds the statistics of one route.
@@ -126,11 +133,13 @@
 		config: config, control: control, log: log, memory: memory,
 		builder: &viewBuilder{domain: config.FailureDomain, dialer: config.DialUpstream, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
-		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(),
+		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), links: reach.New(),
 	}
+	r.builder.dialled = r.recordDial
 	if config.RelayAddress != "" {
 		r.peers = relay.NewPeers(config.ID, config.FailureDomain, config.DialRelay, log)
 	}
+	r.epoch.Store(newLinkEpoch())
 	r.view.Store(&View{})
 	r.seeds.Store(&config.Seeds)
 	return r
@@ -148,6 +157,9 @@
 	defer r.mu.Unlock()
 	counts := r.counts
 	counts.Oversized, counts.ResponseMemory = r.memory.Exceeded(), r.memory.InUse()
+	if r.links.Partitioned() {
+		counts.Partitioned = 1
+	}
 	counts.Limited, counts.LimitsUnreadable = int64(len(r.limits.InForce())), r.limits.Unreadable()
 	return counts
 }
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -26,6 +26,7 @@
 // partResult is the response or the error of one direct attempt at a shard.
 type partResult struct {
 	shard    int
+	upstream *upstream
 	response *upstreamconn.Response
 	err      error
 }
@@ -148,7 +149,7 @@
 	s.cancels[shard] = append(s.cancels[shard], cancel)
 	go func() {
 		response, err := s.router.run(ctx, s.route, a, s.request)
-		s.results <- partResult{shard: shard, response: response, err: err}
+		s.results <- partResult{shard: shard, upstream: a.upstream, response: response, err: err}
 	}()
 }
 
@@ -203,8 +204,12 @@
 		return
 	}
 	outcome := gather.Failure
-	if isNoRoom(p.err) {
+	switch {
+	case isNoRoom(p.err):
+		outcome = gather.NotSent
+	case isUnsentForLinks(p.err):
 		outcome = gather.NotSent
+		s.tried[p.shard] = without(s.tried[p.shard], p.upstream)
 	}
 	if s.state.Ended(p.shard, outcome) {
 		s.send(ctx, []int{p.shard}, retryKind(p.response, p.err))
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -3,6 +3,8 @@
 package router
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
@@ -58,8 +60,10 @@
 
 // viewBuilder applies watch replies to the set of upstreams and builds views from it. Only WatchControl uses it.
 type viewBuilder struct {
-	domain    string
-	dialer    upstreamconn.Dialer
+	domain string
+	dialer upstreamconn.Dialer
+	// dialled is called after each attempt to connect to an upstream, unless that was cancelled.
+	dialled   func(err error)
 	codec     upstreamconn.Codec
 	memory    *upstreamconn.Memory
 	upstreams map[string]*upstream
@@ -143,12 +147,21 @@
 		obsolete = append(obsolete, existing.pool)
 		fallthrough
 	default:
-		next.pool = upstreamconn.NewPool(instance.Address, b.dialer, b.codec, b.memory)
+		next.pool = upstreamconn.NewPool(instance.Address, b.dial, b.codec, b.memory)
 	}
 	b.upstreams[instance.ID] = next
 	return obsolete
 }
 
+// dial connects to an upstream and reports the result.
+func (b *viewBuilder) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := b.dialer(ctx, address)
+	if b.dialled != nil && (err == nil || ctx.Err() == nil) {
+		b.dialled(err)
+	}
+	return conn, err
+}
+
 func (b *viewBuilder) build(reply controlrpc.WatchReply) *View {
 	view := &View{
 		Revision: reply.Revision, Routes: b.routes, byService: map[string][]*upstream{}, byID: map[string]*upstream{}, connectionLimited: map[string]bool{},
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -144,6 +144,7 @@
 		u, ok := view.byID[key.Instance]
 		return ok && u.limitKey() == key
 	}
+	r.links.Retain(func(id string) bool { return live[id] })
 	r.limits.Retain(registered)
 	r.issuer.Retain(registered)
 	if view.Routes == nil {
