--- a/internal/router/partition.go
+++ b/internal/router/partition.go
@@ -172,7 +172,7 @@
 	return !direct && u.pool.IdleCount() == 0
 }
 
-// partitioned reports whether this VM has lost its links to upstreams and has no open connection to this one.
+// partitionedFrom reports whether this VM has lost its links to upstreams and has no open connection to this one.
 func (r *Router) partitionedFrom(u *upstream) bool {
 	r.mu.Lock()
 	partitioned := r.links.Partitioned()
