Treat a forward to a VM of an older version as not sent

A peer that does not know Relay.Forward answers that it cannot find the method. That is no lost connection: the upstream got nothing, so that a request that must not be repeated may go elsewhere, and the connection still serves batches.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -110,6 +110,11 @@
 		return nil, ForwardReply{}, lostCall("request ended: %w", ctx.Err())
 	case <-call.Done:
 	}
+	var unknownMethod rpc.ServerError
+	if errors.As(call.Error, &unknownMethod) {
+		// The methods of the service return no errors: a peer of an older version does not know this one.
+		return nil, ForwardReply{}, &upstreamconn.RequestError{Err: fault.New(fault.Unavailable, "relay.forward", "%s: %w", l.peer.ID, call.Error)}
+	}
 	if call.Error != nil {
 		err := lostCall("RPC to %s failed: %w", l.peer.ID, call.Error)
 		l.dropConn(conn, err)
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/rpc"
 	"sync"
 	"time"
 
@@ -32,6 +33,11 @@
 	lastRequest *upstreamconn.Request
 }
 
+// olderRelay is the service of a version that knows neither Forward nor Permit.
+type olderRelay struct{}
+
+func (*olderRelay) Stay(Empty, *Empty) error { select {} }
+
 func (e *executor) Permit(PermitArgs) PermitReply { return PermitReply{} }
 
 func (e *executor) Attempt(ctx context.Context, a Attempt, _ time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error) {
@@ -254,6 +260,22 @@
 		Expect(time.Since(started)).To(BeNumerically("<", 3*time.Second))
 	})
 
+	It("knows that a relay of a version without the call has not run a forwarded request", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		older := rpc.NewServer()
+		Expect(older.RegisterName(ServiceName, &olderRelay{})).To(Succeed())
+		go older.Accept(listener)
+		link = newLink(controlrpc.Peer{ID: "older", Address: listener.Addr().String()}, controlrpc.PlainDialer, discard)
+		Eventually(func() bool { return link.usable(time.Now()) }).Should(BeTrue())
+		_, err = forward(ctx, "u1")
+		var failed *upstreamconn.RequestError
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.Sent).To(BeFalse())
+		Expect(link.usable(time.Now())).To(BeTrue(), "the connection still serves batches")
+	})
+
 	It("avoids a relay that has lost its links to upstreams for a while", func() {
 		exec.errors["lost"] = &LinkLostError{}
 		_, err := forward(ctx, "lost")
