Tidy the comments and the buffer of forwarded attempts

Reading the change as a newcomer: a comment ran past the line, another did not name lost links, and the buffer for results had been enlarged without need, since no more attempts wait at a time than a route allows. Behaviour stays; go test ./internal/router passes.

--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -32,8 +32,8 @@
 	request  *Request
 	deadline time.Time
 	results  chan attemptResult
-	// tried holds all upstreams that were chosen, and attempts is the number of those that did not turn out to be at their
-	// rate limit.
+	// tried holds the upstreams that are not chosen again, and attempts is the number of attempts that may have been sent:
+	// those that ended because of a rate limit or of lost links do not count.
 	tried    []*upstream
 	attempts int
 	pending  int
@@ -51,8 +51,8 @@
 	_, deadline, _ := r.deadlines(rt, request)
 	f := &forwardCall{
 		router: r, view: view, route: rt, service: r.pickService(rt), request: request, deadline: deadline,
+		results: make(chan attemptResult, max(1, rt.Attempts)),
 	}
-	f.results = make(chan attemptResult, max(1, rt.Attempts, len(view.byService[f.service])))
 	f.send(ctx, firstAttempt)
 	return f.await(ctx)
 }
--- a/internal/router/ratelimit.go
+++ b/internal/router/ratelimit.go
@@ -19,8 +19,9 @@
 	return ratelimit.Key{Instance: u.instance.ID, Born: u.instance.Born}
 }
 
-// send sends a request of the rank, which usually takes the expected time, to an upstream. Every request of this VM to an upstream passes here, so that all of
-// them count towards the upstream's rate limit. A NoRoomError means that nothing was sent.
+// send sends a request of the rank, which usually takes the expected time, to an upstream. Every request of this VM to an
+// upstream passes here, so that all of them count towards the upstream's rate limit. A NoRoomError means that nothing was
+// sent.
 func (r *Router) send(ctx context.Context, u *upstream, rank int, expected time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error) {
 	if err := r.permit(ctx, u, rank); err != nil {
 		return nil, err
