Select the VMs that hold buckets in one place

Reading the change: the control group, which puts some VMs into the lists of all, and the VMs, which pick the holders of buckets among these, each had a loop for the first four of a failure domain. They must agree, so that both now call controlrpc.SplitCommon. Book.Known loses a result that no caller used.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -57,16 +57,10 @@
 // different watchers get different peers, which spreads the load, and a watcher keeps most of its peers when the fleet
 // changes.
 func samplePeers(all []controlrpc.Peer, watcher string, perDomain int) []controlrpc.Peer {
-	slices.SortFunc(all, controlrpc.CommonOrder)
-	var sample, others []controlrpc.Peer
+	sample, others := controlrpc.SplitCommon(all)
 	taken := map[string]int{}
-	for _, peer := range all {
-		if taken[peer.FailureDomain] < min(controlrpc.CommonPeersPerDomain, perDomain) {
-			taken[peer.FailureDomain]++
-			sample = append(sample, peer)
-			continue
-		}
-		others = append(others, peer)
+	for _, peer := range sample {
+		taken[peer.FailureDomain]++
 	}
 	slices.SortFunc(others, func(a, b controlrpc.Peer) int { return cmp.Compare(peerScore(watcher, a.ID), peerScore(watcher, b.ID)) })
 	for _, peer := range others {
--- a/internal/controlrpc/routes.go
+++ b/internal/controlrpc/routes.go
@@ -40,12 +40,24 @@
 }
 
 // CommonPeersPerDomain is the number of entry VMs of each failure domain that the lists of all entry VMs have in common,
-// themselves included. They are the first ones by CommonOrder.
+// themselves included.
 const CommonPeersPerDomain = 4
 
-// CommonOrder compares two peers by a hash of their IDs, which is the same for all processes.
-func CommonOrder(a, b Peer) int {
-	return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
+// SplitCommon sorts the peers by a hash of their IDs and returns the first CommonPeersPerDomain of each failure domain, and
+// the others. The control group and the entry VMs must agree on the result.
+func SplitCommon(peers []Peer) (common, others []Peer) {
+	slices.SortFunc(peers, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	taken := map[string]int{}
+	for _, peer := range peers {
+		if taken[peer.FailureDomain]++; taken[peer.FailureDomain] <= CommonPeersPerDomain {
+			common = append(common, peer)
+			continue
+		}
+		others = append(others, peer)
+	}
+	return common, others
 }
 
 // WatchReply carries the changes after the known revision.
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -66,14 +66,13 @@
 	return change
 }
 
-// Known returns the limit in force, 0 for none, and when it was stated last. It returns false if the upstream has named
-// none so far.
-func (b *Book) Known(key Key) (perSecond float64, statedAt time.Time, ok bool) {
+// Known returns the limit in force, 0 for none, and when it was stated last.
+func (b *Book) Known(key Key) (perSecond float64, statedAt time.Time) {
 	e, ok := b.entries[key]
 	if !ok {
-		return 0, time.Time{}, false
+		return 0, time.Time{}
 	}
-	return e.perSecond, e.observedAt, true
+	return e.perSecond, e.observedAt
 }
 
 // Full records that no permit for the upstream is expected until the given time.
--- a/internal/relay/holder.go
+++ b/internal/relay/holder.go
@@ -66,7 +66,7 @@
 	return ranked
 }
 
-// holderCandidates returns the IDs of the first VMs of each failure domain in the common order. The caller must hold mu.
+// holderCandidates returns the IDs of the VMs that the lists of all VMs have in common. The caller must hold mu.
 func (p *Peers) holderCandidates() []string {
 	var all []controlrpc.Peer
 	if !p.leaving {
@@ -75,13 +75,10 @@
 	for _, link := range p.links {
 		all = append(all, link.peer)
 	}
-	slices.SortFunc(all, controlrpc.CommonOrder)
-	var ids []string
-	taken := map[string]int{}
-	for _, peer := range all {
-		if taken[peer.FailureDomain]++; taken[peer.FailureDomain] <= controlrpc.CommonPeersPerDomain {
-			ids = append(ids, peer.ID)
-		}
+	common, _ := controlrpc.SplitCommon(all)
+	ids := make([]string, len(common))
+	for n, peer := range common {
+		ids[n] = peer.ID
 	}
 	return ids
 }
--- a/internal/router/ratelimit.go
+++ b/internal/router/ratelimit.go
@@ -64,7 +64,7 @@
 	now := time.Now()
 	key := u.limitKey()
 	r.mu.Lock()
-	perSecond, statedAt, _ := r.limits.Known(key)
+	perSecond, statedAt := r.limits.Known(key)
 	r.mu.Unlock()
 	if perSecond == 0 {
 		return nil
@@ -117,7 +117,7 @@
 	if u, ok := r.View().byID[args.Upstream.Instance]; ok && u.limitKey() == args.Upstream {
 		r.observeLimitAt(now.Add(-args.Age), u, ratelimit.Statement{PerSecond: args.PerSecond})
 		r.mu.Lock()
-		perSecond, statedAt, _ := r.limits.Known(args.Upstream)
+		perSecond, statedAt := r.limits.Known(args.Upstream)
 		r.mu.Unlock()
 		reply.PerSecond, reply.Age = perSecond, now.Sub(statedAt)
 	}
--- a/internal/upstreamapi/ratelimit.go
+++ b/internal/upstreamapi/ratelimit.go
@@ -34,7 +34,7 @@
 func (l *RateLimiter) take(now time.Time) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	perSecond, _, _ := l.book.Known(theUpstream)
+	perSecond, _ := l.book.Known(theUpstream)
 	if perSecond == 0 {
 		return nil
 	}
