Log and count upstreams that end under requests

Cause for the change: the logs could not connect two tries of one request, and could not tell an upstream that has ended from one that closed a connection for another reason. A closed connection is now followed by a check whether the upstream accepts new ones while another upstream can be reached; no decision depends on it yet. Requests have a fingerprint.

Ruled out: judging by the closed connection alone, which resets and limits on connections cause as well.

--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -44,6 +44,7 @@
 		"wisteriamux.links.lost":          func() int64 { return r.Counts().Partitioned },
 		"wisteriamux.attempts.noroom":     func() int64 { return r.Counts().NoRoom },
 		"wisteriamux.limits.unreadable":   func() int64 { return r.Counts().LimitsUnreadable },
+		"wisteriamux.upstreams.ended":     func() int64 { return r.Counts().UpstreamEnds },
 		"wisteriamux.log.dropped":         output.Dropped,
 	}
 	for name, read := range gauges {
--- a/internal/entry/crashguard.go
+++ b/internal/entry/crashguard.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"log/slog"
 	"sync"
 	"time"
@@ -29,10 +27,7 @@
 // Fingerprint returns a hash that is equal for requests with the same service, operation and body, which make an
 // upstream do the same work.
 func Fingerprint(service, operation string, body []byte) string {
-	hash := sha256.New()
-	hash.Write([]byte(service + "\x00" + operation + "\x00"))
-	hash.Write(body)
-	return hex.EncodeToString(hash.Sum(nil)[:16])
+	return suspect.Fingerprint(body, service, operation)
 }
 
 // guardedRequest describes a request that is about to be sent to an upstream.
--- a/internal/router/partition.go
+++ b/internal/router/partition.go
@@ -51,6 +51,9 @@
 		return nil, &relay.LinkLostError{Sent: errors.As(err, &failed) && failed.Sent}
 	case errors.As(err, &failed) && failed.Sent:
 		r.recordUnanswered()
+		if failed.Closed {
+			r.checkEnd(u, request)
+		}
 	}
 	return response, err
 }
@@ -113,24 +116,7 @@
 
 // runCheck connects to the addresses and records whether any connection was made.
 func (r *Router) runCheck(addresses []string) {
-	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
-	defer cancel()
-	results := make(chan bool, len(addresses))
-	for _, address := range addresses {
-		go func() {
-			conn, err := r.config.DialUpstream(ctx, address)
-			if err == nil {
-				_ = conn.Close()
-			}
-			results <- err == nil
-		}()
-	}
-	connected := false
-	for range addresses {
-		if connected = <-results; connected {
-			break
-		}
-	}
+	connected := r.canConnect(addresses)
 	now := time.Now()
 	r.mu.Lock()
 	changed := r.links.Checked(now, connected)
@@ -151,6 +137,28 @@
 	}
 }
 
+// canConnect reports whether a connection to any of the addresses can be made within checkTimeout.
+func (r *Router) canConnect(addresses []string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	results := make(chan bool, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			conn, err := r.config.DialUpstream(ctx, address)
+			if err == nil {
+				_ = conn.Close()
+			}
+			results <- err == nil
+		}()
+	}
+	for range addresses {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
+
 // dropConnections ends all exchanges with upstreams and closes the idle connections, which hang.
 func (r *Router) dropConnections() {
 	r.epoch.Swap(newLinkEpoch()).cancel()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -86,6 +86,9 @@
 	issuer *ratelimit.Issuer
 	// links observes this VM's own links to upstreams.
 	links *reach.Monitor
+	// endChecks holds the requests that ran at upstreams whose connections were closed, while it is being checked whether
+	// these upstreams have ended.
+	endChecks map[ratelimit.Key][]endedRequest
 	// roundTrip estimates the round-trip time to callers.
 	roundTrip roundTrip
 	counts    Counts
@@ -112,6 +115,8 @@
 	NoRoom int64
 	// Partitioned is 1 while this VM has lost its links to all upstreams.
 	Partitioned int64
+	// UpstreamEnds counts the upstreams that ended while they ran requests of this VM.
+	UpstreamEnds int64
 }
 
 // routeStats holds the statistics of one route.
@@ -134,6 +139,7 @@
 		builder: &viewBuilder{domain: config.FailureDomain, dialer: config.DialUpstream, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
 		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), links: reach.New(),
+		endChecks: map[ratelimit.Key][]endedRequest{},
 	}
 	r.builder.dialled = r.recordDial
 	if config.RelayAddress != "" {
--- a/internal/upstreamconn/upstreamconn.go
+++ b/internal/upstreamconn/upstreamconn.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -88,6 +89,8 @@
 	Sent bool
 	// Unreachable is set if no connection could be established.
 	Unreachable bool
+	// Closed is set if the upstream closed or reset the connection after the request had been sent.
+	Closed bool
 }
 
 // Error implements the error interface.
@@ -97,7 +100,13 @@
 func (e *RequestError) Unwrap() error { return e.Err }
 
 func newRequestError(sent, unreachable bool, op, format string, args ...any) *RequestError {
-	return &RequestError{Err: fault.New(fault.UpstreamFailed, "upstreamconn."+op, format, args...), Sent: sent, Unreachable: unreachable}
+	err := fault.New(fault.UpstreamFailed, "upstreamconn."+op, format, args...)
+	return &RequestError{Err: err, Sent: sent, Unreachable: unreachable, Closed: sent && closedByPeer(err)}
+}
+
+// closedByPeer reports whether the error means that the other side has closed or reset the connection.
+func closedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 type conn struct {
