--- /dev/null
+++ b/internal/router/crash_test.go
@@ -0,0 +1,332 @@
+package router
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wisteriamux/wisteriamux/internal/control"
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/registry"
+	"github.com/wisteriamux/wisteriamux/internal/route"
+	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
+)
+
+const (
+	// fatalTarget is the target of the requests that end each upstream that begins to run them.
+	fatalTarget = "/fatal"
+	// settledAfter is the users' bound: from then on after the third end, a fatal request reaches upstreams at most
+	// allowedRepeats times, summed over all VMs.
+	settledAfter   = 4 * time.Second
+	allowedRepeats = 3
+	// restartAfter is how long an upstream is away after its end.
+	restartAfter = time.Second
+	workTime     = 15 * time.Millisecond
+)
+
+// inProcessControl is a control group of one member, reached without a network.
+type inProcessControl struct {
+	service *control.Service
+}
+
+func startControl() *inProcessControl {
+	machine := control.NewMachine()
+	service := control.NewService("control", machine, control.NewMemoryReplicator("control", machine), time.Now).
+		WithLog(slog.New(slog.NewTextHandler(GinkgoWriter, nil)))
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go service.Run(ctx)
+	return &inProcessControl{service: service}
+}
+
+func (c *inProcessControl) Watch(ctx context.Context, args controlrpc.WatchArgs) (controlrpc.WatchReply, error) {
+	var reply controlrpc.WatchReply
+	if err := c.service.Watch(args, &reply); err != nil {
+		return reply, err
+	}
+	return reply, reply.Fault.AsError()
+}
+
+func (c *inProcessControl) WatchAny(ctx context.Context, args controlrpc.WatchArgs) (controlrpc.WatchReply, error) {
+	return c.Watch(ctx, args)
+}
+
+func (c *inProcessControl) SetAddresses([]string) {}
+
+// mortalUpstream is an upstream that ends when it begins to run a fatal request, and is back after restartAfter with a later
+// start time.
+type mortalUpstream struct {
+	instance registry.Instance
+	control  *inProcessControl
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	down  bool
+	// fatal holds the arrivals of fatal requests and ends the ends of the process. stopped is set at the end of the test.
+	fatal, ends []time.Time
+	stopped     bool
+}
+
+func startMortalUpstream(c *inProcessControl, id, service, domain string) *mortalUpstream {
+	u := &mortalUpstream{control: c, conns: map[net.Conn]bool{}, instance: registry.Instance{
+		ID: id, Service: service, FailureDomain: domain, Address: "127.0.0.1:0", Slots: 2, State: registry.Ready, Born: 1,
+	}}
+	u.start()
+	DeferCleanup(func() { u.end(true) })
+	return u
+}
+
+// start listens and registers the process.
+func (u *mortalUpstream) start() {
+	listener, err := net.Listen("tcp", u.instance.Address)
+	if err != nil {
+		// A connection of the test itself may hold the port for a moment.
+		time.AfterFunc(10*time.Millisecond, u.start)
+		return
+	}
+	u.mu.Lock()
+	u.instance.Address = listener.Addr().String()
+	u.instance.Born++
+	u.down = false
+	stopped := u.stopped
+	u.mu.Unlock()
+	if stopped {
+		_ = listener.Close()
+		return
+	}
+	var ack controlrpc.Ack
+	_ = u.control.service.Report(controlrpc.ReportArgs{Report: registry.Report{Instance: u.instance}}, &ack)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if !u.keep(conn) {
+				_ = listener.Close()
+				return
+			}
+			go u.serve(conn, listener)
+		}
+	}()
+}
+
+// keep registers a connection, or closes it if the process has ended.
+func (u *mortalUpstream) keep(conn net.Conn) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.down {
+		_ = conn.Close()
+		return false
+	}
+	u.conns[conn] = true
+	return true
+}
+
+func (u *mortalUpstream) serve(conn net.Conn, listener net.Listener) {
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if request.URL.Path == fatalTarget {
+			u.mu.Lock()
+			u.fatal = append(u.fatal, time.Now())
+			u.mu.Unlock()
+			_ = listener.Close()
+			u.end(false)
+			return
+		}
+		time.Sleep(workTime)
+		body := record('m')
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nStamp: stamp-%s\r\nContent-Length: %d\r\n\r\n%s", u.instance.ID, len(body), body); err != nil {
+			return
+		}
+	}
+}
+
+// end closes all connections, as the end of a process does.
+func (u *mortalUpstream) end(stop bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.stopped = u.stopped || stop
+	if u.down {
+		return
+	}
+	u.down = true
+	u.ends = append(u.ends, time.Now())
+	for conn := range u.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+	clear(u.conns)
+	if !u.stopped {
+		time.AfterFunc(restartAfter, u.start)
+	}
+}
+
+// mortalFleet is a set of VMs, control and upstreams.
+type mortalFleet struct {
+	control   *inProcessControl
+	vms       []*relayVM
+	upstreams []*mortalUpstream
+	services  []string
+}
+
+// startMortalFleet starts three VMs, two of them in one failure domain, that are relays for each other, and services with the
+// number of upstreams each.
+func startMortalFleet(services, copies int) *mortalFleet {
+	f := &mortalFleet{control: startControl()}
+	domains := []string{"a", "b"}
+	for n := range services {
+		service := "s" + strconv.Itoa(n)
+		f.services = append(f.services, service)
+		for number := range copies {
+			f.upstreams = append(f.upstreams, startMortalUpstream(f.control, fmt.Sprintf("%s-%d", service, number), service, domains[number%len(domains)]))
+		}
+	}
+	// Upstreams that the fatal request does not reach let a VM tell ends of upstreams from a loss of its own links.
+	for n, domain := range domains {
+		f.upstreams = append(f.upstreams, startMortalUpstream(f.control, fmt.Sprintf("other-%d", n), "other", domain))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	for n, domain := range []string{"a", "a", "b"} {
+		vm := startVMWithControl("vm-"+strconv.Itoa(n), domain, f.control)
+		f.vms = append(f.vms, vm)
+		go vm.router.WatchControl(ctx)
+	}
+	for _, vm := range f.vms {
+		Eventually(func() int { return vm.router.View().UpstreamCount() }, 5*time.Second).Should(Equal(len(f.upstreams)))
+		Eventually(func() int { return vm.router.View().watchers }, 5*time.Second).Should(Equal(len(f.vms)))
+	}
+	return f
+}
+
+// load holds what the callers of a fleet saw.
+type load struct {
+	mu                          sync.Mutex
+	innocentServed, innocentAll int
+	// lateServed and lateAll count the innocent requests that were sent after the users' bound.
+	lateServed, lateAll int
+}
+
+// play sends the fatal request to the VMs in turn every interval, and an innocent one between each two, until the duration
+// has passed.
+func (f *mortalFleet) play(send func(vm *relayVM, id, target string) error, duration, interval time.Duration) *load {
+	l := &load{}
+	var wg sync.WaitGroup
+	begin := time.Now()
+	for n := 0; time.Since(begin) < duration; n++ {
+		vm, other := f.vms[n%len(f.vms)], f.vms[(n+1)%len(f.vms)]
+		wg.Go(func() {
+			err := send(vm, fmt.Sprintf("fatal-%d", n), fatalTarget)
+			GinkgoWriter.Printf("%.1f s: fatal request %d: %v\n", time.Since(begin).Seconds(), n, err)
+		})
+		time.Sleep(interval / 2)
+		late := time.Since(begin) > settledAfter+restartAfter
+		wg.Go(func() {
+			err := send(other, fmt.Sprintf("innocent-%d", n), fmt.Sprintf("/innocent/%d", n))
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.innocentAll++
+			if late {
+				l.lateAll++
+			}
+			if err != nil {
+				GinkgoWriter.Printf("%.1f s: innocent request %d: %v\n", time.Since(begin).Seconds(), n, err)
+				return
+			}
+			l.innocentServed++
+			if late {
+				l.lateServed++
+			}
+		})
+		time.Sleep(interval / 2)
+	}
+	wg.Wait()
+	return l
+}
+
+// arrivals returns all arrivals of fatal requests in order, and those that came settledAfter after the third end.
+func (f *mortalFleet) arrivals() (all, late []time.Time) {
+	var ends []time.Time
+	for _, u := range f.upstreams {
+		u.mu.Lock()
+		all = append(all, u.fatal...)
+		ends = append(ends, u.ends...)
+		u.mu.Unlock()
+	}
+	slices.SortFunc(all, time.Time.Compare)
+	slices.SortFunc(ends, time.Time.Compare)
+	for _, at := range all {
+		if len(ends) >= 3 && at.After(ends[2].Add(settledAfter)) {
+			late = append(late, at)
+		}
+	}
+	for n, at := range all {
+		GinkgoWriter.Printf("arrival %d after %.2f s\n", n+1, at.Sub(all[0]).Seconds())
+	}
+	return all, late
+}
+
+var _ = Describe("a request under which upstreams end", Label("slow"), func() {
+	forward := func(rt *route.Route) func(*relayVM, string, string) error {
+		return func(vm *relayVM, id, target string) error {
+			_, err := vm.router.Forward(context.Background(), vm.router.View(), rt, mortalRequest(rt, id, target))
+			return err
+		}
+	}
+	search := func(rt *route.Route) func(*relayVM, string, string) error {
+		return func(vm *relayVM, id, target string) error {
+			_, err := vm.router.Search(context.Background(), vm.router.View(), rt, mortalRequest(rt, id, target))
+			return err
+		}
+	}
+
+	It("stops reaching upstreams through any VM once three have ended, when it is forwarded", func() {
+		f := startMortalFleet(1, 6)
+		rt := &route.Route{Name: "forward", Idempotent: true, Attempts: 2, Timeout: 2 * time.Second, Objective: time.Second, Service: f.services[0]}
+		f.expectContained(f.play(forward(rt), 10*time.Second, 300*time.Millisecond))
+	})
+
+	It("stops reaching upstreams through any VM once three have ended, when it is a search", func() {
+		f := startMortalFleet(6, 2)
+		rt := searchRoute(f.services...)
+		f.expectContained(f.play(search(rt), 10*time.Second, 300*time.Millisecond))
+	})
+})
+
+func mortalRequest(rt *route.Route, id, target string) *Request {
+	return &Request{Request: upstreamconn.Request{ID: id, Method: "GET", Target: target, Host: "x"}, Received: time.Now(), Limit: rt.Timeout}
+}
+
+// expectContained checks the users' bound for the fatal request, and that callers of other requests are all served from the
+// bound and the restart of the upstreams on.
+func (f *mortalFleet) expectContained(l *load) {
+	all, late := f.arrivals()
+	GinkgoWriter.Printf("fatal request: %d arrivals, %d late; innocent requests: %d of %d served, late ones %d of %d\n",
+		len(all), len(late), l.innocentServed, l.innocentAll, l.lateServed, l.lateAll)
+	Expect(len(all)).To(BeNumerically(">=", 3), "the request was not tried")
+	Expect(len(late)).To(BeNumerically("<=", allowedRepeats))
+	Expect(l.lateAll).To(BeNumerically(">", 5))
+	Expect(l.lateServed).To(Equal(l.lateAll))
+}
+
+func startVMWithControl(id, domain string, client ControlClient) *relayVM {
+	vm := startVM(id, domain)
+	vm.router.control = client
+	return vm
+}
