Name upstream processes in the registry

The pair of an upstream's ID and start time is needed by more than rate limits: evidence about upstreams that ended is the next. It moves from ratelimit.Key to registry.Process, unchanged; net/rpc matches its fields by name. No logic is changed. Tests of ratelimit, registry, relay and upstreamapi pass.

--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -4,13 +4,9 @@
 	"slices"
 	"strings"
 	"time"
-)
 
-// Key identifies an upstream process. A process that starts again under the same ID has a later Born and no limit yet.
-type Key struct {
-	Instance string
-	Born     int64
-}
+	"github.com/wisteriamux/wisteriamux/internal/registry"
+)
 
 // entry is what is known about one upstream. It is kept after the end of a limit, so that an older statement that
 // arrives late does not bring the limit back.
@@ -25,13 +21,13 @@
 
 // Book holds the limits that one entry VM knows. It is not safe for concurrent use.
 type Book struct {
-	entries map[Key]*entry
+	entries map[registry.Process]*entry
 	// unreadable counts the statements that could not be read.
 	unreadable int64
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{entries: map[Key]*entry{}} }
+func NewBook() *Book { return &Book{entries: map[registry.Process]*entry{}} }
 
 // Change is the effect of a statement: the limits in force before and after, 0 for none.
 type Change struct {
@@ -42,7 +38,7 @@
 
 // Observe records what a response that arrived at the given time says. Of two statements the one that arrived later
 // holds.
-func (b *Book) Observe(at time.Time, key Key, s Statement) Change {
+func (b *Book) Observe(at time.Time, key registry.Process, s Statement) Change {
 	e, known := b.entries[key]
 	perSecond := s.PerSecond
 	if s.Err != nil {
@@ -67,7 +63,7 @@
 }
 
 // Known returns the limit in force, 0 for none, and when it was stated last.
-func (b *Book) Known(key Key) (perSecond float64, statedAt time.Time) {
+func (b *Book) Known(key registry.Process) (perSecond float64, statedAt time.Time) {
 	e, ok := b.entries[key]
 	if !ok {
 		return 0, time.Time{}
@@ -76,14 +72,14 @@
 }
 
 // Full records that no permit for the upstream is expected until the given time.
-func (b *Book) Full(key Key, until time.Time) {
+func (b *Book) Full(key registry.Process, until time.Time) {
 	if e, ok := b.entries[key]; ok {
 		e.fullUntil = until
 	}
 }
 
 // RoomAt returns the time from which a permit for the upstream is expected, which is not after now if there is no limit.
-func (b *Book) RoomAt(key Key) time.Time {
+func (b *Book) RoomAt(key registry.Process) time.Time {
 	if e, ok := b.entries[key]; ok && e.perSecond > 0 {
 		return e.fullUntil
 	}
@@ -95,7 +91,7 @@
 
 // InForce is a limit in force.
 type InForce struct {
-	Key       Key
+	Process   registry.Process
 	PerSecond float64
 }
 
@@ -104,10 +100,10 @@
 	var all []InForce
 	for key, e := range b.entries {
 		if e.perSecond > 0 {
-			all = append(all, InForce{Key: key, PerSecond: e.perSecond})
+			all = append(all, InForce{Process: key, PerSecond: e.perSecond})
 		}
 	}
-	slices.SortFunc(all, func(a, c InForce) int { return strings.Compare(a.Key.Instance, c.Key.Instance) })
+	slices.SortFunc(all, func(a, c InForce) int { return strings.Compare(a.Process.Instance, c.Process.Instance) })
 	return all
 }
 
@@ -115,7 +111,7 @@
 func (b *Book) Unreadable() int64 { return b.unreadable }
 
 // Retain drops every upstream for which keep returns false.
-func (b *Book) Retain(keep func(Key) bool) {
+func (b *Book) Retain(keep func(registry.Process) bool) {
 	for key := range b.entries {
 		if !keep(key) {
 			delete(b.entries, key)
--- a/internal/ratelimit/issuer.go
+++ b/internal/ratelimit/issuer.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/registry"
 )
 
 const (
@@ -88,15 +90,15 @@
 
 // Issuer grants the permits of the upstreams whose bucket this VM holds. It is not safe for concurrent use.
 type Issuer struct {
-	buckets map[Key]*bucket
+	buckets map[registry.Process]*bucket
 }
 
 // NewIssuer returns an issuer without any bucket.
-func NewIssuer() *Issuer { return &Issuer{buckets: map[Key]*bucket{}} }
+func NewIssuer() *Issuer { return &Issuer{buckets: map[registry.Process]*bucket{}} }
 
 // Take grants a permit to send one request now, or tells when to ask again. The draw is a random number from [0, 1): a
 // bucket that is too small for a whole token grants its part of a token with the same probability.
-func (i *Issuer) Take(now time.Time, key Key, d Demand, draw float64) Grant {
+func (i *Issuer) Take(now time.Time, key registry.Process, d Demand, draw float64) Grant {
 	issuers := float64(max(1, d.Issuers))
 	burst := (burstBase + burstSeconds*d.PerSecond) / issuers
 	b := i.bucket(now, key, math.Min(firstPermits, burst)/issuers)
@@ -132,7 +134,7 @@
 }
 
 // bucket returns the bucket of the upstream. One that was not used lately begins anew.
-func (i *Issuer) bucket(now time.Time, key Key, first float64) *bucket {
+func (i *Issuer) bucket(now time.Time, key registry.Process, first float64) *bucket {
 	b, ok := i.buckets[key]
 	if !ok || now.Sub(b.refilledAt) > handOver {
 		b = &bucket{tokens: first, refilledAt: now, since: now, urgentRank: math.MaxInt}
@@ -151,7 +153,7 @@
 }
 
 // Retain drops every upstream for which keep returns false.
-func (i *Issuer) Retain(keep func(Key) bool) {
+func (i *Issuer) Retain(keep func(registry.Process) bool) {
 	for key := range i.buckets {
 		if !keep(key) {
 			delete(i.buckets, key)
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/registry"
 )
 
 func TestRatelimit(t *testing.T) {
@@ -23,7 +24,7 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
-var key = Key{Instance: "u", Born: 1}
+var key = registry.Process{Instance: "u", Born: 1}
 
 // window is the span of the users' rule, and allowed the number of requests that it allows in one.
 const window = 4 * time.Second
@@ -79,7 +80,7 @@
 		book := NewBook()
 		book.Observe(at(20), key, Statement{PerSecond: 20})
 		book.Observe(at(10), key, Statement{})
-		Expect(book.InForce()).To(Equal([]InForce{{Key: key, PerSecond: 20}}))
+		Expect(book.InForce()).To(Equal([]InForce{{Process: key, PerSecond: 20}}))
 	})
 
 	It("changes to a new value", func() {
@@ -92,9 +93,9 @@
 		book := NewBook()
 		book.Observe(at(10), key, Statement{PerSecond: 20})
 		book.Full(key, at(time.Hour))
-		restarted := Key{Instance: "u", Born: 2}
+		restarted := registry.Process{Instance: "u", Born: 2}
 		Expect(book.RoomAt(restarted)).To(BeZero())
-		book.Retain(func(k Key) bool { return k == restarted })
+		book.Retain(func(k registry.Process) bool { return k == restarted })
 		Expect(book.Empty()).To(BeTrue())
 	})
 })
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -34,6 +34,15 @@
 	Since uint64 `cbor:"10,keyasint,omitempty"`
 }
 
+// Process identifies an upstream process. A process that starts again under the same ID has a later Born.
+type Process struct {
+	Instance string
+	Born     int64
+}
+
+// Process returns the identity of the process.
+func (i Instance) Process() Process { return Process{Instance: i.ID, Born: i.Born} }
+
 // Report is one report about an upstream: its state, its departure, or that it is silent.
 type Report struct {
 	Instance Instance `cbor:"1,keyasint"`
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -11,6 +11,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
+	"github.com/wisteriamux/wisteriamux/internal/registry"
 )
 
 // ServiceName is the name of the RPC service.
@@ -147,7 +148,7 @@
 
 // PermitArgs ask the VM that holds the bucket of an upstream for a permit to send one request.
 type PermitArgs struct {
-	Upstream ratelimit.Key
+	Upstream registry.Process
 	// PerSecond is the limit that the asking VM knows, and Age the time since it heard of it.
 	PerSecond float64
 	Age       time.Duration
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -57,7 +57,7 @@
 				return true
 			}
 		}
-		return !r.limits.Empty() && r.limits.RoomAt(view.byID[id].limitKey()).After(now)
+		return !r.limits.Empty() && r.limits.RoomAt(view.byID[id].process()).After(now)
 	})
 	if index < 0 {
 		return nil
--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -35,7 +35,7 @@
 	closedAt := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	key := u.limitKey()
+	key := u.process()
 	others, checking := r.endChecks[key]
 	r.endChecks[key] = append(others, ended)
 	if !checking {
@@ -45,7 +45,7 @@
 
 func (r *Router) finishEndCheck(u *upstream, closedAt time.Time) {
 	ended := r.hasEnded(u, closedAt)
-	key := u.limitKey()
+	key := u.process()
 	r.mu.Lock()
 	requests := r.endChecks[key]
 	delete(r.endChecks, key)
--- a/internal/router/ratelimit.go
+++ b/internal/router/ratelimit.go
@@ -9,15 +9,14 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
+	"github.com/wisteriamux/wisteriamux/internal/registry"
 	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/route"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
 
-// limitKey returns the key of the upstream process in the book of limits.
-func (u *upstream) limitKey() ratelimit.Key {
-	return ratelimit.Key{Instance: u.instance.ID, Born: u.instance.Born}
-}
+// process returns the identity of the upstream process.
+func (u *upstream) process() registry.Process { return u.instance.Process() }
 
 // send sends a request of the rank, which usually takes the expected time, to an upstream. Every request of this VM to an
 // upstream passes here, so that all of them count towards the upstream's rate limit. A NoRoomError means that nothing was
@@ -38,7 +37,7 @@
 
 func (r *Router) observeLimitAt(at time.Time, u *upstream, s ratelimit.Statement) {
 	r.mu.Lock()
-	change := r.limits.Observe(at, u.limitKey(), s)
+	change := r.limits.Observe(at, u.process(), s)
 	r.mu.Unlock()
 	if change.BecameUnreadable {
 		r.log.Warn("upstream rate limit cannot be read", "upstream", u.instance.ID, "service", u.instance.Service,
@@ -62,7 +61,7 @@
 // permit returns a NoRoomError unless the upstream has no rate limit or a permit was granted.
 func (r *Router) permit(ctx context.Context, u *upstream, rank int) error {
 	now := time.Now()
-	key := u.limitKey()
+	key := u.process()
 	r.mu.Lock()
 	perSecond, statedAt := r.limits.Known(key)
 	r.mu.Unlock()
@@ -114,7 +113,7 @@
 func (r *Router) Permit(args relay.PermitArgs) relay.PermitReply {
 	now := time.Now()
 	reply := relay.PermitReply{Grant: ratelimit.Grant{RetryAfter: holderRetry}, PerSecond: args.PerSecond, Age: args.Age}
-	if u, ok := r.View().byID[args.Upstream.Instance]; ok && u.limitKey() == args.Upstream {
+	if u, ok := r.View().byID[args.Upstream.Instance]; ok && u.process() == args.Upstream {
 		r.observeLimitAt(now.Add(-args.Age), u, ratelimit.Statement{PerSecond: args.PerSecond})
 		r.mu.Lock()
 		perSecond, statedAt := r.limits.Known(args.Upstream)
@@ -137,7 +136,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.counts.NoRoom++
-	r.limits.Full(u.limitKey(), time.Now().Add(retryAfter))
+	r.limits.Full(u.process(), time.Now().Add(retryAfter))
 }
 
 // Leave hands the buckets of this VM over to others, because it is about to stop.
@@ -171,7 +170,7 @@
 func (r *Router) waitForRoom(view *View, service string, now time.Time) time.Duration {
 	var earliest time.Duration
 	for n, u := range view.byService[service] {
-		wait := max(0, r.limits.RoomAt(u.limitKey()).Sub(now))
+		wait := max(0, r.limits.RoomAt(u.process()).Sub(now))
 		if n == 0 || wait < earliest {
 			earliest = wait
 		}
@@ -197,12 +196,12 @@
 	r.mu.Unlock()
 	all := []LimitInForce{}
 	for _, l := range inForce {
-		limit := LimitInForce{Upstream: l.Key.Instance, PerSecond: l.PerSecond}
-		if u, ok := view.byID[l.Key.Instance]; ok {
+		limit := LimitInForce{Upstream: l.Process.Instance, PerSecond: l.PerSecond}
+		if u, ok := view.byID[l.Process.Instance]; ok {
 			limit.Service = u.instance.Service
 		}
 		if r.peers != nil {
-			limit.Holder = r.peers.FirstHolder(l.Key.Instance)
+			limit.Holder = r.peers.FirstHolder(l.Process.Instance)
 		}
 		all = append(all, limit)
 	}
--- a/internal/router/ratelimit_test.go
+++ b/internal/router/ratelimit_test.go
@@ -15,6 +15,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
+	"github.com/wisteriamux/wisteriamux/internal/registry"
 	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
@@ -222,7 +223,7 @@
 		Eventually(func() *relay.Link {
 			return asked.router.peers.Holder(name, time.Now()).Link
 		}).ShouldNot(BeNil())
-		reply := asked.router.Permit(relay.PermitArgs{Upstream: ratelimit.Key{Instance: name}, PerSecond: 1000})
+		reply := asked.router.Permit(relay.PermitArgs{Upstream: registry.Process{Instance: name}, PerSecond: 1000})
 		Expect(reply.Grant.Granted).To(BeFalse())
 	})
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/overload"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 	"github.com/wisteriamux/wisteriamux/internal/reach"
+	"github.com/wisteriamux/wisteriamux/internal/registry"
 	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/replica"
 	"github.com/wisteriamux/wisteriamux/internal/route"
@@ -88,7 +89,7 @@
 	links *reach.Monitor
 	// endChecks holds the requests that ran at upstreams whose connections were closed, while it is being checked whether
 	// these upstreams have ended.
-	endChecks map[ratelimit.Key][]endedRequest
+	endChecks map[registry.Process][]endedRequest
 	// roundTrip estimates the round-trip time to callers.
 	roundTrip roundTrip
 	counts    Counts
@@ -139,7 +140,7 @@
 		builder: &viewBuilder{domain: config.FailureDomain, dialer: config.DialUpstream, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
 		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), links: reach.New(),
-		endChecks: map[ratelimit.Key][]endedRequest{},
+		endChecks: map[registry.Process][]endedRequest{},
 	}
 	r.builder.dialled = r.recordDial
 	if config.RelayAddress != "" {
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -8,7 +8,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/overload"
-	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
+	"github.com/wisteriamux/wisteriamux/internal/registry"
 )
 
 const (
@@ -140,9 +140,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tracker.Retain(func(id string) bool { return live[id] })
-	registered := func(key ratelimit.Key) bool {
+	registered := func(key registry.Process) bool {
 		u, ok := view.byID[key.Instance]
-		return ok && u.limitKey() == key
+		return ok && u.process() == key
 	}
 	r.links.Retain(func(id string) bool { return live[id] })
 	r.limits.Retain(registered)
--- a/internal/upstreamapi/ratelimit.go
+++ b/internal/upstreamapi/ratelimit.go
@@ -8,6 +8,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
+	"github.com/wisteriamux/wisteriamux/internal/registry"
 )
 
 // RateLimiter keeps the requests to one upstream process to the rate limit that it names. The entry VM that owns an
@@ -28,7 +29,7 @@
 }
 
 // theUpstream is the key of the only upstream of a limiter.
-var theUpstream ratelimit.Key
+var theUpstream registry.Process
 
 // take returns a NotRun error with a ratelimit.NoRoomError in its chain if the upstream is at its rate limit.
 func (l *RateLimiter) take(now time.Time) error {
