Wait for the request of an aborted search before counting requests

Cause: the search before ends as soon as one shard has no room, while its request to the other shard is on its way; the count was read before that arrived. The spec waits 100 ms before it reads the count. Check and bound are unchanged. Ruled out: the search under test sending a request, since refuseLimited returns before any attempt is chosen.

--- a/internal/router/ratelimit_test.go
+++ b/internal/router/ratelimit_test.go
@@ -143,8 +143,9 @@
 			_, err := vm.search(rt)
 			Expect(err).NotTo(HaveOccurred())
 		}
-		// This search still finds out that there is no room.
+		// This search still finds out that there is no room. Its request to the other shard may arrive after its end.
 		_, _ = vm.search(rt)
+		time.Sleep(100 * time.Millisecond)
 		before := free.requests.Load()
 		_, err := vm.search(rt)
 		Expect(fault.CodeOf(err)).To(Equal(fault.RateLimited))
