Quarantine requests under which upstreams end at all entry VMs

Callers saw: a request under which upstreams end was sent on at each try, and one such search took both copies of each shard, so that innocent searches failed beside it.

Cause: the router kept no memory of what was in flight when an upstream ended; each try has a new ID and was a new request at each VM. Second attempts doubled the loss.

Change: VMs check whether an upstream that closed a connection has ended, and report ends under requests that no upstream has answered to the control leader. It quarantines the request that the ends have in common, in the replicated log, and all VMs refuse it. A search tries one second attempt after ends before it sends the others.

Ruled out: counting at each VM alone (three repeats for each VM), a holder by hashing (forgets with the VM), and judging by closed connections alone.

--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -31,21 +31,22 @@
 		return nil, err
 	}
 	gauges := map[string]func() int64{
-		"wisteriamux.view.revision":       func() int64 { return int64(r.View().Revision) },
-		"wisteriamux.view.upstreams":      func() int64 { return int64(r.View().UpstreamCount()) },
-		"wisteriamux.attempts":            func() int64 { return r.Counts().Attempts },
-		"wisteriamux.attempts.extra":      func() int64 { return r.Counts().Extra },
-		"wisteriamux.attempts.relayed":    func() int64 { return r.Counts().Relayed },
-		"wisteriamux.attempts.carried":    func() int64 { return r.Counts().Executed },
-		"wisteriamux.attempts.denied":     func() int64 { return r.Counts().Denied },
-		"wisteriamux.responses.oversized": func() int64 { return r.Counts().Oversized },
-		"wisteriamux.responses.memory":    func() int64 { return r.Counts().ResponseMemory },
-		"wisteriamux.limits":              func() int64 { return r.Counts().Limited },
-		"wisteriamux.links.lost":          func() int64 { return r.Counts().Partitioned },
-		"wisteriamux.attempts.noroom":     func() int64 { return r.Counts().NoRoom },
-		"wisteriamux.limits.unreadable":   func() int64 { return r.Counts().LimitsUnreadable },
-		"wisteriamux.upstreams.ended":     func() int64 { return r.Counts().UpstreamEnds },
-		"wisteriamux.log.dropped":         output.Dropped,
+		"wisteriamux.view.revision":        func() int64 { return int64(r.View().Revision) },
+		"wisteriamux.view.upstreams":       func() int64 { return int64(r.View().UpstreamCount()) },
+		"wisteriamux.attempts":             func() int64 { return r.Counts().Attempts },
+		"wisteriamux.attempts.extra":       func() int64 { return r.Counts().Extra },
+		"wisteriamux.attempts.relayed":     func() int64 { return r.Counts().Relayed },
+		"wisteriamux.attempts.carried":     func() int64 { return r.Counts().Executed },
+		"wisteriamux.attempts.denied":      func() int64 { return r.Counts().Denied },
+		"wisteriamux.responses.oversized":  func() int64 { return r.Counts().Oversized },
+		"wisteriamux.responses.memory":     func() int64 { return r.Counts().ResponseMemory },
+		"wisteriamux.limits":               func() int64 { return r.Counts().Limited },
+		"wisteriamux.links.lost":           func() int64 { return r.Counts().Partitioned },
+		"wisteriamux.attempts.noroom":      func() int64 { return r.Counts().NoRoom },
+		"wisteriamux.limits.unreadable":    func() int64 { return r.Counts().LimitsUnreadable },
+		"wisteriamux.upstreams.ended":      func() int64 { return r.Counts().UpstreamEnds },
+		"wisteriamux.requests.quarantined": func() int64 { return r.Counts().Quarantined },
+		"wisteriamux.log.dropped":          output.Dropped,
 	}
 	for name, read := range gauges {
 		if err := metrics.RegisterGauge(name, "total or state of the router", read); err != nil {
--- a/cmd/wmuxctl/quarantine.go
+++ b/cmd/wmuxctl/quarantine.go
@@ -20,12 +20,22 @@
 	command := viewCommand(opts, func(view model.View) error {
 		var rows [][]any
 		for _, quarantine := range view.Quarantines {
-			rows = append(rows, []any{quarantine.Fingerprint, quarantine.Until.Format(time.RFC3339)})
+			since := "-"
+			if !quarantine.Since.IsZero() {
+				since = quarantine.Since.Format(time.RFC3339)
+			}
+			evidence := quarantine.Evidence
+			rows = append(rows, []any{
+				quarantine.Fingerprint, since, quarantine.Until.Format(time.RFC3339), evidence.Ends, evidence.Tries, evidence.VMs, evidence.Summary,
+			})
 		}
-		return opts.printTable(view.Quarantines, "FINGERPRINT|UNTIL", rows)
+		return opts.printTable(view.Quarantines, "FINGERPRINT|SINCE|UNTIL|ENDED|TRIES|VMS|REQUEST", rows)
 	})
 	command.Use = "list"
 	command.Short = "List the quarantined fingerprints, whose requests are rejected"
+	command.Long = "List the quarantined fingerprints, whose requests are rejected. ENDED is the number of upstream processes that ended\n" +
+		"under so many TRIES of the request, as reported by so many entry VMs. They are 0 if the entry VM that owns the upstream\n" +
+		"ran the request alone."
 	command.Example = "  wmuxctl quarantine list"
 	return command
 }
--- a/internal/control/access.go
+++ b/internal/control/access.go
@@ -165,6 +165,15 @@
 	return a.service.Watch(args, reply)
 }
 
+// ReportSuspects is Service.ReportSuspects for the VM itself.
+func (a *EntryAccess) ReportSuspects(args controlrpc.ReportSuspectsArgs, reply *controlrpc.Ack) error {
+	if args.Watcher != a.name {
+		reply.Fault = a.forbidden("report as %q", args.Watcher)
+		return nil
+	}
+	return a.service.ReportSuspects(args, reply)
+}
+
 // Watch is Service.Watch.
 func (a *OperatorAccess) Watch(args controlrpc.WatchArgs, reply *controlrpc.WatchReply) error {
 	return a.service.Watch(args, reply)
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -57,10 +57,11 @@
 	if err := s.checkNotBehind(args.Known); err != nil {
 		return err
 	}
-	s.machine.fillDelta(args.Known, reply)
+	s.machine.fillDelta(args.Known, s.now(), reply)
 	reply.Members, reply.Leader = s.knownMembers()
 	reply.Watchers = s.watchers.settledCount(watcherTimeout, watcherSettleTime, s.now())
 	s.fillPeers(args, reply)
+	s.fillSuspects(args, reply)
 	return nil
 }
 
@@ -71,14 +72,22 @@
 	if args.Known != 0 || s.machine.routes().Table.Version == 0 {
 		return notLeader
 	}
-	s.machine.fillDelta(args.Known, reply)
+	s.machine.fillDelta(args.Known, s.now(), reply)
 	reply.Provisional = true
 	return nil
 }
 
-// awaitChange waits until the revision differs from the one that the watcher knows, or until the wait time has passed.
+// awaitChange waits until the revision or the candidates for a quarantine differ from what the watcher knows, or until the wait
+// time has passed.
 func (s *Service) awaitChange(args controlrpc.WatchArgs) {
 	changed := s.machine.Changed()
+	var suspectsChanged <-chan struct{}
+	if args.FollowsSuspects {
+		var digest uint64
+		if digest, suspectsChanged = s.suspects.watch(); digest != args.SuspectsDigest {
+			return
+		}
+	}
 	if s.machine.Revision() != args.Known {
 		return
 	}
@@ -87,12 +96,13 @@
 	select {
 	case <-changed:
 		time.Sleep(watchBatchDelay)
+	case <-suspectsChanged:
 	case <-wait.C:
 	}
 }
 
 // fillDelta adds the changes after the known revision to the reply.
-func (m *Machine) fillDelta(known uint64, reply *controlrpc.WatchReply) {
+func (m *Machine) fillDelta(known uint64, now time.Time, reply *controlrpc.WatchReply) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	reply.Revision = m.state.Revision()
@@ -101,6 +111,7 @@
 		reply.Table = &routes.Table
 	}
 	reply.Instances = m.state.Instances().Since(known)
+	reply.Quarantined, reply.QuarantinesWhole = m.state.QuarantinesSince(known, now)
 }
 
 // Preview returns the effect that a report about an upstream would have on the state of this member, which may lag
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -36,6 +36,7 @@
 	instances  *presence
 	watchers   *presence
 	relayTable *relayTable
+	suspects   *suspectTable
 	now        func() time.Time
 	log        *slog.Logger
 }
@@ -53,6 +54,7 @@
 		instances:  newPresence(),
 		watchers:   newPresence(),
 		relayTable: newRelayTable(),
+		suspects:   newSuspectTable(),
 		now:        now,
 		log:        slog.New(slog.DiscardHandler),
 	}
@@ -109,6 +111,7 @@
 	s.leases.enterTerm(s.replicator.Term(), s.now())
 	s.instances.enterTerm(s.replicator.Term(), s.now())
 	s.watchers.enterTerm(s.replicator.Term(), s.now())
+	s.suspects.enterTerm(s.replicator.Term())
 	return nil
 }
 
--- a/internal/controlrpc/client.go
+++ b/internal/controlrpc/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/rpc"
 	"sync"
@@ -220,6 +221,11 @@
 		c.pool.Drop(address, conn)
 		return fault.New(fault.Unavailable, "control."+method, "%s: %w", address, ctx.Err())
 	case finished := <-call.Done:
+		var unknownMethod rpc.ServerError
+		if errors.As(finished.Error, &unknownMethod) {
+			// The methods of the service return no errors: a member of an older version does not know this one.
+			return fault.New(fault.Unsupported, "control."+method, "%s: %w", address, finished.Error)
+		}
 		if finished.Error != nil {
 			c.pool.Drop(address, conn)
 			return fault.New(fault.Unavailable, "control."+method, "%s: %w", address, finished.Error)
--- a/internal/controlrpc/referral_test.go
+++ b/internal/controlrpc/referral_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/rpc"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,10 +26,15 @@
 	members  *[]string
 	// knownLeader is the address of the leader that the member names, or empty.
 	knownLeader string
+	// delay is how long a watch takes, and calls the number of watches.
+	delay time.Duration
+	calls atomic.Int64
 }
 
 // Watch implements the control service.
 func (m *member) Watch(_ controlrpc.WatchArgs, reply *controlrpc.WatchReply) error {
+	m.calls.Add(1)
+	time.Sleep(m.delay)
 	reply.Members = *m.members
 	reply.Leader = m.knownLeader
 	if !m.isLeader {
@@ -95,6 +101,23 @@
 		Expect(time.Since(started)).To(BeNumerically("<", time.Second), "an unresponsive member would take one second")
 	})
 
+	It("keeps its connection and the leader when a member of an older version does not know a call", func() {
+		members[0].isLeader = true
+		client := controlrpc.NewClient(addresses[:1], controlrpc.PlainDialer)
+		defer client.Close()
+		waiting := make(chan error, 1)
+		members[0].delay = 300 * time.Millisecond
+		go func() {
+			_, err := client.Watch(context.Background(), controlrpc.WatchArgs{Known: 1})
+			waiting <- err
+		}()
+		time.Sleep(50 * time.Millisecond)
+		err := client.ReportSuspects(context.Background(), controlrpc.ReportSuspectsArgs{})
+		Expect(fault.CodeOf(err)).To(Equal(fault.Unsupported))
+		Expect(<-waiting).To(Succeed())
+		Expect(members[0].calls.Load()).To(Equal(int64(1)), "a dropped connection would repeat the watch")
+	})
+
 	It("finds the leader although a member names an unreachable leader", func() {
 		members[1].isLeader = true
 		members[0].knownLeader = "127.0.0.1:1"
--- a/internal/controlrpc/routes.go
+++ b/internal/controlrpc/routes.go
@@ -11,6 +11,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/registry"
 	"github.com/wisteriamux/wisteriamux/internal/route"
+	"github.com/wisteriamux/wisteriamux/internal/suspect"
 )
 
 // MaxWatchWait bounds how long the leader holds a watch. It is below attemptTimeout, so that a client notices a frozen
@@ -30,6 +31,10 @@
 	FailureDomain string
 	// PeersDigest is the digest from the last reply.
 	PeersDigest uint64
+	// FollowsSuspects is set by entry VMs that want to know which requests are candidates for a quarantine. SuspectsDigest is
+	// the digest from the last reply.
+	FollowsSuspects bool
+	SuspectsDigest  uint64
 }
 
 // Peer is an entry VM that accepts relayed batches from other entry VMs.
@@ -79,6 +84,20 @@
 	// in the request.
 	PeersDigest uint64
 	Peers       []Peer
+	// Quarantined lists the quarantines that were added after Known, or all of them if QuarantinesWhole is set.
+	Quarantined      []suspect.Quarantined
+	QuarantinesWhole bool
+	// SuspectsDigest is a digest of the candidates for a quarantine. Suspects lists them if the digest differs from that in
+	// the request.
+	SuspectsDigest uint64
+	Suspects       []suspect.Candidate
+}
+
+// ReportSuspectsArgs carries what an entry VM knows about requests under which upstreams ended.
+type ReportSuspectsArgs struct {
+	// Watcher is the ID of the entry VM.
+	Watcher string
+	Report  suspect.Report
 }
 
 // PutRoutesArgs requests that the route table is replaced.
@@ -126,7 +145,7 @@
 // Ack is the reply of a call that returns no result.
 type Ack struct {
 	Fault *fault.WireError
-	// Members and Leader are as in WatchReply. Only Admit sets them.
+	// Members and Leader are as in WatchReply. Only Admit and ReportSuspects set them.
 	Members []string
 	Leader  string
 }
@@ -203,6 +222,12 @@
 	return err
 }
 
+// ReportSuspects tells the leader about requests under which upstreams ended.
+func (c *Client) ReportSuspects(ctx context.Context, args ReportSuspectsArgs) error {
+	_, err := call[Ack](ctx, c, "ReportSuspects", args)
+	return err
+}
+
 // Admit requests membership in the control group from the leader.
 func (c *Client) Admit(ctx context.Context, args AdmitArgs) error {
 	_, err := callWithTimeout[Ack](ctx, c, groupTimeout, "Admit", args)
--- a/internal/controlstate/bounds_test.go
+++ b/internal/controlstate/bounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -9,6 +10,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/suspect"
 )
 
 // harness applies commands to a state at consecutive log indexes.
@@ -107,6 +109,25 @@
 		Expect(h.intent("a").Granted).To(BeTrue())
 	})
 
+	It("keeps a quarantine with its evidence over a snapshot, and tells it to VMs that knew an earlier revision", func() {
+		h := newHarness(small)
+		before := h.state.Revision()
+		h.apply(Command{AddQuarantine: &AddQuarantine{
+			Fingerprint: "f", DurationMillis: 60_000, Evidence: suspect.Evidence{Ends: 3, Tries: 2, VMs: 2, Summary: strings.Repeat("x", 1000)},
+		}})
+		data, err := h.state.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		restored, err := Restore(data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(restored.View().Quarantines).To(Equal(h.state.View().Quarantines))
+		Expect(restored.View().Quarantines[0].Evidence.Summary).To(HaveLen(maxSummaryBytes))
+		list, whole := restored.QuarantinesSince(before, restored.Now())
+		Expect(whole).To(BeFalse())
+		Expect(list).To(Equal([]suspect.Quarantined{{Fingerprint: "f", Remaining: time.Minute}}))
+		list, _ = restored.QuarantinesSince(restored.Revision(), restored.Now())
+		Expect(list).To(BeEmpty())
+	})
+
 	It("evicts the quarantine that ends first when the table is full, and removes each one at its end", func() {
 		h := newHarness(small)
 		h.quarantine("late", 20*time.Minute)
--- a/internal/controlstate/commands.go
+++ b/internal/controlstate/commands.go
@@ -10,6 +10,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/registry"
 	"github.com/wisteriamux/wisteriamux/internal/route"
+	"github.com/wisteriamux/wisteriamux/internal/suspect"
 )
 
 // Command is an entry of the replicated log. Exactly one of the pointers is set.
@@ -122,6 +123,7 @@
 type AddQuarantine struct {
 	Fingerprint    string
 	DurationMillis int64
+	Evidence       suspect.Evidence `cbor:",omitzero"`
 }
 
 // ClearQuarantine ends the quarantine of a fingerprint early, or all quarantines if All is set.
--- a/internal/controlstate/quarantines.go
+++ b/internal/controlstate/quarantines.go
@@ -4,23 +4,38 @@
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/suspect"
 )
 
-// MaxQuarantine is the maximum duration of a quarantine.
-const MaxQuarantine = 24 * time.Hour
+// maxSummaryBytes bounds the description of a quarantined request.
+const maxSummaryBytes = 256
+
+// quarantine refuses the requests with a fingerprint.
+type quarantine struct {
+	untilMillis, sinceMillis int64
+	// revision is the log index of the last change.
+	revision uint64
+	evidence suspect.Evidence
+}
 
 func (s *State) addQuarantine(index uint64, add AddQuarantine) Result {
 	if add.Fingerprint == "" || len(add.Fingerprint) > maxIdentifierBytes {
 		return s.refuse(fault.New(fault.BadRequest, "quarantine.add", "fingerprint must have 1 to %d bytes", maxIdentifierBytes))
 	}
-	if add.DurationMillis <= 0 || add.DurationMillis > MaxQuarantine.Milliseconds() {
-		return s.refuse(fault.New(fault.BadRequest, "quarantine.add", "duration must be greater than 0 and at most %s", MaxQuarantine))
+	if add.DurationMillis <= 0 || add.DurationMillis > suspect.MaxQuarantine.Milliseconds() {
+		return s.refuse(fault.New(fault.BadRequest, "quarantine.add", "duration must be greater than 0 and at most %s", suspect.MaxQuarantine))
 	}
 	until := s.nowMillis + add.DurationMillis
-	if until <= s.quarantines[add.Fingerprint] {
+	known, extends := s.quarantines[add.Fingerprint]
+	if until <= known.untilMillis {
 		return s.currentResult()
 	}
-	s.quarantines[add.Fingerprint] = until
+	next := quarantine{untilMillis: until, sinceMillis: s.nowMillis, revision: index, evidence: add.Evidence}
+	if extends {
+		next.sinceMillis = known.sinceMillis
+	}
+	next.evidence.Summary = next.evidence.Summary[:min(len(next.evidence.Summary), maxSummaryBytes)]
+	s.quarantines[add.Fingerprint] = next
 	if len(s.quarantines) > s.limits.quarantines {
 		s.evictQuarantine()
 	}
@@ -31,8 +46,9 @@
 // the same one.
 func (s *State) evictQuarantine() {
 	var first string
-	for fingerprint, until := range s.quarantines {
-		if first == "" || until < s.quarantines[first] || (until == s.quarantines[first] && fingerprint < first) {
+	for fingerprint, q := range s.quarantines {
+		until := s.quarantines[first].untilMillis
+		if first == "" || q.untilMillis < until || (q.untilMillis == until && fingerprint < first) {
 			first = fingerprint
 		}
 	}
@@ -44,24 +60,39 @@
 		if len(s.quarantines) == 0 {
 			return s.currentResult()
 		}
-		s.quarantines = map[string]int64{}
+		s.quarantines = map[string]quarantine{}
+		s.quarantinesCleared = index
 		return s.advanceRevision(index)
 	}
 	if _, ok := s.quarantines[clear.Fingerprint]; !ok {
 		return s.refuse(fault.New(fault.NotFound, "quarantine.clear", "fingerprint %q is not quarantined", clear.Fingerprint))
 	}
 	delete(s.quarantines, clear.Fingerprint)
+	s.quarantinesCleared = index
 	return s.advanceRevision(index)
 }
 
 // expireQuarantines removes the quarantines that have ended, and reports whether there were any.
 func (s *State) expireQuarantines() bool {
 	expired := false
-	for fingerprint, until := range s.quarantines {
-		if until <= s.nowMillis {
+	for fingerprint, q := range s.quarantines {
+		if q.untilMillis <= s.nowMillis {
 			delete(s.quarantines, fingerprint)
 			expired = true
 		}
 	}
 	return expired
 }
+
+// QuarantinesSince returns the quarantines that were added or extended after the revision, with the time that they last from
+// now on. The list is whole if quarantines were ended early after the revision.
+func (s *State) QuarantinesSince(revision uint64, now time.Time) (list []suspect.Quarantined, whole bool) {
+	whole = revision < s.quarantinesCleared
+	for fingerprint, q := range s.quarantines {
+		remaining := time.UnixMilli(q.untilMillis).Sub(now)
+		if remaining > 0 && (whole || q.revision > revision) {
+			list = append(list, suspect.Quarantined{Fingerprint: fingerprint, Remaining: remaining})
+		}
+	}
+	return list, whole
+}
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -1,12 +1,17 @@
 package controlstate
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/planner"
 	"github.com/wisteriamux/wisteriamux/internal/registry"
+	"github.com/wisteriamux/wisteriamux/internal/suspect"
 )
 
 // snapshotFormat is the version of the snapshot encoding. A member rejects an unknown version.
@@ -27,6 +32,8 @@
 	Execution   *planner.Execution   `cbor:"10,keyasint,omitempty"`
 	Routes      Routes               `cbor:"11,keyasint,omitempty"`
 	Instances   registry.Contents    `cbor:"12,keyasint,omitempty"`
+	// QuarantinesCleared is the revision at which quarantines were ended early the last time.
+	QuarantinesCleared uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 type snapshotUpstream struct {
@@ -39,6 +46,10 @@
 type snapshotQuarantine struct {
 	Fingerprint string `cbor:"1,keyasint"`
 	UntilMillis int64  `cbor:"2,keyasint"`
+	SinceMillis int64  `cbor:"3,keyasint,omitempty"`
+	// Revision is 0 in snapshots of versions that do not record it.
+	Revision uint64           `cbor:"4,keyasint,omitempty"`
+	Evidence suspect.Evidence `cbor:"5,keyasint,omitzero"`
 }
 
 // Snapshot encodes the whole state.
@@ -54,6 +65,8 @@
 		Execution: s.execution,
 		Routes:    s.routes,
 		Instances: s.instances.Contents(),
+
+		QuarantinesCleared: s.quarantinesCleared,
 	}
 	for _, id := range s.changes.order {
 		content.Changes = append(content.Changes, s.changes.byID[id])
@@ -65,9 +78,11 @@
 	for element := s.bookings.order.Front(); element != nil; element = element.Next() {
 		content.Bookings = append(content.Bookings, *element.Value.(*Booking))
 	}
-	for _, quarantine := range view.Quarantines {
-		entry := snapshotQuarantine{Fingerprint: quarantine.Fingerprint, UntilMillis: quarantine.Until.UnixMilli()}
-		content.Quarantines = append(content.Quarantines, entry)
+	for _, fingerprint := range slices.Sorted(maps.Keys(s.quarantines)) {
+		q := s.quarantines[fingerprint]
+		content.Quarantines = append(content.Quarantines, snapshotQuarantine{
+			Fingerprint: fingerprint, UntilMillis: q.untilMillis, SinceMillis: q.sinceMillis, Revision: q.revision, Evidence: q.evidence,
+		})
 	}
 	data, err := cbor.Marshal(content)
 	if err != nil {
@@ -116,8 +131,11 @@
 	for _, record := range c.Bookings {
 		s.bookings.put(&record)
 	}
-	for _, quarantine := range c.Quarantines {
-		s.quarantines[quarantine.Fingerprint] = quarantine.UntilMillis
+	s.quarantinesCleared = c.QuarantinesCleared
+	for _, entry := range c.Quarantines {
+		s.quarantines[entry.Fingerprint] = quarantine{
+			untilMillis: entry.UntilMillis, sinceMillis: entry.SinceMillis, revision: cmp.Or(entry.Revision, c.Revision), evidence: entry.Evidence,
+		}
 	}
 	return s
 }
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -26,8 +26,9 @@
 	// drainOrdered maps the name of an upstream to its process instance whose drain was ordered.
 	drainOrdered map[string]string
 	bookings     bookingTable
-	// quarantines maps a fingerprint to the end of its quarantine in Unix milliseconds.
-	quarantines map[string]int64
+	quarantines  map[string]quarantine
+	// quarantinesCleared is the revision at which quarantines were ended early the last time.
+	quarantinesCleared uint64
 	// execution is the newest drain execution, or nil.
 	execution *planner.Execution
 
@@ -75,7 +76,7 @@
 		upstreams:    map[string]model.Upstream{},
 		drainOrdered: map[string]string{},
 		bookings:     newBookingTable(),
-		quarantines:  map[string]int64{},
+		quarantines:  map[string]quarantine{},
 		instances:    registry.New(),
 	}
 }
--- a/internal/controlstate/view.go
+++ b/internal/controlstate/view.go
@@ -26,8 +26,12 @@
 	view.Members = sortedValues(s.members)
 	view.Upstreams = sortedValues(s.upstreams)
 	for _, fingerprint := range slices.Sorted(maps.Keys(s.quarantines)) {
-		until := time.UnixMilli(s.quarantines[fingerprint]).UTC()
-		view.Quarantines = append(view.Quarantines, model.Quarantine{Fingerprint: fingerprint, Until: until})
+		q := s.quarantines[fingerprint]
+		entry := model.Quarantine{Fingerprint: fingerprint, Until: time.UnixMilli(q.untilMillis).UTC(), Evidence: q.evidence}
+		if q.sinceMillis > 0 {
+			entry.Since = time.UnixMilli(q.sinceMillis).UTC()
+		}
+		view.Quarantines = append(view.Quarantines, entry)
 	}
 	return view
 }
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -35,7 +35,9 @@
 	UnsupportedMedia Code = "unsupported_media"
 	MethodNotAllowed Code = "method_not_allowed"
 	NotLeader        Code = "not_leader"
-	LeaseLost        Code = "lease_lost"
+	// Unsupported means that a process of an older version does not know the call.
+	Unsupported Code = "unsupported"
+	LeaseLost   Code = "lease_lost"
 	// Fenced means that the sender's instance is no longer current.
 	Fenced Code = "fenced"
 	// Moved means that the owner did not run the request, because the upstream is leaving or has another owner now.
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -2,7 +2,11 @@
 // configuration, the replicated view of members and upstreams, snapshots and shard coverage.
 package model
 
-import "time"
+import (
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/suspect"
+)
 
 // ServiceKind is the kind of requests that a service accepts.
 type ServiceKind string
@@ -148,6 +152,10 @@
 type Quarantine struct {
 	Fingerprint string    `json:"fingerprint"`
 	Until       time.Time `json:"until"`
+	// Since is when the quarantine was recorded, zero if that is not known.
+	Since time.Time `json:"since,omitzero"`
+	// Evidence is what the quarantine is based on, empty if the entry VM that added it ran the request alone.
+	Evidence suspect.Evidence `json:"evidence,omitzero"`
 }
 
 // View is a copy of the control group's replicated state, from which an entry VM serves requests. It is immutable once
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -157,5 +157,6 @@
 	}
 	return &upstreamconn.RequestError{
 		Err: fault.New(fault.UpstreamFailed, "relay.forward", "%s", r.Reason), Sent: r.Sent, Unreachable: r.Outcome == Unreachable,
+		Closed: r.Closed,
 	}
 }
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -144,6 +144,8 @@
 	// LinkLost is set for Failed if the relay lost its links to all upstreams after it had sent the request, so that the
 	// failure says nothing about the upstream.
 	LinkLost bool
+	// Closed is set for Failed if the upstream closed the connection.
+	Closed bool
 }
 
 // PermitArgs ask the VM that holds the bucket of an upstream for a permit to send one request.
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -194,6 +194,8 @@
 	}
 	var linkLost *LinkLostError
 	ended.LinkLost = errors.As(err, &linkLost)
+	var failed *upstreamconn.RequestError
+	ended.Closed = errors.As(err, &failed) && failed.Closed
 	ended.RateLimit, ended.RetryAfter = rateLimitOf(response, err)
 	return ended
 }
@@ -317,7 +319,7 @@
 		return Declined
 	case errors.As(err, &noRoom):
 		return Limited
-	case fault.Is(err, fault.Moved):
+	case fault.Is(err, fault.Moved), fault.Is(err, fault.Quarantined):
 		return Unsent
 	case errors.As(err, &failed) && failed.Unreachable:
 		return Unreachable
--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -61,6 +61,14 @@
 	return c.Watch(ctx, args)
 }
 
+func (c *inProcessControl) ReportSuspects(ctx context.Context, args controlrpc.ReportSuspectsArgs) error {
+	var ack controlrpc.Ack
+	if err := c.service.ReportSuspects(args, &ack); err != nil {
+		return err
+	}
+	return ack.Fault.AsError()
+}
+
 func (c *inProcessControl) SetAddresses([]string) {}
 
 // mortalUpstream is an upstream that ends when it begins to run a fatal request, and is back after restartAfter with a later
@@ -203,6 +211,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
+	go f.sendHeartbeats(ctx)
 	for n, domain := range []string{"a", "a", "b"} {
 		vm := startVMWithControl("vm-"+strconv.Itoa(n), domain, f.control)
 		f.vms = append(f.vms, vm)
@@ -215,6 +224,19 @@
 	return f
 }
 
+// sendHeartbeats keeps the upstreams registered.
+func (f *mortalFleet) sendHeartbeats(ctx context.Context) {
+	var ids []string
+	for _, u := range f.upstreams {
+		ids = append(ids, u.instance.ID)
+	}
+	for ctx.Err() == nil {
+		var ack controlrpc.Ack
+		_ = f.control.service.Heard(controlrpc.HeardArgs{IDs: ids}, &ack)
+		time.Sleep(time.Second)
+	}
+}
+
 // load holds what the callers of a fleet saw.
 type load struct {
 	mu                          sync.Mutex
@@ -330,3 +352,64 @@
 	vm.router.control = client
 	return vm
 }
+
+var _ = Describe("an upstream that closes the connection of a request", func() {
+	// endsAfter sends a request to an upstream that runs it and closes the connection, and returns the ends that were counted.
+	endsAfter := func(c *closingUpstream, others ...*fakeUpstream) int64 {
+		vm := startVM("vm", "a")
+		reply := controlrpc.WatchReply{Revision: 1, Watchers: 1, Instances: registry.Delta{Whole: true, Changed: []registry.Instance{c.instance}}}
+		for _, u := range others {
+			reply.Instances.Changed = append(reply.Instances.Changed, u.instance)
+		}
+		vm.router.adopt(reply)
+		rt := &route.Route{Name: "r", Idempotent: true, Attempts: 1, Timeout: time.Second, Objective: time.Second, Service: "s"}
+		_, err := vm.router.Forward(context.Background(), vm.router.View(), rt, mortalRequest(rt, "1", "/x"))
+		Expect(err).To(HaveOccurred())
+		Eventually(func() int {
+			vm.router.mu.Lock()
+			defer vm.router.mu.Unlock()
+			return len(vm.router.endChecks)
+		}, 2*time.Second).Should(BeZero())
+		return vm.router.Counts().UpstreamEnds
+	}
+
+	It("counts as ended if it accepts no other one", func() {
+		c := startClosingUpstream(true)
+		Expect(endsAfter(c, startFakeUpstream("other", "t", "a", 1))).To(Equal(int64(1)))
+	})
+
+	It("does not count as ended if it accepts others, as after a reset on the way", func() {
+		c := startClosingUpstream(false)
+		Expect(endsAfter(c, startFakeUpstream("other", "t", "a", 1))).To(BeZero())
+	})
+
+	It("does not count as ended if no upstream can be reached, since the links of the VM itself may be lost", func() {
+		c := startClosingUpstream(true)
+		Expect(endsAfter(c)).To(BeZero())
+	})
+})
+
+// closingUpstream reads a request and closes the connection.
+type closingUpstream struct{ instance registry.Instance }
+
+// startClosingUpstream starts an upstream that also stops to listen with the first request if ends is set.
+func startClosingUpstream(ends bool) *closingUpstream {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil && ends {
+				_ = listener.Close()
+			}
+			_ = conn.Close()
+		}
+	}()
+	return &closingUpstream{instance: registry.Instance{
+		ID: "closing", Service: "s", FailureDomain: "a", Address: listener.Addr().String(), Slots: 2, State: registry.Ready,
+	}}
+}
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -37,6 +37,10 @@
 	tried    []*upstream
 	attempts int
 	pending  int
+	// suspected is set if upstreams have ended under earlier tries of the request, and closed counts the upstreams that closed
+	// the connection of an attempt.
+	suspected bool
+	closed    int
 	// mayHaveRun is set once an upstream may have run the request.
 	mayHaveRun   bool
 	lastResponse *upstreamconn.Response
@@ -46,15 +50,24 @@
 // after a failure and hedged when the response is slow. Any other request is retried only if it was never sent or if
 // the upstream stated that it did not run it. An error with code NotRun means that no upstream ran the request.
 func (r *Router) Forward(ctx context.Context, view *View, rt *route.Route, request *Request) (*upstreamconn.Response, error) {
+	request.fingerprint = fingerprintOf(&request.Request)
+	suspected, err := r.checkSuspect(request.fingerprint)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	_, deadline, _ := r.deadlines(rt, request)
 	f := &forwardCall{
 		router: r, view: view, route: rt, service: r.pickService(rt), request: request, deadline: deadline,
-		results: make(chan attemptResult, max(1, rt.Attempts)),
+		results: make(chan attemptResult, max(1, rt.Attempts)), suspected: suspected.yes,
 	}
 	f.send(ctx, firstAttempt)
-	return f.await(ctx)
+	response, err := f.await(ctx)
+	if err == nil {
+		r.recordAnswered(request.fingerprint, []string{f.service}, nil)
+	}
+	return response, err
 }
 
 // pickService returns the service for a request. Weighted services are chosen by smooth weighted round-robin, so that
@@ -80,7 +93,7 @@
 }
 
 func (f *forwardCall) send(ctx context.Context, kind attemptKind) {
-	if f.attempts >= max(1, f.route.Attempts) {
+	if f.attempts >= max(1, f.route.Attempts) || !f.mayTryAgain() {
 		return
 	}
 	a := f.router.chooseUpstream(f.view, f.route, f.service, f.tried, kind)
@@ -96,6 +109,18 @@
 	}()
 }
 
+// maxClosed is the number of upstreams that may close the connection of a request before it is given up. A request under which
+// upstreams have ended before is given up after the first.
+const maxClosed = 2
+
+// mayTryAgain reports whether another attempt may be sent: none beside or after one that may end its upstream.
+func (f *forwardCall) mayTryAgain() bool {
+	if f.suspected {
+		return f.pending == 0 && f.closed == 0
+	}
+	return f.closed < maxClosed && (f.closed == 0 || f.pending == 0)
+}
+
 func (f *forwardCall) await(ctx context.Context) (*upstreamconn.Response, error) {
 	timer := time.NewTimer(f.hedgeDelay())
 	defer timer.Stop()
@@ -130,6 +155,9 @@
 func (f *forwardCall) handleResult(ctx context.Context, done attemptResult) *upstreamconn.Response {
 	notRun := !mayHaveArrived(done.response, done.err) || (done.response != nil && done.response.NotRun)
 	f.mayHaveRun = f.mayHaveRun || !notRun
+	if closedByUpstream(done.err) {
+		f.closed++
+	}
 	switch {
 	case isNoRoom(done.err):
 		f.attempts--
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -22,6 +22,9 @@
 	if r.partitionedFrom(u) {
 		return nil, &relay.LinkLostError{}
 	}
+	if err := r.refuseQuarantined(request); err != nil {
+		return nil, err
+	}
 	now := time.Now()
 	r.mu.Lock()
 	if cost, bad := r.tracker.Degraded(now, requested.Instance); bad && requested.Optional {
@@ -209,7 +212,7 @@
 		s.merged = append(s.merged, r.report.Records)
 	}
 	now := time.Now()
-	var failedShards, unsent []int
+	var failedShards, unsent, released []int
 	for _, ended := range r.report.Ended {
 		shard := ended.Number
 		if shard < 0 || shard >= len(s.parts) {
@@ -218,6 +221,10 @@
 		outcome := gatherOutcome(ended.Outcome)
 		if outcome == gather.Success {
 			s.addPart(shard, shardPart{stamp: ended.Stamp, records: ended.Records, merged: r.from.kind == firstAttempt})
+			released = append(released, s.caution.Answered(shard)...)
+		}
+		if ended.Closed {
+			s.giveUp(s.caution.Closed(shard))
 		}
 		s.mayHaveRun = s.mayHaveRun || ended.Outcome == relay.Answered || ended.Outcome == relay.Failed
 		a, open := r.from.open[shard]
@@ -238,6 +245,7 @@
 		}
 		s.finishRelayed(r.from, shard, a, attemptEnd{result: relayedResult(ended), took: ended.Took, cause: reasonOf(ended), noRoom: ended.Outcome == relay.Limited})
 		if !s.state.Ended(shard, outcome) {
+			released = append(released, s.caution.GaveUp(shard)...)
 			continue
 		}
 		if outcome == gather.NotSent {
@@ -254,6 +262,7 @@
 	s.cancelAnswered(r.report.Ended)
 	s.send(ctx, failedShards, extraAttempt)
 	s.resendUnseen(ctx, unsent, r.from.kind)
+	s.sendHeld(ctx, released)
 }
 
 // resendUnseen sends attempts that no upstream received to other upstreams. The token of an extra attempt is refunded
@@ -307,14 +316,17 @@
 // handleRelayLoss ends and retries the attempts of a batch whose link failed. Any of them may have run.
 func (s *search) handleRelayLoss(ctx context.Context, r relayReport) {
 	s.mayHaveRun = s.mayHaveRun || len(r.from.open) > 0
-	var lost []int
+	var lost, released []int
 	for shard, a := range r.from.open {
 		s.finishRelayed(r.from, shard, a, attemptEnd{result: replica.Unknown, took: time.Since(a.sent), cause: r.err})
 		if s.state.Ended(shard, gather.Failure) {
 			lost = append(lost, shard)
+		} else {
+			released = append(released, s.caution.GaveUp(shard)...)
 		}
 	}
 	s.send(ctx, lost, extraAttempt)
+	s.sendHeld(ctx, released)
 }
 
 func relayedResult(ended relay.Ended) replica.Result {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/replica"
 	"github.com/wisteriamux/wisteriamux/internal/route"
+	"github.com/wisteriamux/wisteriamux/internal/suspect"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
 
@@ -68,7 +69,11 @@
 	// relayList and peersDigest are the last list of relays and its digest. Only WatchControl uses them.
 	relayList   []controlrpc.Peer
 	peersDigest uint64
-	started     time.Time
+	// suspectsDigest is the digest of the last list of candidates for a quarantine, and controlLeader the last leader. Only
+	// WatchControl uses them.
+	suspectsDigest uint64
+	controlLeader  string
+	started        time.Time
 
 	seeds atomic.Pointer[[]string]
 	// epoch ends when this VM loses its links to upstreams.
@@ -89,7 +94,10 @@
 	links *reach.Monitor
 	// endChecks holds the requests that ran at upstreams whose connections were closed, while it is being checked whether
 	// these upstreams have ended.
-	endChecks map[registry.Process][]endedRequest
+	endChecks map[registry.Process][]suspect.End
+	// guard knows the requests under which upstreams ended. reportDue wakes the goroutine that reports them.
+	guard     *suspect.Guard
+	reportDue chan struct{}
 	// roundTrip estimates the round-trip time to callers.
 	roundTrip roundTrip
 	counts    Counts
@@ -118,6 +126,8 @@
 	Partitioned int64
 	// UpstreamEnds counts the upstreams that ended while they ran requests of this VM.
 	UpstreamEnds int64
+	// Quarantined counts the requests that were refused because they are quarantined.
+	Quarantined int64
 }
 
 // routeStats holds the statistics of one route.
@@ -140,7 +150,7 @@
 		builder: &viewBuilder{domain: config.FailureDomain, dialer: config.DialUpstream, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
 		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), links: reach.New(),
-		endChecks: map[registry.Process][]endedRequest{},
+		endChecks: map[registry.Process][]suspect.End{}, guard: suspect.NewGuard(config.ID), reportDue: make(chan struct{}, 1),
 	}
 	r.builder.dialled = r.recordDial
 	if config.RelayAddress != "" {
@@ -177,6 +187,8 @@
 	// Received is when the request was received, and Limit how long the caller waits from then on.
 	Received time.Time
 	Limit    time.Duration
+	// fingerprint is empty until the router has taken the request.
+	fingerprint string
 }
 
 // stats returns the statistics of the route, creating them if needed. The caller must hold mu.
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -9,6 +9,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/gather"
 	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/route"
+	"github.com/wisteriamux/wisteriamux/internal/suspect"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
 
@@ -59,6 +60,9 @@
 	// lastRelay is the relay of the last relayed attempt at each shard, nil if there was none.
 	lastRelay []*relay.Link
 	parts     []shardPart
+	// caution holds attempts back once an upstream has ended under the search, or may end. heldKinds holds their kinds.
+	caution   suspect.Caution
+	heldKinds map[int]attemptKind
 	// merged holds the records of the merged parts.
 	merged [][]byte
 	hedges int
@@ -71,6 +75,11 @@
 // Search sends the request to one upstream of each shard and returns the top records. An error with code NotRun means
 // that no upstream ran any part.
 func (r *Router) Search(ctx context.Context, view *View, rt *route.Route, request *Request) (*SearchResult, error) {
+	request.fingerprint = fingerprintOf(&request.Request)
+	suspected, err := r.checkSuspect(request.fingerprint)
+	if err != nil {
+		return nil, err
+	}
 	if err := r.admit(rt, request); err != nil {
 		return nil, err
 	}
@@ -94,10 +103,15 @@
 		cancels:   make([][]context.CancelFunc, shards),
 		lastRelay: make([]*relay.Link, shards),
 		parts:     make([]shardPart, shards),
+		caution:   suspect.NewCaution(suspected.yes), heldKinds: map[int]attemptKind{},
 	}
 	defer s.abandonRelayed()
-	s.send(ctx, allShards(shards), firstAttempt)
-	return s.collect(ctx)
+	s.send(ctx, suspected.order(rt.Shards), firstAttempt)
+	result, err := s.collect(ctx)
+	if err == nil {
+		r.recordAnswered(request.fingerprint, rt.Shards, result.MissingShards)
+	}
+	return result, err
 }
 
 // minShards returns the smallest number of shards that reaches the coverage. The tolerance keeps a product such as
@@ -121,16 +135,25 @@
 	return all
 }
 
-// send sends one attempt to each of the shards.
+// send sends one attempt to each of the shards, as far as caution allows it now.
 func (s *search) send(ctx context.Context, shards []int, kind attemptKind) {
-	if len(shards) == 0 {
+	admitted, dropped := s.caution.Admit(shards)
+	if len(admitted) < len(shards) {
+		for _, shard := range shards {
+			s.heldKinds[shard] = kind
+		}
+	}
+	s.giveUp(dropped)
+	if len(admitted) == 0 {
 		return
 	}
+	var unsent []int
 	batches := s.newBatchBuilder(kind)
-	for _, shard := range shards {
+	for _, shard := range admitted {
 		a := s.router.chooseUpstream(s.view, s.route, s.route.Shards[shard], s.tried[shard], kind)
 		if a == nil {
 			s.state.MarkExhausted(shard)
+			unsent = append(unsent, shard)
 			continue
 		}
 		s.tried[shard] = append(s.tried[shard], a.upstream)
@@ -141,6 +164,27 @@
 		}
 	}
 	batches.start(ctx)
+	for _, shard := range unsent {
+		s.sendHeld(ctx, s.caution.GaveUp(shard))
+	}
+}
+
+// giveUp records that the shards get no further attempt.
+func (s *search) giveUp(shards []int) {
+	for _, shard := range shards {
+		s.state.MarkExhausted(shard)
+	}
+}
+
+// sendHeld sends attempts that were held.
+func (s *search) sendHeld(ctx context.Context, shards []int) {
+	byKind := map[attemptKind][]int{}
+	for _, shard := range shards {
+		byKind[s.heldKinds[shard]] = append(byKind[s.heldKinds[shard]], shard)
+	}
+	for _, kind := range []attemptKind{firstAttempt, replacementAttempt, extraAttempt} {
+		s.send(ctx, byKind[kind], kind)
+	}
 }
 
 // runDirect runs an attempt on one of this VM's own connections.
@@ -188,6 +232,9 @@
 
 // hedge sends second attempts. Shards without a token or another upstream keep waiting for their first attempt.
 func (s *search) hedge(ctx context.Context, shards []int) {
+	if s.caution.Active() {
+		return
+	}
 	before := s.inFlight
 	s.send(ctx, shards, extraAttempt)
 	s.hedges += s.inFlight - before
@@ -201,8 +248,12 @@
 		s.addPart(p.shard, shardPart{stamp: p.response.Stamp, records: p.response.Body})
 		s.state.Ended(p.shard, gather.Success)
 		s.cancelShard(p.shard)
+		s.sendHeld(ctx, s.caution.Answered(p.shard))
 		return
 	}
+	if closedByUpstream(p.err) {
+		s.giveUp(s.caution.Closed(p.shard))
+	}
 	outcome := gather.Failure
 	switch {
 	case isNoRoom(p.err):
@@ -213,7 +264,9 @@
 	}
 	if s.state.Ended(p.shard, outcome) {
 		s.send(ctx, []int{p.shard}, retryKind(p.response, p.err))
+		return
 	}
+	s.sendHeld(ctx, s.caution.GaveUp(p.shard))
 }
 
 // addPart includes a part in the result. The first part of a shard is kept unless a later one is merged: parts that were
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -24,6 +24,7 @@
 type ControlClient interface {
 	Watch(ctx context.Context, args controlrpc.WatchArgs) (controlrpc.WatchReply, error)
 	WatchAny(ctx context.Context, args controlrpc.WatchArgs) (controlrpc.WatchReply, error)
+	ReportSuspects(ctx context.Context, args controlrpc.ReportSuspectsArgs) error
 	SetAddresses(addresses []string)
 }
 
@@ -31,6 +32,7 @@
 // router keeps serving from the last view: a stale routing table is better for callers than none, and upstreams that
 // have left refuse requests themselves.
 func (r *Router) WatchControl(ctx context.Context) {
+	go r.reportSuspects(ctx)
 	connected := true
 	for ctx.Err() == nil {
 		reply, err := r.watchOnce(ctx)
@@ -48,6 +50,7 @@
 		r.control.SetAddresses(r.appendSeeds(reply.Members))
 		r.adopt(reply)
 		r.adoptPeers(reply)
+		r.adoptSuspects(reply)
 	}
 }
 
@@ -73,7 +76,8 @@
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	args := controlrpc.WatchArgs{Known: r.View().Revision, WaitMillis: controlrpc.MaxWatchWait.Milliseconds(), Watcher: r.config.ID,
-		RelayAddress: r.config.RelayAddress, FailureDomain: r.config.FailureDomain, PeersDigest: r.peersDigest}
+		RelayAddress: r.config.RelayAddress, FailureDomain: r.config.FailureDomain, PeersDigest: r.peersDigest,
+		FollowsSuspects: true, SuspectsDigest: r.suspectsDigest}
 	if args.Known > 0 {
 		return r.control.Watch(ctx, args)
 	}
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -1,7 +1,10 @@
-// Package suspect finds requests that crash upstreams ("queries of death") and quarantines them. It is a deterministic
-// state machine: the caller passes in events and gets outcomes, and time is part of the event.
+// Package suspect finds requests that crash upstreams ("queries of death") and quarantines them. It performs no I/O and reads
+// no clock: the caller passes in events and gets outcomes, and time is part of the event.
 //
-// When an upstream crashes, every request of this owner in flight there becomes a suspect. A suspect is sent only while
+// Detector, Guard and Caution serve VMs that share upstreams. The VMs report which upstreams ended under which requests, and
+// the control group finds the request that the ends have in common.
+//
+// Table serves a VM that owns upstreams. When an upstream crashes, every request of this owner in flight there becomes a suspect. A suspect is sent only while
 // no other request of this owner is at the upstream, so that a second crash has only one possible cause. A success
 // clears a suspect. The table knows only the requests of its own owner: without ownership of upstreams (setting
 // direct), a request of another entry VM can be the cause of a second crash. Suspects are kept per group, which is the
