Relay through VMs with overdue reports while all own links are lost

Change: if no relay is usable, PickOther falls back to connected relays whose reports are overdue. They may be slow; the VM's own links are known to be lost. The new spec of PickOther fails without it (nil).

--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -48,6 +48,9 @@
 // usable reports whether batches may be sent to the peer.
 func (h *health) usable() bool { return h.condition == connected && !h.silent && !h.shuttingDown }
 
+// overdue reports whether the peer is connected and a report of it is overdue.
+func (h *health) overdue() bool { return h.condition == connected && h.silent && !h.shuttingDown }
+
 // firstDial reports whether the peer is being dialled and no dial has failed since the last report from it.
 func (h *health) firstDial() bool { return h.condition == connecting && h.backoff == 0 }
 
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -46,6 +46,13 @@
 	return l.health.usable()
 }
 
+// overdue reports whether the relay is connected and its report overdue.
+func (l *Link) overdue() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.health.overdue()
+}
+
 // MarkPartitioned takes the relay out of use for attempts, because it has lost its links to the upstreams.
 func (l *Link) MarkPartitioned(now time.Time) {
 	l.mu.Lock()
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -283,8 +283,22 @@
 		Expect(errors.As(err, &linkLost)).To(BeTrue())
 		Expect(linkLost.Sent).To(BeFalse())
 		now := time.Now()
-		Expect(pick([]*Link{link}, nil, now, true)).To(BeNil())
-		Expect(pick([]*Link{link}, nil, now.Add(partitionedFor), true)).To(Equal(link))
+		Expect(pick([]*Link{link}, nil, now, usableOther)).To(BeNil())
+		Expect(pick([]*Link{link}, nil, now, overdueOther)).To(BeNil())
+		Expect(pick([]*Link{link}, nil, now.Add(partitionedFor), usableOther)).To(Equal(link))
+	})
+
+	It("is still used by a VM without links of its own when its report is overdue, since the relay may only be short of processor time", func() {
+		peers := NewPeers("self", "a", controlrpc.PlainDialer, discard)
+		peers.Update([]controlrpc.Peer{link.peer}, time.Now())
+		own := peers.links["r"]
+		Eventually(func() bool { return own.usable(time.Now()) }).Should(BeTrue())
+		own.markSilent(own.conn)
+		now := time.Now()
+		Expect(peers.Pick("b", 0, nil, now)).To(BeNil())
+		Expect(peers.PickOther("b", 0, nil, now)).To(Equal(own))
+		Expect(peers.PickOther("a", 0, nil, now)).To(Equal(own))
+		Expect(peers.PickOther("b", 0, own, now)).To(BeNil())
 	})
 
 	It("connects again to a relay that was stopped as planned and started at the same address", func() {
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -103,34 +103,48 @@
 // because it ranks among the preferred relays of the group itself, or because no link is usable. The link to avoid is
 // that of an earlier attempt, since a second attempt should not depend on the same relay.
 func (p *Peers) Pick(domain string, group int, avoid *Link, now time.Time) *Link {
-	return pick(p.rankedLinks(groupKey{domain, group}), avoid, now, false)
+	return pick(p.rankedLinks(groupKey{domain, group}), avoid, now, usableOrSelf)
 }
 
 // PickOther is Pick for a VM that has lost its links to upstreams: it never returns nil for this VM, and falls back to the
-// other failure domains.
+// other failure domains, then to relays whose reports are overdue. Such a relay may only be short of processor time, while
+// this VM's own links are known to be lost.
 func (p *Peers) PickOther(domain string, group int, avoid *Link, now time.Time) *Link {
-	if link := pick(p.rankedLinks(groupKey{domain, group}), avoid, now, true); link != nil {
-		return link
-	}
-	for _, other := range p.domainNames() {
-		if other == domain {
-			continue
-		}
-		if link := pick(p.rankedLinks(groupKey{other, group}), avoid, now, true); link != nil {
-			return link
+	domains := append([]string{domain}, slices.DeleteFunc(p.domainNames(), func(other string) bool { return other == domain })...)
+	for _, rule := range []pickRule{usableOther, overdueOther} {
+		for _, domain := range domains {
+			if link := pick(p.rankedLinks(groupKey{domain, group}), avoid, now, rule); link != nil {
+				return link
+			}
 		}
 	}
 	return nil
 }
 
-// pick returns the least loaded of the first usable links. A nil link stands for this VM: the result is nil if it is reached
-// and not skipped. Relays without links to upstreams do not count as candidates, since most VMs may be among them.
-func pick(ranked []*Link, avoid *Link, now time.Time, skipSelf bool) *Link {
+// pickRule determines which links may be picked.
+type pickRule int
+
+const (
+	// usableOrSelf accepts usable links. A nil link stands for this VM, which is accepted when it is reached.
+	usableOrSelf pickRule = iota
+	// usableOther accepts usable links to other VMs.
+	usableOther
+	// overdueOther also accepts connected links to other VMs whose reports are overdue.
+	overdueOther
+)
+
+func (r pickRule) accepts(link *Link, now time.Time) bool {
+	return link.usable(now) || (r == overdueOther && link.overdue())
+}
+
+// pick returns the least loaded of the first links that the rule accepts. Relays without links to upstreams do not count as
+// candidates, since most VMs may be among them.
+func pick(ranked []*Link, avoid *Link, now time.Time, rule pickRule) *Link {
 	var best *Link
 	candidates, compared := 0, 0
 	for _, link := range ranked {
 		switch {
-		case link == nil && skipSelf, link != nil && link.isPartitioned(now):
+		case link == nil && rule != usableOrSelf, link != nil && link.isPartitioned(now):
 			continue
 		case link == nil:
 			return nil
@@ -138,7 +152,7 @@
 			return best
 		}
 		candidates++
-		if link == avoid || !link.usable(now) {
+		if link == avoid || !rule.accepts(link, now) {
 			continue
 		}
 		compared++
