Do not use an address again that another process has taken

Cause, from a trial that logged each attempt: an upstream crashed for good and its address went to an upstream of another shard. Three VMs were cut off from control and did not learn of it; 184 times in 10 s they sent the first attempt of a shard to that address. Each came back with 421, and counted there as an arrival beyond the first of the same search. A misdirected upstream was only ranked last for 2 s.

Change: an upstream process at an address that another process answers for is not chosen again, also not for other VMs, until the control group names another address or start time.

Ruled out: the budget itself (162 extras at 645 first attempts of all VMs, refunds included), refunds of parts of tokens, counting VMs that are cut off.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -43,9 +43,8 @@
 	replacementAttempt
 )
 
-// chooseUpstream selects an upstream of the service that has not been tried yet and is not at its rate limit, and records
-// the attempt. It returns nil
-// if there is none or if the budget has no token for an extra attempt.
+// chooseUpstream selects an upstream of the service that has not been tried yet, is not at its rate limit and still has its
+// address, and records the attempt. It returns nil if there is none or if the budget has no token for an extra attempt.
 func (r *Router) chooseUpstream(view *View, rt *route.Route, service string, tried []*upstream, kind attemptKind) *attempt {
 	now := time.Now()
 	r.mu.Lock()
@@ -57,6 +56,9 @@
 				return true
 			}
 		}
+		if r.taken[view.byID[id].location()] {
+			return true
+		}
 		return !r.limits.Empty() && r.limits.RoomAt(view.byID[id].process()).After(now)
 	})
 	if index < 0 {
@@ -138,6 +140,9 @@
 	id := a.upstream.instance.ID
 	r.mu.Lock()
 	r.tracker.Done(a.sent.Add(took), id, a.ticket, result)
+	if result == replica.Misdirected {
+		r.taken[a.upstream.location()] = true
+	}
 	before, after, changed := r.tracker.UpdateCondition(now, id)
 	r.mu.Unlock()
 	if changed {
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -27,6 +27,10 @@
 	}
 	now := time.Now()
 	r.mu.Lock()
+	if r.taken[u.location()] {
+		r.mu.Unlock()
+		return nil, fault.New(fault.Moved, "router.attempt", "another process has taken the address of upstream %q", requested.Instance)
+	}
 	if cost, bad := r.tracker.Degraded(now, requested.Instance); bad && requested.Optional {
 		r.mu.Unlock()
 		return nil, &relay.DeclinedError{Cost: cost}
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -36,6 +36,8 @@
 	delay   atomic.Int64
 	refuse  atomic.Bool
 	endless atomic.Bool
+	// replaced makes it respond as another process that has taken the address.
+	replaced atomic.Bool
 	// rateLimit is the rate limit that the responses name, nil for none.
 	rateLimit atomic.Pointer[string]
 }
@@ -84,6 +86,9 @@
 		if u.refuse.Load() {
 			status = "503 Service Unavailable\r\nRefused: 1"
 		}
+		if u.replaced.Load() {
+			status = "421 Misdirected Request\r\nRefused: 1"
+		}
 		if text := u.rateLimit.Load(); text != nil {
 			status += "\r\nLimit: " + *text
 		}
@@ -114,6 +119,7 @@
 func (fakeCodec) DecodeHeader(a *upstreamconn.Response) {
 	a.Stamp = a.Header.Get("Stamp")
 	a.NotRun = a.Header.Get("Refused") != ""
+	a.Misdirected = a.Status == http.StatusMisdirectedRequest
 	a.RateLimit = ratelimit.ParseStatement(a.Header.Values("Limit"))
 }
 
@@ -160,8 +166,11 @@
 	return controlrpc.Peer{ID: vm.router.config.ID, FailureDomain: vm.router.config.FailureDomain, Address: vm.listener.Addr().String()}
 }
 
-func (vm *relayVM) adopt(upstreams ...*fakeUpstream) {
-	reply := controlrpc.WatchReply{Revision: 1, Watchers: 2, Instances: registry.Delta{Whole: true}}
+func (vm *relayVM) adopt(upstreams ...*fakeUpstream) { vm.adoptAs(1, upstreams...) }
+
+// adoptAs adopts the upstreams as those of the revision.
+func (vm *relayVM) adoptAs(revision uint64, upstreams ...*fakeUpstream) {
+	reply := controlrpc.WatchReply{Revision: revision, Watchers: 2, Instances: registry.Delta{Whole: true}}
 	for _, u := range upstreams {
 		reply.Instances.Changed = append(reply.Instances.Changed, u.instance)
 	}
@@ -272,6 +281,28 @@
 		Expect(fault.CodeOf(err)).To(Equal(fault.UpstreamFailed))
 	})
 
+	It("sends nothing more to an address that another process has taken, whose service would get arrivals beyond its budget", func() {
+		for _, replaced := range []*fakeUpstream{near, far1} {
+			replaced.replaced.Store(true)
+			rt := searchRoute(replaced.instance.Service)
+			for range 5 {
+				_, err := requester.search(rt)
+				Expect(fault.CodeOf(err)).To(Equal(fault.NotRun))
+			}
+			Expect(replaced.requests.Load()).To(Equal(int64(1)))
+			_, err := relaying.router.Attempt(context.Background(), relay.Attempt{Instance: replaced.instance.ID}, time.Second, &upstreamconn.Request{Target: "/x"})
+			if replaced == far1 {
+				Expect(fault.CodeOf(err)).To(Equal(fault.Moved), "the relay knows it as well")
+			}
+			replaced.replaced.Store(false)
+			replaced.instance.Born++
+			requester.adoptAs(2, near, far1, far2)
+			relaying.adoptAs(2, near, far1, far2)
+			_, err = requester.search(rt)
+			Expect(err).NotTo(HaveOccurred(), "the next process of the upstream is used")
+		}
+	})
+
 	It("reports that nothing ran when the relay does not know the upstream", func() {
 		relaying.adoptEmptyView()
 		_, err := requester.search(searchRoute("far1"))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -92,6 +92,8 @@
 	issuer *ratelimit.Issuer
 	// links observes this VM's own links to upstreams.
 	links *reach.Monitor
+	// taken holds the upstreams whose address another process has taken.
+	taken map[location]bool
 	// endChecks holds the requests that ran at upstreams whose connections were closed, while it is being checked whether
 	// these upstreams have ended.
 	endChecks map[registry.Process][]suspect.End
@@ -150,7 +152,7 @@
 		builder: &viewBuilder{domain: config.FailureDomain, dialer: config.DialUpstream, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
 		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), links: reach.New(),
-		endChecks: map[registry.Process][]suspect.End{}, guard: suspect.NewGuard(config.ID), reportDue: make(chan struct{}, 1),
+		taken: map[location]bool{}, endChecks: map[registry.Process][]suspect.End{}, guard: suspect.NewGuard(config.ID), reportDue: make(chan struct{}, 1),
 	}
 	r.builder.dialled = r.recordDial
 	if config.RelayAddress != "" {
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -21,6 +21,16 @@
 	pool      *upstreamconn.Pool
 }
 
+// location is an upstream process at an address.
+type location struct {
+	process registry.Process
+	address string
+}
+
+func (u *upstream) location() location {
+	return location{process: u.process(), address: u.instance.Address}
+}
+
 // View is an immutable snapshot of the routes and upstreams at one revision.
 type View struct {
 	Revision uint64
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -149,6 +149,10 @@
 		return ok && u.process() == key
 	}
 	r.links.Retain(func(id string) bool { return live[id] })
+	maps.DeleteFunc(r.taken, func(l location, _ bool) bool {
+		u, ok := view.byID[l.process.Instance]
+		return !ok || u.location() != l
+	})
 	r.limits.Retain(registered)
 	r.issuer.Retain(registered)
 	if view.Routes == nil {
