Show that a response that breaks off in its header is not passed on

All are errors; only a body without a length that ends with an orderly close is whole at any byte, as the users' pages say.

--- /dev/null
+++ b/internal/upstreamconn/truncated_test.go
@@ -0,0 +1,63 @@
+package upstreamconn_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
+)
+
+// framings holds a complete response in each framing. The Z marks the end of its header in the body, so that a header that
+// breaks off can be told from a body that does.
+var framings = map[string]string{
+	"a length":                  "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: s\r\nContent-Length: 5\r\n\r\nZbody",
+	"chunks":                    "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\nStamp: s\r\n\r\n5\r\nZbody\r\n0\r\n\r\n",
+	"the end of the connection": "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: s\r\n\r\nZbody",
+	"HTTP/1.0":                  "HTTP/1.0 200 OK\r\nId: 1\r\nStamp: s\r\n\r\nZbody",
+	"no content":                "HTTP/1.1 204 No Content\r\nId: 1\r\nStamp: s\r\n\r\n",
+	"a long header":             "HTTP/1.1 200 OK\r\nId: 1\r\nPad: " + strings.Repeat("x", 300) + "\r\nContent-Length: 5\r\n\r\nZbody",
+}
+
+var _ = Describe("a response that breaks off", func() {
+	for name, whole := range framings {
+		for _, reset := range []bool{false, true} {
+			for _, kept := range []bool{false, true} {
+				It(fmt.Sprintf("is not taken for a whole one at any byte: framed by %s, reset %t, on a kept connection %t", name, reset, kept), func() {
+					cut := 0
+					u := serve(func(conn net.Conn, r *http.Request) {
+						if r.Header.Get("Id") == "0" {
+							writeResponse(conn, "0", "x")
+							return
+						}
+						_, _ = conn.Write([]byte(whole[:cut]))
+						if reset {
+							_ = conn.(*net.TCPConn).SetLinger(0)
+						}
+						_ = conn.Close()
+					})
+					headEnd := strings.Index(whole, "\r\n\r\n") + len("\r\n\r\n")
+					// A body that lasts until the connection ends is whole wherever that is, unless the connection is reset.
+					untilEnd := (strings.Contains(name, "end of the connection") || name == "HTTP/1.0") && !reset
+					for cut = range len(whole) {
+						pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(upstreamconn.DefaultMemoryBytes))
+						if kept {
+							_, err := get(pool, "0")
+							Expect(err).NotTo(HaveOccurred())
+						}
+						response, err := get(pool, "1")
+						pool.Close()
+						if cut >= headEnd && untilEnd {
+							continue
+						}
+						Expect(err).To(HaveOccurred(), "cut after %d of %d bytes: %+v", cut, len(whole), response)
+					}
+				})
+			}
+		}
+	}
+})
