Refuse descriptions of upstreams that no upstream can have

An address of an entry VM would send a request round and round, and another server at an address could have its answer passed on.

Open: an entry within the bounds, by a writer that knows ID and start time, can still take an upstream's place for some minutes.

--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -132,7 +132,18 @@
 func (m *Machine) RoutesVersion() uint64 { return m.routes().Table.Version }
 
 // InstanceCount returns the number of registered upstreams.
-func (m *Machine) InstanceCount() int { return len(m.instances()) }
+func (m *Machine) InstanceCount() int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Instances().Len()
+}
+
+func (m *Machine) registered(id string) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	_, ok := m.state.Instances().Instance(id)
+	return ok
+}
 
 func (m *Machine) routes() controlstate.Routes {
 	m.mu.RLock()
@@ -184,6 +195,9 @@
 }
 
 func (s *Service) report(report registry.Report) error {
+	if err := s.checkRoom(report); err != nil {
+		return err
+	}
 	result, err := s.proposeOnLeader(controlstate.Command{ReportInstance: &controlstate.ReportInstance{Report: report}})
 	if err != nil {
 		return err
@@ -195,6 +209,15 @@
 	return nil
 }
 
+// checkRoom returns an error if the report would register an upstream beyond the limit, so that a writer that makes up upstreams
+// cannot use up the memory of all processes.
+func (s *Service) checkRoom(report registry.Report) error {
+	if report.Left || report.Silent || s.machine.InstanceCount() < registry.MaxInstances || s.machine.registered(report.Instance.ID) {
+		return nil
+	}
+	return fault.New(fault.Unavailable, "control.report", "%d upstreams are registered, which is the limit", registry.MaxInstances)
+}
+
 // Heard records the heartbeats of upstreams that another member has received.
 func (s *Service) Heard(args controlrpc.HeardArgs, reply *controlrpc.Ack) error {
 	if err := s.checkLeader(); err != nil {
--- a/internal/control/routes_test.go
+++ b/internal/control/routes_test.go
@@ -88,6 +88,24 @@
 		Eventually(func() int { return watch(second.Revision).Watchers }, 3*time.Second).Should(Equal(1))
 	})
 
+	It("refuses upstreams beyond the limit, so that made-up ones do not use up memory, and keeps the others", func() {
+		report := func(n int) fault.Code {
+			var ack controlrpc.Ack
+			instance := registry.Instance{ID: fmt.Sprint(n), Service: "a", Address: fmt.Sprintf("10.%d.%d.%d:1", n>>16, n>>8&255, n&255), Slots: 1, State: registry.Ready}
+			instance.Sequence = uint64(n) + 1
+			Expect(service.Report(controlrpc.ReportArgs{Report: registry.Report{Instance: instance}}, &ack)).To(Succeed())
+			if ack.Fault == nil {
+				return ""
+			}
+			return ack.Fault.Code
+		}
+		for n := range registry.MaxInstances {
+			Expect(report(n)).To(BeEmpty())
+		}
+		Expect(report(registry.MaxInstances)).To(Equal(fault.Unavailable))
+		Expect(report(7)).To(BeEmpty())
+	})
+
 	It("cannot be replaced by entry VMs, and upstream reports cannot be proposed by entry VMs or operators", func() {
 		forbidden := func(command controlstate.Command, propose func(controlrpc.ProposeArgs, *controlrpc.ProposeReply) error) {
 			var reply controlrpc.ProposeReply
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -42,6 +42,8 @@
 	Fenced Code = "fenced"
 	// Moved means that the owner did not run the request, because the upstream is leaving or has another owner now.
 	Moved Code = "moved"
+	// Misdirected rejects a request that is meant for another process.
+	Misdirected Code = "misdirected"
 	// SnapshotRetired means that the upstream no longer serves the index version that the request is pinned to.
 	SnapshotRetired Code = "snapshot_retired"
 	UpstreamFailed  Code = "upstream_failed"
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -205,6 +205,9 @@
 	return i, ok
 }
 
+// Len returns the number of registered upstreams.
+func (t *Table) Len() int { return len(t.instances) }
+
 // Instances returns all registered upstreams, ordered by ID.
 func (t *Table) Instances() []Instance {
 	all := make([]Instance, 0, len(t.instances))
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -165,7 +165,7 @@
 		f.attempts--
 		f.tried = without(f.tried, done.upstream)
 	}
-	if done.response != nil && !done.response.NotRun {
+	if done.response != nil && !done.response.NotRun && !isForeign(done.response) {
 		if done.response.Status < 500 {
 			return done.response
 		}
@@ -177,6 +177,12 @@
 	return nil
 }
 
+// isForeign reports whether a response is not one of an upstream, which signs what it answers: another server listens on the
+// address.
+func isForeign(response *upstreamconn.Response) bool {
+	return response.Stamp == "" && response.Status < 500
+}
+
 // noRoomFor returns how long all upstreams of the service stay at their rate limits, or 0 if one has room.
 func (f *forwardCall) noRoomFor() time.Duration {
 	f.router.mu.Lock()
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -144,6 +144,7 @@
 }
 
 func (b *viewBuilder) upsert(instance registry.Instance, now time.Time) (obsolete []*upstreamconn.Pool) {
+	instance = instance.Clamped()
 	existing, ok := b.upstreams[instance.ID]
 	next := &upstream{instance: instance, candidate: replica.Candidate{
 		ID: instance.ID, Slots: instance.Slots, Local: instance.FailureDomain == b.domain,
