Answer every request before a planned stop of a router ends

It happens here: a router took requests during the lame-duck period whose response came after drain_ms, and exited while they were in flight.

Cause: the time that is left was known to nobody who takes or forwards a request. Class: work that outlives its process.

Change: during a stop a request ends when the router does, and upstreams get only the time that is left; one whose usual response time does not fit twice is refused at once as not run. What is still in flight 150 ms before the exit, also from before the stop, is answered then: as not known, since it may have run. Relays keep announcing their stop and wait as before.

Ruled out: closing kept connections earlier, which would cut requests that cross.

--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/cli"
@@ -70,21 +69,22 @@
 	go r.SweepIdleConnections(watchCtx)
 
 	cli.OnReload(func() { reload(path, r, log) })
-	var stopping atomic.Bool
-	ready := func() bool { return !stopping.Load() && r.View().Ready() }
+	var stopping platform.Stop
+	ready := func() bool { return !stopping.Begun() && r.View().Ready() }
 	serve(healthListener, platform.NewReadyHandler(ready), log)
 	observe, err := serveMetrics(loaded, r, output, log)
 	if err != nil {
 		return err
 	}
-	server := serve(callerListener, platform.NewCallerHandler(r, stopping.Load, observe, log), log)
+	server := serve(callerListener, platform.NewCallerHandler(r, &stopping, observe, log), log)
 	log.Info("started", "caller_address", loaded.CallerAddress, "health_address", loaded.HealthAddress,
 		"extra_share", loaded.ExtraShare, "extra_floor", loaded.ExtraFloor, "answer_margin_ms", loaded.AnswerMarginMillis)
 	<-ctx.Done()
-	stopping.Store(true)
+	exitAt := time.Now().Add(time.Duration(loaded.LameDuckMillis+loaded.DrainMillis) * time.Millisecond)
+	stopping.Begin(exitAt.Add(-finalAnswers))
 	r.Leave()
 	relayServer.NotifyShutdown()
-	shutDown(server, relayServer, loaded, log)
+	shutDown(server, relayServer, loaded, exitAt, log)
 	return nil
 }
 
@@ -117,13 +117,18 @@
 	return r, relayServer, nil
 }
 
+// finalAnswers is the time before the exit at which requests that are still in flight are ended, so that their callers get an
+// answer rather than a closed connection.
+const finalAnswers = 150 * time.Millisecond
+
 // shutDown keeps serving for the lame-duck period, so that the load balancer notices that this VM is not ready, which
 // takes several health checks. It then waits for the requests in flight.
-func shutDown(server *http.Server, relayServer *relay.Server, loaded settings.Router, log *slog.Logger) {
+func shutDown(server *callerServer, relayServer *relay.Server, loaded settings.Router, exitAt time.Time, log *slog.Logger) {
 	log.Info("stopping", "lame_duck_ms", loaded.LameDuckMillis, "drain_ms", loaded.DrainMillis)
 	time.Sleep(time.Duration(loaded.LameDuckMillis) * time.Millisecond)
-	drainCtx, cancel := context.WithTimeout(context.Background(), time.Duration(loaded.DrainMillis)*time.Millisecond)
+	drainCtx, cancel := context.WithDeadline(context.Background(), exitAt)
 	defer cancel()
+	defer time.AfterFunc(time.Until(exitAt.Add(-finalAnswers)), server.endRequests).Stop()
 	if err := server.Shutdown(drainCtx); err != nil {
 		log.Warn("drain ended with requests in flight", "error", err)
 	}
@@ -150,11 +155,19 @@
 	return listener, nil
 }
 
-func serve(listener net.Listener, handler http.Handler, log *slog.Logger) *http.Server {
-	server := &http.Server{
+// callerServer is an HTTP server whose requests in flight can be ended.
+type callerServer struct {
+	*http.Server
+	endRequests context.CancelFunc
+}
+
+func serve(listener net.Listener, handler http.Handler, log *slog.Logger) *callerServer {
+	requests, endRequests := context.WithCancel(context.Background())
+	server := &callerServer{endRequests: endRequests, Server: &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
-	}
+		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		BaseContext: func(net.Listener) context.Context { return requests },
+	}}
 	go func() {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			log.Error("listener failed", "address", listener.Addr().String(), "error", err)
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -110,7 +110,7 @@
 
 // remaining returns the time that the upstream has left to respond.
 func remaining(rt *route.Route, request *Request, a *attempt) time.Duration {
-	return request.Received.Add(min(request.Limit, rt.Timeout)).Sub(a.sent)
+	return request.end(rt).Sub(a.sent)
 }
 
 func (r *Router) recordEnd(rt *route.Route, request *Request, a *attempt, e attemptEnd) {
--- a/internal/router/deadlines.go
+++ b/internal/router/deadlines.go
@@ -63,12 +63,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.stats(rt)
-	limit := min(request.Limit, rt.Timeout)
 	s.limitEstimate.observe(request.Limit)
 	waited := s.limitEstimate.waited(request.Limit)
 	r.roundTrip.observe(waited)
 	margin := r.config.AnswerMargin + r.roundTrip.estimate()
-	deadline = request.Received.Add(limit - margin)
+	deadline = request.end(rt).Add(-margin)
 	goal = deadline
 	if rt.Objective > waited+margin {
 		goal = request.Received.Add(rt.Objective - waited - margin)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -189,10 +189,28 @@
 	// Received is when the request was received, and Limit how long the caller waits from then on.
 	Received time.Time
 	Limit    time.Duration
+	// Until is when this VM stops, zero if it does not. The request ends before.
+	Until time.Time
 	// fingerprint is empty until the router has taken the request.
 	fingerprint string
 }
 
+// end returns when the caller stops waiting, the time limit of the route is reached or this VM stops.
+func (r *Request) end(rt *route.Route) time.Time {
+	end := r.Received.Add(min(r.Limit, rt.Timeout))
+	if !r.Until.IsZero() && r.Until.Before(end) {
+		return r.Until
+	}
+	return end
+}
+
+// UsualResponseTime returns the usual response time of the route.
+func (r *Router) UsualResponseTime(rt *route.Route) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Duration(r.stats(rt).expected)
+}
+
 // stats returns the statistics of the route, creating them if needed. The caller must hold mu.
 func (r *Router) stats(rt *route.Route) *routeStats {
 	s, ok := r.routes[rt.Name]
