Search with caution from the second closed connection on

Cause: one closed connection, mostly a reset or a limit on connections, held back all hedges and further second attempts of a search until a second attempt was answered.

Change: caution begins with the second closed connection of a search. A fatal search ends one more upstream with its first try.

--- a/internal/suspect/caution.go
+++ b/internal/suspect/caution.go
@@ -2,11 +2,16 @@
 
 import "slices"
 
-// Caution decides which attempts of a search may be sent once an upstream has ended under it. A request that ends every
+// cautiousAfter is the number of closed connections from which a search goes on with caution. A single one is mostly a reset.
+const cautiousAfter = 2
+
+// Caution decides which attempts of a search may be sent once upstreams may have ended under it. A request that ends every
 // upstream that runs it would otherwise end one of each shard, and then another one of each with the second attempts. From
-// then on one attempt at a time is sent, the probe. The others are held until an upstream has answered the probe, and
-// given up if its upstream ends as well.
+// the second closed connection on one attempt at a time is sent, the probe. The others are held until an upstream has
+// answered the probe, and given up if its upstream ends as well.
 type Caution struct {
+	// closed is the number of connections that upstreams have closed since the last answer to a probe.
+	closed int
 	// active is set while attempts are held behind a probe.
 	active  bool
 	stopped bool
@@ -48,8 +53,9 @@
 // Closed records that an upstream has closed the connection of an attempt at the shard. It returns the held shards if they are
 // given up.
 func (c *Caution) Closed(shard int) (dropped []int) {
+	c.closed++
 	if !c.active {
-		c.active = true
+		c.active = c.closed >= cautiousAfter
 		return nil
 	}
 	if !c.probing || shard != c.probe {
@@ -64,7 +70,7 @@
 	if !c.probing || shard != c.probe {
 		return nil
 	}
-	c.active, c.probing = false, false
+	c.closed, c.active, c.probing = 0, false, false
 	return c.take()
 }
 
