Answer every request before a planned stop of an entry VM ends

The fault of routers (requests that outlast a planned stop are cut without an answer) was looked for in wmux-entry, and is there: after drain_timeout it exits with requests in flight. The new spec, a booking at an upstream that does not answer, fails on the code before (no answer when the process would exit).

Change: 150 ms before the end, the requests of callers that are still in flight are ended; a booking is answered as unknown.

--- a/internal/entry/booking_test.go
+++ b/internal/entry/booking_test.go
@@ -38,6 +38,22 @@
 		Expect(upstream.runCount("k")).To(Equal(1))
 	})
 
+	It("are answered as unknown at the end of a planned stop that they outlast, instead of being cut", func() {
+		control := newFakeControl()
+		upstream := startUpstream(control, "u1", "settlement", 2)
+		upstream.hold = make(chan struct{})
+		v := startVM(control, "entry-1", func(config *Config) { config.DrainTimeout = 500 * time.Millisecond })
+		answers := make(chan response, 1)
+		go func() { answers <- v.book("k", 5000) }()
+		Eventually(upstream.started, 5).Should(Receive())
+		v.stop()
+		Eventually(v.done, 5).Should(Receive())
+		var answer response
+		Expect(answers).To(Receive(&answer), "the process would exit now")
+		Expect(answer.status).To(Equal(http.StatusGatewayTimeout))
+		close(upstream.hold)
+	})
+
 	It("run in a new attempt if the sender was killed after it recorded the intent and before it sent the attempt (P4, P5)", func() {
 		control := newFakeControl()
 		upstream := startUpstream(control, "u1", "settlement", 2)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -33,6 +33,9 @@
 	maxHeaderBytes = 16 << 10
 	// drainPollInterval is how often a planned stop checks whether the requests of peers have finished.
 	drainPollInterval = 10 * time.Millisecond
+	// finalAnswers is the time before the end of a planned stop at which requests that are still in flight are ended, so that
+	// their callers get an answer rather than a closed connection.
+	finalAnswers = 150 * time.Millisecond
 	// leaveTimeout limits the proposal that ends the membership.
 	leaveTimeout = 2 * time.Second
 	// peerLinger is how long a VM that has left the membership still answers its peers: one renewal interval, within
@@ -84,6 +87,8 @@
 	log          *slog.Logger
 
 	http *http.Server
+	// endRequests ends the requests in flight of callers.
+	endRequests context.CancelFunc
 	// nextID is the last ID given to a sub-request.
 	nextID atomic.Uint64
 	// draining is set at the start of a planned stop and makes the health check fail.
@@ -128,9 +133,12 @@
 	server.renewals = newRenewals(session, control, server.ownerClient, server.inFlightAt, log)
 	server.objectives = newObjectives(config.Metrics, session, server.inFlightAt)
 	session.Load = server.objectives.loadReport
+	requests, endRequests := context.WithCancel(context.Background())
+	server.endRequests = endRequests
 	server.http = &http.Server{
 		Handler: server.routes(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: keepAliveTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		BaseContext: func(net.Listener) context.Context { return requests },
 	}
 	return server
 }
@@ -248,6 +256,7 @@
 	defer cancelRetire()
 	retired := make(chan error, 1)
 	go func() { retired <- s.session.Retire(retireCtx) }()
+	defer time.AfterFunc(s.config.LameDuck+s.config.DrainTimeout-finalAnswers, s.endRequests).Stop()
 	time.Sleep(s.config.LameDuck)
 	err := s.http.Shutdown(ctx)
 	if retireErr := <-retired; retireErr != nil {
