--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -78,9 +78,13 @@
 	control  *inProcessControl
 
 	// mu guards the fields below.
-	mu    sync.Mutex
-	conns map[net.Conn]bool
-	down  bool
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
+	down     bool
+	// refuse makes the upstream refuse requests, and limit is the rate limit that it names, empty for none.
+	refuse bool
+	limit  string
 	// fatal holds the arrivals of fatal requests and ends the ends of the process. stopped is set at the end of the test.
 	fatal, ends []time.Time
 	stopped     bool
@@ -106,6 +110,7 @@
 	u.mu.Lock()
 	u.instance.Address = listener.Addr().String()
 	u.instance.Born++
+	u.listener = listener
 	u.down = false
 	stopped := u.stopped
 	u.mu.Unlock()
@@ -125,7 +130,7 @@
 				_ = listener.Close()
 				return
 			}
-			go u.serve(conn, listener)
+			go u.serve(conn)
 		}
 	}()
 }
@@ -142,30 +147,46 @@
 	return true
 }
 
-func (u *mortalUpstream) serve(conn net.Conn, listener net.Listener) {
+func (u *mortalUpstream) serve(conn net.Conn) {
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
-		if request.URL.Path == fatalTarget {
-			u.mu.Lock()
+		u.mu.Lock()
+		status := "200 OK\r\nStamp: stamp-" + u.instance.ID
+		if u.refuse {
+			status = "503 Service Unavailable\r\nRefused: 1"
+		}
+		if u.limit != "" {
+			status += "\r\nLimit: " + u.limit
+		}
+		fatal := request.URL.Path == fatalTarget && !u.refuse
+		if fatal {
 			u.fatal = append(u.fatal, time.Now())
-			u.mu.Unlock()
-			_ = listener.Close()
+		}
+		u.mu.Unlock()
+		if fatal {
 			u.end(false)
 			return
 		}
 		time.Sleep(workTime)
 		body := record('m')
-		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nStamp: stamp-%s\r\nContent-Length: %d\r\n\r\n%s", u.instance.ID, len(body), body); err != nil {
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body); err != nil {
 			return
 		}
 	}
 }
 
-// end closes all connections, as the end of a process does.
+// set changes how the upstream answers.
+func (u *mortalUpstream) set(refuse bool, limit string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.refuse, u.limit = refuse, limit
+}
+
+// end closes the listener and all connections, as the end of a process does.
 func (u *mortalUpstream) end(stop bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -175,6 +196,7 @@
 	}
 	u.down = true
 	u.ends = append(u.ends, time.Now())
+	_ = u.listener.Close()
 	for conn := range u.conns {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		_ = conn.Close()
@@ -311,13 +333,6 @@
 			return err
 		}
 	}
-	search := func(rt *route.Route) func(*relayVM, string, string) error {
-		return func(vm *relayVM, id, target string) error {
-			_, err := vm.router.Search(context.Background(), vm.router.View(), rt, mortalRequest(rt, id, target))
-			return err
-		}
-	}
-
 	It("stops reaching upstreams through any VM once three have ended, when it is forwarded", func() {
 		f := startMortalFleet(1, 6)
 		rt := &route.Route{Name: "forward", Idempotent: true, Attempts: 2, Timeout: 2 * time.Second, Objective: time.Second, Service: f.services[0]}
@@ -327,10 +342,88 @@
 	It("stops reaching upstreams through any VM once three have ended, when it is a search", func() {
 		f := startMortalFleet(6, 2)
 		rt := searchRoute(f.services...)
-		f.expectContained(f.play(search(rt), 10*time.Second, 300*time.Millisecond))
+		f.expectContained(f.play(searchWith(rt), 10*time.Second, 300*time.Millisecond))
 	})
 })
 
+// disruptions are played beside the fatal request, and each ends while it is still sent.
+var disruptions = map[string]func(f *mortalFleet){
+	"upstreams that name rate limits": func(f *mortalFleet) {
+		f.setAll(false, "3")
+		time.Sleep(4 * time.Second)
+		f.setAll(false, "")
+	},
+	"upstreams that refuse for a while": func(f *mortalFleet) {
+		f.setAll(true, "")
+		time.Sleep(2 * time.Second)
+		f.setAll(false, "")
+	},
+	"a VM without links to upstreams": func(f *mortalFleet) {
+		f.vms[0].links.set(silent)
+		time.Sleep(3 * time.Second)
+		f.vms[0].links.set(intact)
+	},
+	"a VM whose links refuse": func(f *mortalFleet) {
+		f.vms[1].links.set(refused)
+		time.Sleep(3 * time.Second)
+		f.vms[1].links.set(intact)
+	},
+	"half of the upstreams ending at once, twice": func(f *mortalFleet) {
+		for range 2 {
+			for n, u := range f.upstreams {
+				if n%2 == 0 {
+					u.end(false)
+				}
+			}
+			time.Sleep(2500 * time.Millisecond)
+		}
+	},
+	"a relay that is cut off": func(f *mortalFleet) {
+		_ = f.vms[2].listener.Close()
+		for len(f.vms[2].conns) > 0 {
+			_ = (<-f.vms[2].conns).Close()
+		}
+	},
+}
+
+func (f *mortalFleet) setAll(refuse bool, limit string) {
+	for _, u := range f.upstreams {
+		u.set(refuse, limit)
+	}
+}
+
+var _ = Describe("a request under which upstreams end, beside other trouble,", Label("slow"), func() {
+	It("stops reaching upstreams all the same", func() {
+		const services = 4
+		fleets := map[string]*mortalFleet{}
+		for name := range disruptions {
+			fleets[name] = startMortalFleet(services, 3)
+		}
+		var playing sync.WaitGroup
+		for name, f := range fleets {
+			playing.Go(func() {
+				time.Sleep(400 * time.Millisecond)
+				disruptions[name](f)
+			})
+			playing.Go(func() { f.play(searchWith(searchRoute(f.services...)), 11*time.Second, 300*time.Millisecond) })
+		}
+		playing.Wait()
+		for name, f := range fleets {
+			all, late := f.arrivals()
+			GinkgoWriter.Printf("%s: %d arrivals, %d late\n", name, len(all), len(late))
+			Expect(len(late)).To(BeNumerically("<=", allowedRepeats), name)
+		}
+	})
+})
+
+// searchWith returns a function that sends a search on the route.
+func searchWith(rt *route.Route) func(*relayVM, string, string) error {
+	return func(vm *relayVM, id, target string) error {
+		_, err := vm.router.Search(context.Background(), vm.router.View(), rt, mortalRequest(rt, id, target))
+		return err
+	}
+}
+
 func mortalRequest(rt *route.Route, id, target string) *Request {
 	return &Request{Request: upstreamconn.Request{ID: id, Method: "GET", Target: target, Host: "x"}, Received: time.Now(), Limit: rt.Timeout}
 }
