Keep to what upstreams say of themselves in their responses

Change: internal/notice keeps what each process has said; the platform decodes it once; it reaches every choice of an upstream, relays (which report it and refuse for VMs that have not heard it) and forwards.

Ruled out: spreading through control, since each VM counts, in touch or not.

--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -44,6 +44,9 @@
 		"wisteriamux.links.lost":           func() int64 { return r.Counts().Partitioned },
 		"wisteriamux.attempts.noroom":      func() int64 { return r.Counts().NoRoom },
 		"wisteriamux.limits.unreadable":    func() int64 { return r.Counts().LimitsUnreadable },
+		"wisteriamux.upstreams.leaving":    func() int64 { return r.Counts().Leaving },
+		"wisteriamux.upstreams.paused":     func() int64 { return r.Counts().Paused },
+		"wisteriamux.notices.unreadable":   func() int64 { return r.Counts().NoticesUnreadable },
 		"wisteriamux.upstreams.ended":      func() int64 { return r.Counts().UpstreamEnds },
 		"wisteriamux.requests.quarantined": func() int64 { return r.Counts().Quarantined },
 		"wisteriamux.log.dropped":          output.Dropped,
@@ -59,16 +62,17 @@
 	}
 	paths := mux.NewRouter()
 	paths.Handle("/metrics", metrics.Handler()).Methods(http.MethodGet)
-	paths.HandleFunc("/limits", func(w http.ResponseWriter, _ *http.Request) { writeLimits(w, r, log) }).Methods(http.MethodGet)
+	paths.HandleFunc("/limits", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Limits(), log) }).Methods(http.MethodGet)
+	paths.HandleFunc("/notices", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Notices(), log) }).Methods(http.MethodGet)
 	serve(listener, paths, log)
 	return func(rt *route.Route, status int, latency time.Duration) { recordRequest(metrics, rt, status, latency) }, nil
 }
 
-// writeLimits writes the rate limits in force as a JSON array.
-func writeLimits(w http.ResponseWriter, r *router.Router, log *slog.Logger) {
+// writeList writes a list as a JSON array.
+func writeList(w http.ResponseWriter, list any, log *slog.Logger) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(r.Limits()); err != nil {
-		log.Warn("writing the limits failed", "error", err)
+	if err := json.NewEncoder(w).Encode(list); err != nil {
+		log.Warn("writing a list failed", "error", err)
 	}
 }
 
--- a/cmd/wmuxctl/limits.go
+++ b/cmd/wmuxctl/limits.go
@@ -33,7 +33,7 @@
 			all := []vmLimit{}
 			var rows [][]any
 			for _, address := range routers {
-				limits, err := fetchLimits(ctx, address)
+				limits, err := fetchList[router.LimitInForce](ctx, address, "/limits")
 				if err != nil {
 					return err
 				}
@@ -49,22 +49,23 @@
 	return command
 }
 
-func fetchLimits(ctx context.Context, address string) ([]router.LimitInForce, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address+"/limits", http.NoBody)
+// fetchList returns the list at a path of the metrics address of an entry VM.
+func fetchList[T any](ctx context.Context, address, path string) ([]T, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address+path, http.NoBody)
 	if err != nil {
-		return nil, fault.New(fault.BadRequest, "limits.fetch", "%w", err)
+		return nil, fault.New(fault.BadRequest, "list.fetch", "%w", err)
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return nil, fault.New(fault.Unavailable, "limits.fetch", "%w", err)
+		return nil, fault.New(fault.Unavailable, "list.fetch", "%w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return nil, fault.New(fault.Unavailable, "limits.fetch", "%s returned status %d", address, response.StatusCode)
+		return nil, fault.New(fault.Unavailable, "list.fetch", "%s%s returned status %d", address, path, response.StatusCode)
 	}
-	var limits []router.LimitInForce
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&limits); err != nil {
-		return nil, fault.New(fault.Unavailable, "limits.fetch", "%s: %w", address, err)
+	var list []T
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&list); err != nil {
+		return nil, fault.New(fault.Unavailable, "list.fetch", "%s%s: %w", address, path, err)
 	}
-	return limits, nil
+	return list, nil
 }
--- a/cmd/wmuxctl/quarantine.go
+++ b/cmd/wmuxctl/quarantine.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"time"
-
 	"github.com/spf13/cobra"
 
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
@@ -20,13 +18,9 @@
 	command := viewCommand(opts, func(view model.View) error {
 		var rows [][]any
 		for _, quarantine := range view.Quarantines {
-			since := "-"
-			if !quarantine.Since.IsZero() {
-				since = quarantine.Since.Format(time.RFC3339)
-			}
 			evidence := quarantine.Evidence
 			rows = append(rows, []any{
-				quarantine.Fingerprint, since, quarantine.Until.Format(time.RFC3339), evidence.Ends, evidence.Tries, evidence.VMs, evidence.Summary,
+				quarantine.Fingerprint, formatTime(quarantine.Since), formatTime(quarantine.Until), evidence.Ends, evidence.Tries, evidence.VMs, evidence.Summary,
 			})
 		}
 		return opts.printTable(view.Quarantines, "FINGERPRINT|SINCE|UNTIL|ENDED|TRIES|VMS|REQUEST", rows)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/notice"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
@@ -139,6 +140,7 @@
 	response := &upstreamconn.Response{
 		Status: r.Response.Status, Header: r.Response.Header, Body: r.Response.Body, RequestID: r.Response.RequestID,
 		Stamp: r.Stamp, NotRun: r.Response.NotRun, Misdirected: r.Response.Misdirected,
+		Notice: notice.Notice{Leaving: r.Leaving, Pause: r.Pause},
 	}
 	if r.RateLimit != nil {
 		response.RateLimit = ratelimit.Statement{PerSecond: *r.RateLimit}
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -144,6 +144,9 @@
 	// LinkLost is set for Failed if the relay lost its links to all upstreams after it had sent the request, so that the
 	// failure says nothing about the upstream.
 	LinkLost bool
+	// Leaving and Pause are what the response said to the relay, see notice.Notice.
+	Leaving bool
+	Pause   time.Duration
 	// Closed is set for Failed if the upstream closed the connection.
 	Closed bool
 }
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -197,6 +197,9 @@
 	var failed *upstreamconn.RequestError
 	ended.Closed = errors.As(err, &failed) && failed.Closed
 	ended.RateLimit, ended.RetryAfter = rateLimitOf(response, err)
+	if err == nil && !response.Misdirected {
+		ended.Leaving, ended.Pause = response.Notice.Leaving, response.Notice.Pause
+	}
 	return ended
 }
 
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/gather"
@@ -50,17 +51,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	candidates := view.candidates[service]
-	index := r.tracker.Choose(now, candidates, func(id string) bool {
-		for _, u := range tried {
-			if u.instance.ID == id {
-				return true
-			}
-		}
-		if r.taken[view.byID[id].location()] {
-			return true
-		}
-		return !r.limits.Empty() && r.limits.RoomAt(view.byID[id].process()).After(now)
-	})
+	index := r.tracker.Choose(now, candidates, func(id string) bool { return wasTried(tried, id) || r.unavailable(view.byID[id], now, false) })
+	if index < 0 && !r.notices.Empty() {
+		index = r.tracker.Choose(now, candidates, func(id string) bool { return wasTried(tried, id) || r.unavailable(view.byID[id], now, true) })
+	}
 	if index < 0 {
 		return nil
 	}
@@ -80,6 +74,25 @@
 	return &attempt{upstream: chosen, sent: now, expected: expected, ticket: r.tracker.Sent(now, chosen.instance.ID, expected)}
 }
 
+func wasTried(tried []*upstream, id string) bool {
+	return slices.ContainsFunc(tried, func(u *upstream) bool { return u.instance.ID == id })
+}
+
+// unavailable reports whether no request may be sent to the upstream: because another process has taken its address, it is at
+// its rate limit, it wants no requests for a while, or it leaves. As a last resort one that leaves is accepted for a moment.
+// The caller must hold mu.
+func (r *Router) unavailable(u *upstream, now time.Time, lastResort bool) bool {
+	switch {
+	case r.taken[u.location()]:
+		return true
+	case !r.limits.Empty() && r.limits.RoomAt(u.process()).After(now):
+		return true
+	case r.notices.Empty():
+		return false
+	}
+	return r.notices.PausedUntil(u.process()).After(now) || r.notices.Leaving(now, u.process(), lastResort)
+}
+
 // attemptEnd describes how an attempt ended.
 type attemptEnd struct {
 	result replica.Result
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -196,7 +196,7 @@
 		return f.lastResponse, nil
 	case !f.mayHaveRun && f.noRoomFor() > 0:
 		return nil, fault.New(fault.RateLimited, "router.forward", "no upstream of %q has room: %w", f.service,
-			&ratelimit.NoRoomError{RetryAfter: f.noRoomFor()})
+			noRoomError(f.noRoomFor()))
 	case !f.mayHaveRun:
 		return nil, fault.New(fault.NotRun, "router.forward", "none of %d upstreams accepted the request", len(f.tried))
 	}
@@ -228,6 +228,9 @@
 	if reply.RateLimit != nil {
 		r.observeLimit(a.upstream, ratelimit.Statement{PerSecond: *reply.RateLimit})
 	}
+	if response != nil && !response.Misdirected {
+		r.observeNotice(a.upstream, response.Notice)
+	}
 	if isNoRoom(err) {
 		r.recordFull(a.upstream, reply.RetryAfter)
 	}
--- a/internal/router/ratelimit.go
+++ b/internal/router/ratelimit.go
@@ -28,6 +28,7 @@
 	response, err := r.exchange(ctx, u, expected, request)
 	if err == nil && !response.Misdirected {
 		r.observeLimit(u, response.RateLimit)
+		r.observeNotice(u, response.Notice)
 	}
 	return response, err
 }
@@ -151,7 +152,7 @@
 func (r *Router) refuseLimited(view *View, rt *route.Route, now time.Time) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.limits.Empty() {
+	if r.limits.Empty() && r.notices.Empty() {
 		return nil
 	}
 	waits := make([]time.Duration, len(rt.Shards))
@@ -160,17 +161,25 @@
 	}
 	slices.Sort(waits)
 	if wait := waits[minShards(len(waits), rt.Coverage)-1]; wait > 0 {
-		return fault.New(fault.RateLimited, "router.admit", "too few of %d shards have room: %w", len(waits), &ratelimit.NoRoomError{RetryAfter: wait})
+		return fault.New(fault.RateLimited, "router.admit", "too few of %d shards have room: %w", len(waits), noRoomError(wait))
 	}
 	return nil
 }
 
-// waitForRoom returns how long all upstreams of the service stay at their rate limits. It is 0 if one of them has room, or
+// returnSpread is the part of the wait by which callers are told to wait longer at most, so that they do not return all at once.
+const returnSpread = 0.2
+
+// noRoomError returns the error for a request that is refused because there is no room before the wait is over.
+func noRoomError(wait time.Duration) *ratelimit.NoRoomError {
+	return &ratelimit.NoRoomError{RetryAfter: wait + time.Duration(returnSpread*rand.Float64()*float64(wait))}
+}
+
+// waitForRoom returns how long all upstreams of the service stay at their rate limits or want no requests. It is 0 if one of them has room, or
 // if there is none, since that is not a matter of limits. The caller must hold mu.
 func (r *Router) waitForRoom(view *View, service string, now time.Time) time.Duration {
 	var earliest time.Duration
 	for n, u := range view.byService[service] {
-		wait := max(0, r.limits.RoomAt(u.process()).Sub(now))
+		wait := max(0, r.limits.RoomAt(u.process()).Sub(now), r.notices.PausedUntil(u.process()).Sub(now))
 		if n == 0 || wait < earliest {
 			earliest = wait
 		}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -6,6 +6,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/gather"
+	"github.com/wisteriamux/wisteriamux/internal/notice"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/replica"
@@ -27,9 +28,9 @@
 	}
 	now := time.Now()
 	r.mu.Lock()
-	if r.taken[u.location()] {
+	if r.refusesWork(u, now) {
 		r.mu.Unlock()
-		return nil, fault.New(fault.Moved, "router.attempt", "another process has taken the address of upstream %q", requested.Instance)
+		return nil, fault.New(fault.Moved, "router.attempt", "upstream %q leaves, wants no requests or has lost its address", requested.Instance)
 	}
 	if cost, bad := r.tracker.Degraded(now, requested.Instance); bad && requested.Optional {
 		r.mu.Unlock()
@@ -43,6 +44,11 @@
 	return response, err
 }
 
+// refusesWork reports whether the upstream has told this VM to send nothing, which other VMs may not know. The caller must hold mu.
+func (r *Router) refusesWork(u *upstream, now time.Time) bool {
+	return r.taken[u.location()] || r.notices.PausedUntil(u.process()).After(now) || r.notices.Leaving(now, u.process(), true)
+}
+
 const (
 	// reportLead is the time that the report of a relay takes in addition to the attempts in it: a round trip between
 	// failure domains and some processing. Relayed attempts are hedged later by it than direct ones.
@@ -244,6 +250,7 @@
 			r.from.link.MarkPartitioned(now)
 			s.tried[shard] = without(s.tried[shard], a.upstream)
 		}
+		s.router.observeNotice(a.upstream, notice.Notice{Leaving: ended.Leaving, Pause: ended.Pause})
 		if ended.RateLimit != nil {
 			s.router.observeLimit(a.upstream, ratelimit.Statement{PerSecond: *ended.RateLimit})
 		}
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -19,6 +19,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/gather"
+	"github.com/wisteriamux/wisteriamux/internal/notice"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 	"github.com/wisteriamux/wisteriamux/internal/registry"
 	"github.com/wisteriamux/wisteriamux/internal/relay"
@@ -36,6 +37,10 @@
 	delay   atomic.Int64
 	refuse  atomic.Bool
 	endless atomic.Bool
+	// leaving makes the responses say that the upstream leaves. pause makes it refuse requests and name a pause in seconds, empty
+	// for none.
+	leaving atomic.Bool
+	pause   atomic.Value
 	// replaced makes it respond as another process that has taken the address.
 	replaced atomic.Bool
 	// rateLimit is the rate limit that the responses name, nil for none.
@@ -86,6 +91,12 @@
 		if u.refuse.Load() {
 			status = "503 Service Unavailable\r\nRefused: 1"
 		}
+		if text, _ := u.pause.Load().(string); text != "" {
+			status = "503 Service Unavailable\r\nRefused: 1\r\nPause: " + text
+		}
+		if u.leaving.Load() {
+			status += "\r\nLeaving: 1"
+		}
 		if u.replaced.Load() {
 			status = "421 Misdirected Request\r\nRefused: 1"
 		}
@@ -121,6 +132,8 @@
 	a.NotRun = a.Header.Get("Refused") != ""
 	a.Misdirected = a.Status == http.StatusMisdirectedRequest
 	a.RateLimit = ratelimit.ParseStatement(a.Header.Values("Limit"))
+	a.Notice.Leaving = a.Header.Get("Leaving") != ""
+	a.Notice.Pause, a.Notice.Err = notice.ParsePause(a.Header.Values("Pause"))
 }
 
 // relayVM is an entry VM that also acts as a relay.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/notice"
 	"github.com/wisteriamux/wisteriamux/internal/overload"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 	"github.com/wisteriamux/wisteriamux/internal/reach"
@@ -92,6 +93,8 @@
 	issuer *ratelimit.Issuer
 	// links observes this VM's own links to upstreams.
 	links *reach.Monitor
+	// notices holds what upstreams have said of themselves.
+	notices *notice.Book
 	// taken holds the upstreams whose address another process has taken.
 	taken map[location]bool
 	// endChecks holds the requests that ran at upstreams whose connections were closed, while it is being checked whether
@@ -128,6 +131,9 @@
 	Partitioned int64
 	// UpstreamEnds counts the upstreams that ended while they ran requests of this VM.
 	UpstreamEnds int64
+	// Leaving and Paused are the numbers of upstreams that have said that they leave or want no requests now, and
+	// NoticesUnreadable counts the responses that named a pause that could not be read.
+	Leaving, Paused, NoticesUnreadable int64
 	// Quarantined counts the requests that were refused because they are quarantined.
 	Quarantined int64
 }
@@ -152,7 +158,7 @@
 		builder: &viewBuilder{domain: config.FailureDomain, dialer: config.DialUpstream, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
 		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), links: reach.New(),
-		taken: map[location]bool{}, endChecks: map[registry.Process][]suspect.End{}, guard: suspect.NewGuard(config.ID), reportDue: make(chan struct{}, 1),
+		notices: notice.NewBook(), taken: map[location]bool{}, endChecks: map[registry.Process][]suspect.End{}, guard: suspect.NewGuard(config.ID), reportDue: make(chan struct{}, 1),
 	}
 	r.builder.dialled = r.recordDial
 	if config.RelayAddress != "" {
@@ -180,6 +186,16 @@
 		counts.Partitioned = 1
 	}
 	counts.Limited, counts.LimitsUnreadable = int64(len(r.limits.InForce())), r.limits.Unreadable()
+	counts.NoticesUnreadable = r.notices.Unreadable()
+	now := time.Now()
+	for _, n := range r.notices.InForce(now) {
+		if !n.LeavingSince.IsZero() {
+			counts.Leaving++
+		}
+		if n.PausedUntil.After(now) {
+			counts.Paused++
+		}
+	}
 	return counts
 }
 
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -154,6 +154,7 @@
 		return !ok || u.location() != l
 	})
 	r.limits.Retain(registered)
+	r.notices.Retain(registered)
 	r.issuer.Retain(registered)
 	if view.Routes == nil {
 		return
--- a/internal/upstreamconn/upstreamconn.go
+++ b/internal/upstreamconn/upstreamconn.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/notice"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 )
 
@@ -78,8 +79,9 @@
 	Misdirected bool
 	// IdleTimeout is how long the upstream keeps an idle connection open, or 0 if it does not announce that.
 	IdleTimeout time.Duration
-	// RateLimit is what the response says about the request rate of the upstream.
+	// RateLimit is what the response says about the request rate of the upstream, and Notice what else it says of it.
 	RateLimit ratelimit.Statement
+	Notice    notice.Notice
 }
 
 // RequestError is returned for a request without a complete response, and records how far the request got.
