--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +24,33 @@
 	return nil
 }
 
+// BuildRevision builds packages of a revision of this repository into the directory. It uses the history of the repository only.
+func BuildRevision(dir, revision string, packages ...string) error {
+	source := filepath.Join(dir, "source")
+	if err := os.MkdirAll(source, 0o750); err != nil {
+		return fault.New(fault.Internal, "harness.build", "%w", err)
+	}
+	root, err := exec.Command("git", "rev-parse", "--show-toplevel").Output()
+	if err != nil {
+		return fault.New(fault.Internal, "harness.build", "find the repository: %w", err)
+	}
+	archive := filepath.Join(dir, "source.tar")
+	command := exec.Command("git", "archive", "-o", archive, revision)
+	command.Dir = strings.TrimSpace(string(root))
+	if output, err := command.CombinedOutput(); err != nil {
+		return fault.New(fault.Internal, "harness.build", "archive of %s: %w: %s", revision, err, output)
+	}
+	if output, err := exec.Command("tar", "-xf", archive, "-C", source).CombinedOutput(); err != nil {
+		return fault.New(fault.Internal, "harness.build", "unpack %s: %w: %s", revision, err, output)
+	}
+	command = exec.Command("go", append([]string{"build", "-o", dir + "/"}, packages...)...)
+	command.Dir = source
+	if output, err := command.CombinedOutput(); err != nil {
+		return fault.New(fault.Internal, "harness.build", "%s: %w: %s", revision, err, output)
+	}
+	return nil
+}
+
 // LoopbackIP returns the loopback IP address of a VM with a number from 1 to 254. The address is derived from the ID of
 // the test process, so that concurrent test runs on one machine do not share addresses.
 func LoopbackIP(vm int) string {
