--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -83,9 +83,9 @@
 // refuseQuarantined returns an error if another VM's request is quarantined.
 func (r *Router) refuseQuarantined(request *upstreamconn.Request) error {
 	r.mu.Lock()
-	any := r.guard.AnyQuarantined()
+	anyQuarantined := r.guard.AnyQuarantined()
 	r.mu.Unlock()
-	if !any {
+	if !anyQuarantined {
 		return nil
 	}
 	_, err := r.checkSuspect(fingerprintOf(request))
