Leave no choice to load balancing in the specs of notices

The upstream was allowed again; nothing chose it. Where a spec needs a request at one upstream, the VMs now know no other. Bounds are unchanged.

--- a/internal/router/notice_test.go
+++ b/internal/router/notice_test.go
@@ -33,6 +33,19 @@
 		}
 	})
 
+	// only makes the VMs know one upstream of each service, and everything all of them. Load balancing alone does not tell which of
+	// two upstreams gets the next request.
+	revision := uint64(1)
+	adopt := func(upstreams ...*fakeUpstream) {
+		revision++
+		for _, vm := range []*relayVM{requester, other, relaying} {
+			vm.adoptAs(revision, upstreams...)
+		}
+	}
+	only := func() { adopt(near, far) }
+	everything := func() { adopt(all...) }
+	BeforeEach(func() { revision = 1 })
+
 	// learn sends requests with one upstream until it has answered.
 	learn := func(u *fakeUpstream, send func() error) {
 		before := u.requests.Load()
@@ -81,7 +94,9 @@
 			w := start()
 			u := w.upstream()
 			u.leaving.Store(true)
+			only()
 			learn(u, w.send)
+			everything()
 			before := u.requests.Load()
 			for range 40 {
 				Expect(w.send()).To(Succeed())
@@ -93,13 +108,16 @@
 			w := start()
 			u := w.upstream()
 			u.pause.Store("0.4")
+			only()
 			learn(u, w.send)
+			everything()
 			u.pause.Store("")
 			before, until := u.requests.Load(), time.Now().Add(350*time.Millisecond)
 			for time.Now().Before(until) {
 				Expect(w.send()).To(Succeed())
 			}
 			Expect(u.requests.Load()).To(Equal(before))
+			only()
 			Eventually(func() int64 { _ = w.send(); return u.requests.Load() }).WithTimeout(5 * time.Second).Should(BeNumerically(">", before))
 		})
 
@@ -107,11 +125,11 @@
 			w := start()
 			u := w.upstream()
 			u.leaving.Store(true)
+			only()
 			learn(u, w.send)
 			u.leaving.Store(false)
 			u.instance.Born++
-			requester.adoptAs(2, all...)
-			relaying.adoptAs(2, all...)
+			only()
 			learn(u, w.send)
 		})
 	}
@@ -144,6 +162,7 @@
 
 	It("is heard by a VM without links of its own, and used by it once it has them again", func() {
 		far.leaving.Store(true)
+		only()
 		requester.links.set(refused)
 		Eventually(func() int64 {
 			_ = forward(requester, "far")()
@@ -193,10 +212,12 @@
 	It("is heard in a response to a request that must not be repeated, too", func() {
 		near.leaving.Store(true)
 		rt := &route.Route{Name: "w", Attempts: 1, Timeout: time.Second, Objective: time.Second, Service: "near"}
+		only()
 		learn(near, func() error {
 			_, err := requester.router.Forward(context.Background(), requester.router.View(), rt, testRequest(rt, "1", "/x"))
 			return err
 		})
+		everything()
 		before := near.requests.Load()
 		for range 20 {
 			Expect(forward(requester, "near")()).To(Succeed())
