Bound the spread of callers' return by 300 ms

The spec that a rate-limited request names when there is room failed in one run: the fifth that was added to the wait took it over the bound of 5 s. The spread is at most 300 ms now, as that of pauses.

--- a/internal/router/ratelimit.go
+++ b/internal/router/ratelimit.go
@@ -166,12 +166,16 @@
 	return nil
 }
 
-// returnSpread is the part of the wait by which callers are told to wait longer at most, so that they do not return all at once.
-const returnSpread = 0.2
+// returnSpread is the part of the wait, and maxReturnSpread the time, by which callers are told to wait longer at most, so that
+// they do not return all at once.
+const (
+	returnSpread    = 0.2
+	maxReturnSpread = 300 * time.Millisecond
+)
 
 // noRoomError returns the error for a request that is refused because there is no room before the wait is over.
 func noRoomError(wait time.Duration) *ratelimit.NoRoomError {
-	return &ratelimit.NoRoomError{RetryAfter: wait + time.Duration(returnSpread*rand.Float64()*float64(wait))}
+	return &ratelimit.NoRoomError{RetryAfter: wait + time.Duration(rand.Float64()*min(returnSpread*float64(wait), float64(maxReturnSpread)))}
 }
 
 // waitForRoom returns how long all upstreams of the service stay at their rate limits or want no requests. It is 0 if one of them has room, or
