--- a/internal/control/suspects.go
+++ b/internal/control/suspects.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -90,18 +91,21 @@
 	return hash.Sum64()
 }
 
-// observe adds what an entry VM reports, and returns the number of requests that may have to be quarantined.
-func (t *suspectTable) observe(now time.Time, vm string, report suspect.Report) (candidates int) {
+// observe adds what an entry VM reports. It returns the number of requests that may have to be quarantined, and the answers
+// after which one no longer is among them.
+func (t *suspectTable) observe(now time.Time, vm string, report suspect.Report) (candidates int, clearing []suspect.Answer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, end := range report.Ends {
 		t.detector.Observe(now, vm, end)
 	}
 	for _, answer := range report.Answers {
-		t.detector.Cleared(now, answer)
+		if t.detector.Cleared(now, answer) {
+			clearing = append(clearing, answer)
+		}
 	}
 	t.refresh()
-	return len(t.candidates)
+	return len(t.candidates), clearing
 }
 
 func (t *suspectTable) due(now time.Time) []suspect.Decision {
@@ -129,9 +133,12 @@
 		return err
 	}
 	s.suspects.enterTerm(s.replicator.Term())
-	candidates := s.suspects.observe(s.now(), args.Watcher, args.Report)
+	candidates, clearing := s.suspects.observe(s.now(), args.Watcher, args.Report)
 	s.log.Info("ends of upstreams reported", "vm", args.Watcher, "ends", len(args.Report.Ends), "answers", len(args.Report.Answers),
 		"candidates", candidates)
+	for _, answer := range clearing {
+		s.log.Info("suspected request cleared", "vm", args.Watcher, "fingerprint", answer.Fingerprint, "services", strings.Join(answer.Services, ","))
+	}
 	if candidates > 0 {
 		time.AfterFunc(decideDelay, s.decideQuarantines)
 	}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -30,7 +30,7 @@
 	defer p.removeForward(args.Call)
 	received := time.Now()
 	response, err := p.server.executor.Attempt(ctx, args.Attempt, args.Expected, &upstreamconn.Request{
-		ID: args.Request, Method: args.Method, Target: args.Target, Host: args.Host, Header: args.Header, Body: args.Body,
+		ID: args.Request, Method: args.Method, Target: args.Target, Host: args.Host, Header: args.Header, Body: args.Body, Caller: args.Caller,
 		Instance: args.Attempt.Instance, Remaining: args.Remaining, MaxBodyBytes: args.MaxBodyBytes,
 	})
 	reply.Ended = endOf(response, err)
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -54,6 +54,8 @@
 	Attempts []Attempt
 	// Body is the body of the request. It is set only if the requesting VM has lost its links to upstreams.
 	Body []byte
+	// Caller is as in upstreamconn.Request.
+	Caller string
 }
 
 // ForwardArgs are the arguments of Forward, which executes one attempt and returns the whole response. The requesting VM
@@ -68,6 +70,8 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
+	// Caller is as in upstreamconn.Request.
+	Caller string
 	// Remaining and Expected are as in RunArgs. MaxBodyBytes limits the body of the response.
 	Remaining    time.Duration
 	Expected     time.Duration
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -168,7 +168,7 @@
 		r.cancels[attempt.Number] = cancel
 		request := &upstreamconn.Request{
 			ID: args.Request, Method: args.Method, Target: args.Target, Host: args.Host, Header: args.Header,
-			Body: args.Body, Instance: attempt.Instance, Remaining: args.Remaining, MaxBodyBytes: gather.MaxPartBytes(args.Top),
+			Body: args.Body, Caller: args.Caller, Instance: attempt.Instance, Remaining: args.Remaining, MaxBodyBytes: gather.MaxPartBytes(args.Top),
 		}
 		go func() {
 			defer cancel()
--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -92,13 +92,17 @@
 	return err
 }
 
-// recordAnswered records that upstreams of the services, except the missing ones, have answered a request.
-func (r *Router) recordAnswered(fingerprint string, services, missing []string) {
+// recordAnswered records that upstreams of the services, except the missing ones, have answered a request with the status.
+func (r *Router) recordAnswered(request *Request, status int, services, missing []string) {
 	now := time.Now()
 	r.mu.Lock()
-	r.guard.Answered(now, fingerprint, services, missing)
+	wasSuspected := r.guard.Answered(now, request.fingerprint, services, missing)
 	due := !r.guard.NextWakeup(now).IsZero()
 	r.mu.Unlock()
+	if wasSuspected {
+		r.log.Info("suspected request answered", "request", request.ID, "caller", request.Caller, "fingerprint", request.fingerprint,
+			"status", status, "missing", len(missing))
+	}
 	if due {
 		r.wakeReporter()
 	}
@@ -117,6 +121,7 @@
 func (r *Router) checkEnd(u *upstream, request *upstreamconn.Request) {
 	end := suspect.End{
 		Fingerprint: fingerprintOf(request), Try: request.ID, Service: u.instance.Service, Upstream: u.process(), Summary: summaryOf(request),
+		Caller: request.Caller,
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -145,7 +150,7 @@
 	}
 	for _, end := range ends {
 		r.log.Info("upstream ended under request", "upstream", end.Upstream.Instance, "born", end.Upstream.Born, "service", end.Service,
-			"request", end.Try, "fingerprint", end.Fingerprint, "in_flight", len(ends))
+			"request", end.Try, "caller", end.Caller, "fingerprint", end.Fingerprint, "in_flight", len(ends))
 	}
 	r.wakeReporter()
 }
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -65,7 +65,7 @@
 	f.send(ctx, firstAttempt)
 	response, err := f.await(ctx)
 	if err == nil {
-		r.recordAnswered(request.fingerprint, []string{f.service}, nil)
+		r.recordAnswered(request, response.Status, []string{f.service}, nil)
 	}
 	return response, err
 }
@@ -219,7 +219,7 @@
 	}
 	response, reply, err := link.Forward(ctx, relay.ForwardArgs{
 		Attempt: relay.Attempt{Instance: a.upstream.instance.ID, Rank: rt.Rank}, Request: request.ID, Method: request.Method, Target: request.Target,
-		Host: request.Host, Header: request.Header, Body: request.Body, Remaining: remaining(rt, request, a), Expected: a.expected,
+		Host: request.Host, Header: request.Header, Body: request.Body, Caller: request.Caller, Remaining: remaining(rt, request, a), Expected: a.expected,
 		MaxBodyBytes: r.config.MaxResponseBytes,
 	})
 	r.mu.Lock()
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -173,7 +173,7 @@
 	r := s.request
 	args := relay.RunArgs{
 		Request: r.ID, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Top: s.route.Top, Whole: batch.kind != firstAttempt,
-		Body: r.Body, Attempts: make([]relay.Attempt, 0, len(batch.open)),
+		Body: r.Body, Caller: r.Caller, Attempts: make([]relay.Attempt, 0, len(batch.open)),
 	}
 	// Parts of second attempts are not held back: the search waits for little else.
 	if batch.kind == firstAttempt {
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net/http"
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
@@ -109,7 +110,7 @@
 	s.send(ctx, suspected.order(rt.Shards), firstAttempt)
 	result, err := s.collect(ctx)
 	if err == nil {
-		r.recordAnswered(request.fingerprint, rt.Shards, result.MissingShards)
+		r.recordAnswered(request, http.StatusOK, rt.Shards, result.MissingShards)
 	}
 	return result, err
 }
--- a/internal/suspect/detector.go
+++ b/internal/suspect/detector.go
@@ -36,8 +36,9 @@
 	Try         string
 	Service     string
 	Upstream    registry.Process
-	// Summary describes the request to operators.
+	// Summary describes the request to operators, and Caller who sent it.
 	Summary string
+	Caller  string
 }
 
 // Answer states that upstreams of the services have answered a request. It is sent between processes.
--- a/internal/suspect/guard.go
+++ b/internal/suspect/guard.go
@@ -130,13 +130,14 @@
 	}
 }
 
-// Answered records that upstreams of the services, except the missing ones, have answered a request.
-func (g *Guard) Answered(now time.Time, fingerprint string, services, missing []string) {
+// Answered records that upstreams of the services, except the missing ones, have answered a request. It reports whether the
+// request was suspected.
+func (g *Guard) Answered(now time.Time, fingerprint string, services, missing []string) (wasSuspected bool) {
 	a := answered{at: now, services: services, missing: missing}
 	g.remember(now, fingerprint, a)
 	named, isCandidate := g.candidates[fingerprint]
 	if !isCandidate && !g.detector.Suspected(fingerprint) {
-		return
+		return false
 	}
 	cleared := slices.DeleteFunc(slices.Clone(services), func(s string) bool { return !a.includes(s) })
 	g.detector.Cleared(now, Answer{Fingerprint: fingerprint, Services: cleared})
@@ -145,6 +146,7 @@
 	if isCandidate || wasReported {
 		g.reportAnswer(fingerprint, named, a)
 	}
+	return true
 }
 
 // reportAnswer reports the services that have answered a candidate. Without a list of services these are those whose
--- a/internal/upstreamconn/upstreamconn.go
+++ b/internal/upstreamconn/upstreamconn.go
@@ -56,6 +56,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Caller identifies who sent the request to an entry VM, empty if that is not known. It is not sent to upstreams.
+	Caller string
 	// Remaining is the time that the upstream has left to respond.
 	Remaining time.Duration
 	// Instance is the ID of the intended process. Another process at the same address refuses the request.
