--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -85,6 +85,9 @@
 	// refuse makes the upstream refuse requests, and limit is the rate limit that it names, empty for none.
 	refuse bool
 	limit  string
+	// failure is the status of each second response, which it makes without running the request, empty for none.
+	failure  string
+	requests int
 	// fatal holds the arrivals of fatal requests and ends the ends of the process. stopped is set at the end of the test.
 	fatal, ends []time.Time
 	stopped     bool
@@ -162,7 +165,12 @@
 		if u.limit != "" {
 			status += "\r\nLimit: " + u.limit
 		}
-		fatal := request.URL.Path == fatalTarget && !u.refuse
+		u.requests++
+		failing := u.failure != "" && u.requests%2 == 0
+		if failing {
+			status = u.failure
+		}
+		fatal := request.URL.Path == fatalTarget && request.Header.Get(callerHeader) != otherCaller && !u.refuse && !failing
 		if fatal {
 			u.fatal = append(u.fatal, time.Now())
 		}
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -124,7 +124,11 @@
 type fakeCodec struct{}
 
 func (fakeCodec) AppendHead(b []byte, r *upstreamconn.Request) []byte {
-	return fmt.Appendf(b, "GET %s HTTP/1.1\r\nHost: x\r\n", r.Target)
+	b = fmt.Appendf(b, "GET %s HTTP/1.1\r\nHost: x\r\n", r.Target)
+	for name := range r.Header {
+		b = fmt.Appendf(b, "%s: %s\r\n", name, r.Header.Get(name))
+	}
+	return b
 }
 
 func (fakeCodec) DecodeHeader(a *upstreamconn.Response) {
