Let only signed successes drop the evidence against a request

What callers saw: upstreams kept ending under a request for as long as other upstreams answered some of its tries with failures. Cause: each response of a forwarded request counted as proof that an upstream had survived it, also a failure or a refusal that was made without running it, and one of another program. A success that the upstream has signed is the only proof; searches already asked for it. wmux-entry was read: its table is cleared by successes only.

--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -85,9 +86,8 @@
 	// refuse makes the upstream refuse requests, and limit is the rate limit that it names, empty for none.
 	refuse bool
 	limit  string
-	// failure is the status of each second response, which it makes without running the request, empty for none.
-	failure  string
-	requests int
+	// failure is the status of half of the responses, which it makes without running the request, empty for none.
+	failure string
 	// fatal holds the arrivals of fatal requests and ends the ends of the process. stopped is set at the end of the test.
 	fatal, ends []time.Time
 	stopped     bool
@@ -165,8 +165,7 @@
 		if u.limit != "" {
 			status += "\r\nLimit: " + u.limit
 		}
-		u.requests++
-		failing := u.failure != "" && u.requests%2 == 0
+		failing := u.failure != "" && rand.IntN(2) == 0
 		if failing {
 			status = u.failure
 		}
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,7 +65,7 @@
 	}
 	f.send(ctx, firstAttempt)
 	response, err := f.await(ctx)
-	if err == nil {
+	if err == nil && provesRun(response) {
 		r.recordAnswered(request, response.Status, []string{f.service}, nil)
 	}
 	return response, err
@@ -183,6 +184,12 @@
 	return response.Stamp == "" && response.Status < 500
 }
 
+// provesRun reports whether an upstream has run the request to its end. Failures do not show that: an upstream may refuse a request before
+// it begins to run it, and another program may answer in its place.
+func provesRun(response *upstreamconn.Response) bool {
+	return response.Stamp != "" && response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
+}
+
 // noRoomFor returns how long all upstreams of the service stay at their rate limits, or 0 if one has room.
 func (f *forwardCall) noRoomFor() time.Duration {
 	f.router.mu.Lock()
