Tell the callers of requests apart under which upstreams end

What callers saw: a request that ends upstreams for one caller kept ending them while others' requests with the same target and body were answered, or, as a search, the others were refused together with it. Cause: the fingerprint held method, host, target and body only, so that an answer to another caller dropped the evidence, and a quarantine covered all callers. Evidence is now kept by content and caller as well as by content; an answer clears the content and the caller's own request, and a quarantine covers the caller if its evidence suffices, otherwise the content. Ruled out: the query.

The bounds of memory in two specs count requests as before, which now have two fingerprints each.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -143,7 +143,7 @@
 	if e.result != replica.Answered && e.result != replica.Abandoned && !e.noRoom {
 		r.log.Info("attempt failed", "request", request.ID, "route", rt.Name, "service", a.upstream.instance.Service,
 			"upstream", a.upstream.instance.ID, "upstream_since", a.upstream.instance.Since, "result", e.result.String(),
-			"took_ms", e.took.Milliseconds(), "relay", e.relay, "fingerprint", request.Fingerprint(), "error", e.cause)
+			"took_ms", e.took.Milliseconds(), "relay", e.relay, "fingerprint", request.Fingerprints().Narrowest(), "error", e.cause)
 	}
 }
 
--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -21,16 +21,16 @@
 	endCheckTargets = 6
 )
 
-// Fingerprint identifies what the request asks for. It is the same for each try of a caller.
-func (r *Request) Fingerprint() string {
-	if r.fingerprint != "" {
-		return r.fingerprint
+// Fingerprints identify what the request asks for. They are the same for each try of a caller.
+func (r *Request) Fingerprints() suspect.Fingerprints {
+	if r.fingerprints.Content != "" {
+		return r.fingerprints
 	}
-	return fingerprintOf(&r.Request)
+	return fingerprintsOf(&r.Request)
 }
 
-func fingerprintOf(request *upstreamconn.Request) string {
-	return suspect.Fingerprint(request.Body, request.Method, request.Host, request.Target)
+func fingerprintsOf(request *upstreamconn.Request) suspect.Fingerprints {
+	return suspect.FingerprintsOf(request.Caller, request.Body, request.Method, request.Host, request.Target)
 }
 
 // closedByUpstream reports whether the upstream has closed the connection of a request that it may have run.
@@ -68,15 +68,15 @@
 }
 
 // checkSuspect returns an error if the request is quarantined, and otherwise whether it is suspected.
-func (r *Router) checkSuspect(fingerprint string) (suspicion, error) {
+func (r *Router) checkSuspect(request suspect.Fingerprints) (suspicion, error) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if wait := r.guard.Refused(now, fingerprint); wait > 0 {
+	if wait := r.guard.Refused(now, request); wait > 0 {
 		r.counts.Quarantined++
-		return suspicion{}, fault.New(fault.Quarantined, "router.check", "fingerprint %s: %w", fingerprint, &suspect.QuarantinedError{RetryAfter: wait})
+		return suspicion{}, fault.New(fault.Quarantined, "router.check", "fingerprint %s: %w", request.Narrowest(), &suspect.QuarantinedError{RetryAfter: wait})
 	}
-	suspected, services := r.guard.Suspected(fingerprint)
+	suspected, services := r.guard.Suspected(request)
 	return suspicion{yes: suspected, services: services}, nil
 }
 
@@ -88,7 +88,7 @@
 	if !anyQuarantined {
 		return nil
 	}
-	_, err := r.checkSuspect(fingerprintOf(request))
+	_, err := r.checkSuspect(fingerprintsOf(request))
 	return err
 }
 
@@ -96,11 +96,11 @@
 func (r *Router) recordAnswered(request *Request, status int, services, missing []string) {
 	now := time.Now()
 	r.mu.Lock()
-	wasSuspected := r.guard.Answered(now, request.fingerprint, services, missing)
+	wasSuspected := r.guard.Answered(now, request.fingerprints, services, missing)
 	due := !r.guard.NextWakeup(now).IsZero()
 	r.mu.Unlock()
 	if wasSuspected {
-		r.log.Info("suspected request answered", "request", request.ID, "caller", request.Caller, "fingerprint", request.fingerprint,
+		r.log.Info("suspected request answered", "request", request.ID, "caller", request.Caller, "fingerprint", request.fingerprints.Narrowest(), "content", request.fingerprints.Content,
 			"status", status, "missing", len(missing))
 	}
 	if due {
@@ -119,9 +119,10 @@
 // checkEnd starts to find out whether an upstream has ended that has closed the connection of a request. A connection is also
 // closed by upstreams that go on: because of a limit on connections, a timeout or a reset on the way.
 func (r *Router) checkEnd(u *upstream, request *upstreamconn.Request) {
+	fingerprints := fingerprintsOf(request)
 	end := suspect.End{
-		Fingerprint: fingerprintOf(request), Try: request.ID, Service: u.instance.Service, Upstream: u.process(), Summary: summaryOf(request),
-		Caller: request.Caller,
+		Fingerprint: fingerprints.Content, CallerFingerprint: fingerprints.Caller, Try: request.ID, Service: u.instance.Service,
+		Upstream: u.process(), Summary: summaryOf(request), Caller: request.Caller,
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -150,7 +151,7 @@
 	}
 	for _, end := range ends {
 		r.log.Info("upstream ended under request", "upstream", end.Upstream.Instance, "born", end.Upstream.Born, "service", end.Service,
-			"request", end.Try, "caller", end.Caller, "fingerprint", end.Fingerprint, "in_flight", len(ends))
+			"request", end.Try, "caller", end.Caller, "fingerprint", end.CallerFingerprint, "content", end.Fingerprint, "in_flight", len(ends))
 	}
 	r.wakeReporter()
 }
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -51,8 +51,8 @@
 // after a failure and hedged when the response is slow. Any other request is retried only if it was never sent or if
 // the upstream stated that it did not run it. An error with code NotRun means that no upstream ran the request.
 func (r *Router) Forward(ctx context.Context, view *View, rt *route.Route, request *Request) (*upstreamconn.Response, error) {
-	request.fingerprint = fingerprintOf(&request.Request)
-	suspected, err := r.checkSuspect(request.fingerprint)
+	request.fingerprints = fingerprintsOf(&request.Request)
+	suspected, err := r.checkSuspect(request.fingerprints)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -207,8 +207,8 @@
 	Limit    time.Duration
 	// Until is when this VM stops, zero if it does not. The request ends before.
 	Until time.Time
-	// fingerprint is empty until the router has taken the request.
-	fingerprint string
+	// fingerprints are empty until the router has taken the request.
+	fingerprints suspect.Fingerprints
 }
 
 // end returns when the caller stops waiting, the time limit of the route is reached or this VM stops.
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -76,8 +76,8 @@
 // Search sends the request to one upstream of each shard and returns the top records. An error with code NotRun means
 // that no upstream ran any part.
 func (r *Router) Search(ctx context.Context, view *View, rt *route.Route, request *Request) (*SearchResult, error) {
-	request.fingerprint = fingerprintOf(&request.Request)
-	suspected, err := r.checkSuspect(request.fingerprint)
+	request.fingerprints = fingerprintsOf(&request.Request)
+	suspected, err := r.checkSuspect(request.fingerprints)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/suspect/detector.go
+++ b/internal/suspect/detector.go
@@ -22,25 +22,32 @@
 	// explainedFor is how long reports of an end that is explained may still arrive.
 	explainedFor = time.Minute
 	// maxRecords, maxEndsPerRecord and maxCandidates bound the memory of a detector and the size of a list of candidates.
-	maxRecords       = 4096
+	// Most requests have two records.
+	maxRecords       = 2 * 4096
 	maxEndsPerRecord = 64
-	maxCandidates    = 64
+	maxCandidates    = 2 * 64
 	// maxNamedServices bounds the services that are named for a candidate.
 	maxNamedServices = 8
 )
 
 // End is the end of an upstream process while a request ran there. It is sent between processes.
 type End struct {
-	// Fingerprint identifies the request, and Try the try of its caller: each has another ID.
-	Fingerprint string
-	Try         string
-	Service     string
-	Upstream    registry.Process
+	// Fingerprint and CallerFingerprint are the Content and Caller of the request's Fingerprints, and Try is the try of its caller:
+	// each has another ID. An entry VM of an earlier version sends no CallerFingerprint.
+	Fingerprint       string
+	CallerFingerprint string
+	Try               string
+	Service           string
+	Upstream          registry.Process
 	// Summary describes the request to operators, and Caller who sent it.
 	Summary string
 	Caller  string
 }
 
+func (e End) fingerprints() Fingerprints {
+	return Fingerprints{Content: e.Fingerprint, Caller: e.CallerFingerprint}
+}
+
 // Answer states that upstreams of the services have answered a request. It is sent between processes.
 type Answer struct {
 	Fingerprint string
@@ -71,8 +78,10 @@
 	Evidence    Evidence
 }
 
-// record is the evidence against one request.
+// record is the evidence against all requests with one fingerprint.
 type record struct {
+	// content is the fingerprint of the content, which all records have in common whose requests differ in the caller only.
+	content string
 	summary string
 	// ends maps the processes that ended to their services.
 	ends  map[registry.Process]string
@@ -84,11 +93,14 @@
 	// quarantinedUntil is the end of the last quarantine and quarantines the number of them.
 	quarantinedUntil time.Time
 	quarantines      int
+	// callerQuarantined is set for a content if it was quarantined for a caller.
+	callerQuarantined bool
 }
 
 // Detector finds the requests under which upstreams end, from the ends that entry VMs report. All requests that are at an
 // upstream when it ends are in the same position. An upstream's answer clears a request, and an end counts only for the
-// request that most ends have in common. It is not safe for concurrent use.
+// request that most ends have in common. Evidence is kept both by caller and content and by content alone: a request may be fatal
+// for one caller only, or come from many callers. It is not safe for concurrent use.
 type Detector struct {
 	records map[string]*record
 	// explained holds the processes whose end is explained by a quarantined request, and when they ended.
@@ -103,19 +115,41 @@
 // Observe adds an end that the entry VM has reported. It reports whether the request has become a candidate for a
 // quarantine.
 func (d *Detector) Observe(now time.Time, vm string, end End) (candidate bool) {
-	r, known := d.records[end.Fingerprint]
-	if !known {
-		d.makeRoom(now)
-		r = &record{summary: end.Summary, ends: map[registry.Process]string{}, tries: map[string]bool{}, vms: map[string]bool{}}
-		d.records[end.Fingerprint] = r
-	}
-	if now.Before(r.quarantinedUntil) {
-		d.explain(now, end.Upstream)
-		return false
+	for _, fingerprint := range end.fingerprints().each() {
+		if r, known := d.records[fingerprint]; known && now.Before(r.quarantinedUntil) {
+			d.explain(now, end.Upstream)
+			return false
+		}
 	}
 	if _, explained := d.explained[end.Upstream]; explained {
 		return false
 	}
+	for _, fingerprint := range end.fingerprints().each() {
+		becomes := d.recordFor(now, fingerprint, end).add(now, vm, end)
+		candidate = candidate || becomes
+	}
+	return candidate
+}
+
+// recordFor returns the record of the fingerprint, creating it if needed.
+func (d *Detector) recordFor(now time.Time, fingerprint string, end End) *record {
+	r, known := d.records[fingerprint]
+	if known {
+		return r
+	}
+	d.makeRoom(now)
+	r = &record{
+		content: end.Fingerprint, summary: end.Summary, ends: map[registry.Process]string{}, tries: map[string]bool{}, vms: map[string]bool{},
+	}
+	if fingerprint != end.Fingerprint {
+		r.summary += " from " + end.Caller
+	}
+	d.records[fingerprint] = r
+	return r
+}
+
+// add adds an end, and reports whether the request has become a candidate.
+func (r *record) add(now time.Time, vm string, end End) (candidate bool) {
 	if now.Sub(r.lastAt) > retention {
 		clear(r.ends)
 		clear(r.tries)
@@ -136,16 +170,18 @@
 	return false
 }
 
-// endsNeeded is 1 for a request that was quarantined before: the first try after that decides.
+// knownFatal reports whether the request was quarantined before, for a caller at least: the first try after that decides.
+func (r *record) knownFatal() bool { return r.quarantines > 0 || r.callerQuarantined }
+
 func (r *record) endsNeeded() int {
-	if r.quarantines > 0 {
+	if r.knownFatal() {
 		return 1
 	}
 	return minEnds
 }
 
 func (r *record) triesNeeded() int {
-	if r.quarantines > 0 {
+	if r.knownFatal() {
 		return 1
 	}
 	return minTries
@@ -169,7 +205,7 @@
 	if len(r.ends) < r.endsNeeded() {
 		r.candidateSince = time.Time{}
 	}
-	if len(r.ends) == 0 && r.quarantines == 0 {
+	if len(r.ends) == 0 && !r.knownFatal() {
 		delete(d.records, fingerprint)
 	}
 }
@@ -226,7 +262,7 @@
 	var decisions []Decision
 	for _, fingerprint := range d.candidatesInOrder() {
 		r := d.records[fingerprint]
-		if now.Sub(r.candidateSince) < ConfirmDelay || len(r.tries) < r.triesNeeded() || d.isAmbiguous(fingerprint, r) {
+		if now.Sub(r.candidateSince) < ConfirmDelay || !d.suffices(fingerprint, r) {
 			continue
 		}
 		decisions = append(decisions, Decision{Fingerprint: fingerprint, Duration: r.nextDuration(), Evidence: Evidence{
@@ -241,7 +277,7 @@
 func (d *Detector) NextDecision() time.Time {
 	var next time.Time
 	for fingerprint, r := range d.records {
-		if r.candidateSince.IsZero() || len(r.tries) < r.triesNeeded() || d.isAmbiguous(fingerprint, r) {
+		if r.candidateSince.IsZero() || !d.suffices(fingerprint, r) {
 			continue
 		}
 		if at := r.candidateSince.Add(ConfirmDelay); next.IsZero() || at.Before(next) {
@@ -251,6 +287,23 @@
 	return next
 }
 
+// suffices reports whether the evidence against a candidate is enough. That against one of several callers goes before that against the
+// content: the others lose nothing then.
+func (d *Detector) suffices(fingerprint string, r *record) bool {
+	if len(r.tries) < r.triesNeeded() || d.isAmbiguous(fingerprint, r) {
+		return false
+	}
+	if fingerprint != r.content {
+		return true
+	}
+	for other, o := range d.records {
+		if other != fingerprint && o.content == r.content && !o.candidateSince.IsZero() && d.suffices(other, o) {
+			return false
+		}
+	}
+	return true
+}
+
 // nextDuration doubles with each quarantine of the same request.
 func (r *record) nextDuration() time.Duration {
 	duration := Quarantine
@@ -261,10 +314,12 @@
 }
 
 // isAmbiguous reports whether another request that was at one of the same ends has at least as much evidence against it, so that
-// either of them may be the cause. The next end tells them apart.
+// either of them may be the cause. The next end tells them apart. The evidence against one caller is part of that against the content,
+// which does not speak for another cause.
 func (d *Detector) isAmbiguous(fingerprint string, r *record) bool {
 	for other, o := range d.records {
-		if other == fingerprint || compareEvidence(o, r) < 0 {
+		partOfOther := o.content == r.content && (other == o.content || fingerprint == r.content)
+		if other == fingerprint || partOfOther || compareEvidence(o, r) < 0 {
 			continue
 		}
 		for process := range r.ends {
@@ -290,6 +345,9 @@
 	r.quarantinedUntil = now.Add(v.Duration)
 	r.quarantines++
 	r.lastAt = now
+	if content, ok := d.records[r.content]; ok && content != r {
+		content.callerQuarantined = true
+	}
 	for _, process := range processes {
 		d.explain(now, process)
 	}
--- a/internal/suspect/detector_test.go
+++ b/internal/suspect/detector_test.go
@@ -20,6 +20,26 @@
 	}
 }
 
+// content returns the fingerprints of a request whose caller is not known.
+func content(fingerprint string) suspect.Fingerprints {
+	return suspect.Fingerprints{Content: fingerprint}
+}
+
+// recordsPerRequest is the number of fingerprints of a request whose caller is known.
+const recordsPerRequest = 2
+
+// from returns the fingerprints of a request of the caller.
+func from(caller, fingerprint string) suspect.Fingerprints {
+	return suspect.Fingerprints{Content: fingerprint, Caller: caller + "/" + fingerprint}
+}
+
+// endFrom returns the end of an upstream under a try of the caller.
+func endFrom(caller, fingerprint, try string, upstream int) suspect.End {
+	end := endOf(fingerprint, try, upstream)
+	end.CallerFingerprint, end.Caller = from(caller, fingerprint).Caller, caller
+	return end
+}
+
 var _ = Describe("a detector", func() {
 	var d *suspect.Detector
 	observe := func(fingerprint, try string, upstreams ...int) {
@@ -122,10 +142,45 @@
 		observe("f", "1", 1, 2)
 		observe("f", "2", 3)
 		for n := range 20_000 {
-			observe(fmt.Sprintf("other-%d", n), "1", 100+n)
+			d.Observe(begin, "vm", endFrom("c", fmt.Sprintf("other-%d", n), "1", 100+n))
+		}
+		Expect(due()).To(ConsistOf("f"))
+		Expect(d.Size() / recordsPerRequest).To(BeNumerically("<=", 4096))
+	})
+
+	It("quarantines a request that is fatal for one caller for this caller only, although it is answered for others", func() {
+		d.Observe(begin, "vm", endFrom("fatal", "f", "1", 1))
+		d.Observe(begin, "vm", endFrom("fatal", "f", "2", 2))
+		d.Observe(begin, "vm", endFrom("other", "f", "3", 2))
+		d.Cleared(begin, suspect.Answer{Fingerprint: "f", Services: []string{"s"}})
+		d.Observe(begin, "vm", endFrom("fatal", "f", "4", 3))
+		Expect(due()).To(ConsistOf("fatal/f"))
+	})
+
+	It("quarantines a caller before the content when the evidence suffices against both, and says whose request it is", func() {
+		for n := range 3 {
+			d.Observe(begin, "vm", endFrom("fatal", "f", fmt.Sprint(n), n))
+		}
+		Expect(due()).To(ConsistOf("fatal/f"))
+		Expect(d.Due(begin.Add(suspect.ConfirmDelay))[0].Evidence.Summary).To(Equal("GET h/f from fatal"))
+	})
+
+	It("quarantines a content whose tries come from another caller each time", func() {
+		for n := range 3 {
+			d.Observe(begin, "vm", endFrom(fmt.Sprint("caller-", n), "f", fmt.Sprint(n), n))
 		}
 		Expect(due()).To(ConsistOf("f"))
-		Expect(d.Size()).To(BeNumerically("<=", 4096))
+	})
+
+	It("needs one end more for the content once it is quarantined for a caller, unless others were answered", func() {
+		for n := range 3 {
+			d.Observe(begin, "vm", endFrom("fatal", "f", fmt.Sprint(n), n))
+		}
+		d.Quarantined(begin, suspect.Decision{Fingerprint: "fatal/f", Duration: suspect.Quarantine})
+		d.Observe(begin, "vm", endFrom("second", "f", "4", 4))
+		Expect(due()).To(ConsistOf("f"))
+		d.Cleared(begin, suspect.Answer{Fingerprint: "f", Services: []string{"s"}})
+		Expect(due()).To(BeEmpty())
 	})
 
 	It("forgets evidence after ten minutes without another end", func() {
@@ -144,7 +199,7 @@
 		g.Ended(begin, endOf("f", "1", 1))
 		g.Ended(begin, endOf("innocent", "2", 1))
 		Expect(report(0).Empty()).To(BeTrue())
-		g.Answered(begin.Add(30*time.Millisecond), "innocent", []string{"s"}, nil)
+		g.Answered(begin.Add(30*time.Millisecond), content("innocent"), []string{"s"}, nil)
 		due := g.NextWakeup(begin)
 		Expect(g.TakeReport(due).Ends).To(Equal([]suspect.End{endOf("f", "1", 1)}))
 		Expect(g.NextWakeup(due)).To(BeZero())
@@ -152,15 +207,15 @@
 
 	It("reports that a candidate was answered, before or after it became one", func() {
 		candidate := []suspect.Candidate{{Fingerprint: "early", Services: []string{"s"}}, {Fingerprint: "late", Services: []string{"s", "missing"}}}
-		g.Answered(begin, "early", []string{"s", "t"}, nil)
+		g.Answered(begin, content("early"), []string{"s", "t"}, nil)
 		g.AdoptCandidates(begin.Add(time.Second), candidate)
 		Expect(report(time.Second).Answers).To(Equal([]suspect.Answer{{Fingerprint: "early", Services: []string{"s"}}}))
-		g.Answered(begin.Add(2*time.Second), "late", []string{"s", "missing"}, []string{"missing"})
+		g.Answered(begin.Add(2*time.Second), content("late"), []string{"s", "missing"}, []string{"missing"})
 		Expect(report(2 * time.Second).Answers).To(Equal([]suspect.Answer{{Fingerprint: "late", Services: []string{"s"}}}))
 	})
 
 	It("does not report an answer that is long ago, after which the request may have become fatal", func() {
-		g.Answered(begin, "f", []string{"s"}, nil)
+		g.Answered(begin, content("f"), []string{"s"}, nil)
 		g.AdoptCandidates(begin.Add(time.Minute), []suspect.Candidate{{Fingerprint: "f", Services: []string{"s"}}})
 		Expect(report(time.Minute).Empty()).To(BeTrue())
 	})
@@ -168,10 +223,37 @@
 	It("reports a request that is answered after its ends were reported", func() {
 		g.Ended(begin, endOf("f", "1", 1))
 		Expect(report(time.Second).Ends).To(HaveLen(1))
-		g.Answered(begin.Add(2*time.Second), "f", []string{"s"}, nil)
+		g.Answered(begin.Add(2*time.Second), content("f"), []string{"s"}, nil)
 		Expect(report(2 * time.Second).Answers).To(Equal([]suspect.Answer{{Fingerprint: "f", Services: []string{"s"}}}))
 	})
 
+	It("keeps the ends of one caller when another one's request with the same content is answered, and reports that once", func() {
+		g.Ended(begin, endFrom("fatal", "f", "1", 1))
+		Expect(report(time.Second).Ends).To(HaveLen(1))
+		for range 2 {
+			g.Answered(begin.Add(2*time.Second), from("other", "f"), []string{"s"}, nil)
+		}
+		Expect(report(2 * time.Second).Answers).To(ConsistOf(suspect.Answer{Fingerprint: "f", Services: []string{"s"}}))
+		g.Answered(begin.Add(3*time.Second), from("other", "f"), []string{"s"}, nil)
+		Expect(report(3 * time.Second).Empty()).To(BeTrue())
+		suspected, _ := g.Suspected(from("fatal", "f"))
+		Expect(suspected).To(BeTrue())
+	})
+
+	It("reports an end although another caller's request with the same content is answered meanwhile", func() {
+		g.Ended(begin, endFrom("fatal", "f", "1", 1))
+		g.Answered(begin, from("other", "f"), []string{"s"}, nil)
+		Expect(report(time.Second).Ends).To(HaveLen(1))
+	})
+
+	It("refuses the requests of a quarantined caller only, and those of all for a quarantined content", func() {
+		g.AdoptQuarantined(begin, []suspect.Quarantined{{Fingerprint: from("fatal", "f").Caller, Remaining: time.Minute}}, false)
+		Expect(g.Refused(begin, from("fatal", "f"))).To(Equal(time.Minute))
+		Expect(g.Refused(begin, from("other", "f"))).To(BeZero())
+		g.AdoptQuarantined(begin, []suspect.Quarantined{{Fingerprint: "f", Remaining: time.Minute}}, false)
+		Expect(g.Refused(begin, from("other", "f"))).To(Equal(time.Minute))
+	})
+
 	It("reports again what could not be delivered, and all recent ends to a new leader", func() {
 		g.Ended(begin, endOf("f", "1", 1))
 		lost := report(time.Second)
@@ -184,11 +266,11 @@
 
 	It("refuses a quarantined request until its quarantine ends, and adopts a list without it", func() {
 		g.AdoptQuarantined(begin, []suspect.Quarantined{{Fingerprint: "f", Remaining: time.Minute}, {Fingerprint: "g", Remaining: time.Minute}}, false)
-		Expect(g.Refused(begin.Add(20*time.Second), "f")).To(Equal(40 * time.Second))
-		Expect(g.Refused(begin.Add(time.Minute), "f")).To(BeZero())
+		Expect(g.Refused(begin.Add(20*time.Second), content("f"))).To(Equal(40 * time.Second))
+		Expect(g.Refused(begin.Add(time.Minute), content("f"))).To(BeZero())
 		g.AdoptQuarantined(begin, []suspect.Quarantined{{Fingerprint: "f", Remaining: time.Minute}}, true)
-		Expect(g.Refused(begin, "g")).To(BeZero())
-		Expect(g.Refused(begin, "f")).NotTo(BeZero())
+		Expect(g.Refused(begin, content("g"))).To(BeZero())
+		Expect(g.Refused(begin, content("f"))).NotTo(BeZero())
 	})
 
 	It("refuses a request by its own evidence while the control group is away", func() {
@@ -197,14 +279,14 @@
 		g.Ended(begin, endOf("f", "2", 3))
 		now := begin.Add(suspect.ConfirmDelay)
 		Expect(g.DecideLocally(now)).To(HaveLen(1))
-		Expect(g.Refused(now, "f")).NotTo(BeZero())
+		Expect(g.Refused(now, content("f"))).NotTo(BeZero())
 	})
 
 	It("remembers a bounded number of answered requests", func() {
 		for n := range 50_000 {
-			g.Answered(begin, fmt.Sprint(n), []string{"s"}, nil)
+			g.Answered(begin, from("c", fmt.Sprint(n)), []string{"s"}, nil)
 		}
-		Expect(g.AnswersKept()).To(BeNumerically("<=", 4096))
+		Expect(g.AnswersKept() / recordsPerRequest).To(BeNumerically("<=", 4096))
 	})
 })
 
--- a/internal/suspect/fleet_test.go
+++ b/internal/suspect/fleet_test.go
@@ -25,9 +25,14 @@
 	// settledAfter and allowedRepeats are the users' bound.
 	settledAfter   = 4 * time.Second
 	allowedRepeats = 3
-	fatal          = "fatal"
 )
 
+// fatal is the request that ends upstreams.
+var fatal = from("fatal-caller", "fatal")
+
+// popularCallers is the number of callers of popular requests.
+const popularCallers = 40
+
 // trouble is what happens in a simulated fleet beside the load.
 type trouble struct {
 	// fatalEvery is the interval of the fatal request, 0 for none.
@@ -38,6 +43,8 @@
 	massEnds []time.Duration
 	// cutOff is the number of VMs that are cut off from the control group.
 	cutOff int
+	// sharedTarget makes other callers send requests that are like the fatal one, which upstreams answer.
+	sharedTarget bool
 	// ignoreAnswers makes the fleet a mutant that does not clear requests that upstreams have answered.
 	ignoreAnswers bool
 	// newLeaderEvery is the time between two elections, 0 for none. A new leader has no evidence.
@@ -46,10 +53,11 @@
 
 // attempt is a request at one upstream.
 type attempt struct {
-	vm                        int
-	fingerprint, try, service string
-	due                       time.Time
-	second, suspected         bool
+	vm                int
+	request           suspect.Fingerprints
+	try, service      string
+	due               time.Time
+	second, suspected bool
 }
 
 type simulatedUpstream struct {
@@ -133,7 +141,7 @@
 	u := up[f.random.IntN(len(up))]
 	a.due = f.now.Add(workTime)
 	u.inFlight = append(u.inFlight, a)
-	if a.fingerprint != fatal {
+	if a.request != fatal {
 		return
 	}
 	f.fatalArrivals = append(f.fatalArrivals, f.now)
@@ -153,7 +161,7 @@
 	u.upAt = f.now.Add(restartTime)
 	f.later(checkTime, func() {
 		for _, a := range lost {
-			f.guards[a.vm].Ended(f.now, suspect.End{Fingerprint: a.fingerprint, Try: a.try, Service: a.service, Upstream: process})
+			f.guards[a.vm].Ended(f.now, suspect.End{Fingerprint: a.request.Content, CallerFingerprint: a.request.Caller, Try: a.try, Service: a.service, Upstream: process})
 			if !a.second && !a.suspected {
 				a.second = true
 				f.send(a)
@@ -162,20 +170,20 @@
 	})
 }
 
-func (f *fleet) newRequest(fingerprint, service string) {
+func (f *fleet) newRequest(request suspect.Fingerprints, service string) {
 	f.tries++
 	vm := f.random.IntN(len(f.guards))
-	if fingerprint != fatal {
+	if request != fatal {
 		f.innocent++
 	}
-	if f.guards[vm].Refused(f.now, fingerprint) > 0 {
-		if fingerprint != fatal {
+	if f.guards[vm].Refused(f.now, request) > 0 {
+		if request != fatal {
 			f.refused++
 		}
 		return
 	}
-	suspected, _ := f.guards[vm].Suspected(fingerprint)
-	f.send(attempt{vm: vm, fingerprint: fingerprint, try: fmt.Sprint(f.tries), service: service, suspected: suspected})
+	suspected, _ := f.guards[vm].Suspected(request)
+	f.send(attempt{vm: vm, request: request, try: fmt.Sprint(f.tries), service: service, suspected: suspected})
 }
 
 // finishWork lets the upstreams answer what is due.
@@ -188,7 +196,7 @@
 				continue
 			}
 			if !f.trouble.ignoreAnswers {
-				f.guards[a.vm].Answered(f.now, a.fingerprint, []string{a.service}, nil)
+				f.guards[a.vm].Answered(f.now, a.request, []string{a.service}, nil)
 			}
 		}
 		u.inFlight = rest
@@ -240,7 +248,7 @@
 
 func (f *fleet) recordDecisions(decisions []suspect.Decision) {
 	for _, decision := range decisions {
-		if decision.Fingerprint != fatal {
+		if decision.Fingerprint != fatal.Caller && (decision.Fingerprint != fatal.Content || f.trouble.sharedTarget) {
 			f.falseDecisions = append(f.falseDecisions, fmt.Sprintf("%s after %s: %+v", decision.Fingerprint, f.now.Sub(time.Unix(1000, 0)), decision.Evidence))
 		}
 	}
@@ -256,11 +264,15 @@
 		f.finishWork()
 		for wanted := perSecond * fleetStep.Seconds(); f.random.Float64() < wanted; wanted-- {
 			service := f.random.IntN(f.services)
-			name := fmt.Sprintf("unique-%d", f.tries)
+			request := from("unique-caller", fmt.Sprintf("unique-%d", f.tries))
 			if f.random.IntN(2) == 0 {
-				name = fmt.Sprintf("popular-%d-%d", service, f.random.IntN(5))
+				caller := fmt.Sprintf("caller-%d", f.random.IntN(popularCallers))
+				request = from(caller, fmt.Sprintf("popular-%d-%d", service, f.random.IntN(5)))
+				if f.trouble.sharedTarget && service == 0 {
+					request = from(caller, fatal.Content)
+				}
 			}
-			f.newRequest(name, fmt.Sprintf("s-%d", service))
+			f.newRequest(request, fmt.Sprintf("s-%d", service))
 		}
 		if f.trouble.fatalEvery > 0 && elapsed%f.trouble.fatalEvery < fleetStep && elapsed > time.Second {
 			f.newRequest(fatal, fmt.Sprintf("s-%d", f.random.IntN(min(f.services, 1))))
@@ -326,11 +338,13 @@
 			"both, and elections": {crashEvery: 5 * time.Second, massEnds: mass, newLeaderEvery: 3 * time.Second},
 			"VMs that are cut off from the control group": {crashEvery: 5 * time.Second, massEnds: mass, cutOff: size.vms / 4},
 			"a fatal request": {fatalEvery: 300 * time.Millisecond},
-			"a fatal request that comes every five seconds":      {fatalEvery: 5 * time.Second},
-			"a fatal request beside ends without a cause":        {fatalEvery: 700 * time.Millisecond, crashEvery: 10 * time.Second},
-			"a fatal request beside half of them ending at once": {fatalEvery: 300 * time.Millisecond, massEnds: mass},
-			"a fatal request beside both":                        {fatalEvery: 500 * time.Millisecond, crashEvery: 5 * time.Second, massEnds: mass},
-			"a fatal request beside one early election":          {fatalEvery: 300 * time.Millisecond, newLeaderEvery: 11 * time.Second},
+			"a fatal request that comes every five seconds":                  {fatalEvery: 5 * time.Second},
+			"a fatal request beside ends without a cause":                    {fatalEvery: 700 * time.Millisecond, crashEvery: 10 * time.Second},
+			"a fatal request beside half of them ending at once":             {fatalEvery: 300 * time.Millisecond, massEnds: mass},
+			"a fatal request beside both":                                    {fatalEvery: 500 * time.Millisecond, crashEvery: 5 * time.Second, massEnds: mass},
+			"a fatal request like those of other callers":                    {fatalEvery: 300 * time.Millisecond, sharedTarget: true},
+			"a fatal request like those of other callers, beside other ends": {fatalEvery: 500 * time.Millisecond, crashEvery: 5 * time.Second, massEnds: mass, sharedTarget: true},
+			"a fatal request beside one early election":                      {fatalEvery: 300 * time.Millisecond, newLeaderEvery: 11 * time.Second},
 		} {
 			It(fmt.Sprintf("bounds the repeats and refuses no innocent request beyond the users' bound: %d VMs, %s", size.vms, name), func() {
 				falseRefusals, innocent := 0, 0
--- a/internal/suspect/guard.go
+++ b/internal/suspect/guard.go
@@ -22,8 +22,8 @@
 	maxReport   = 256
 	// answerMemory is how long an answer counts for a request that becomes a candidate later.
 	answerMemory = 10 * time.Second
-	// maxAnswers bounds the answered requests that a VM remembers, in each of two generations.
-	maxAnswers = 2048
+	// maxAnswers bounds the fingerprints of answered requests that a VM remembers, in each of two generations. Most requests have two.
+	maxAnswers = 2 * 2048
 	// maxQuarantined bounds the quarantines that a VM holds.
 	maxQuarantined = 16384
 )
@@ -59,8 +59,13 @@
 type heldEnd struct {
 	end End
 	at  time.Time
+	// contentAnswered is set once it was reported that an upstream has answered the same content for another caller.
+	contentAnswered bool
 }
 
+// isOf reports whether the end was under a request of the same caller with the same content.
+func (h heldEnd) isOf(f Fingerprints) bool { return h.end.fingerprints() == f }
+
 // answered is a request that upstreams have answered lately.
 type answered struct {
 	at time.Time
@@ -99,7 +104,15 @@
 }
 
 // Refused returns how long the request is still quarantined, or 0 if it is not.
-func (g *Guard) Refused(now time.Time, fingerprint string) time.Duration {
+func (g *Guard) Refused(now time.Time, request Fingerprints) time.Duration {
+	var longest time.Duration
+	for _, fingerprint := range request.each() {
+		longest = max(longest, g.refused(now, fingerprint))
+	}
+	return longest
+}
+
+func (g *Guard) refused(now time.Time, fingerprint string) time.Duration {
 	until, ok := g.quarantined[fingerprint]
 	if !ok {
 		return 0
@@ -115,11 +128,16 @@
 func (g *Guard) AnyQuarantined() bool { return len(g.quarantined) > 0 }
 
 // Suspected returns whether the request must be tried with caution, and the services whose upstreams have ended under it.
-func (g *Guard) Suspected(fingerprint string) (suspected bool, services []string) {
-	if services, ok := g.candidates[fingerprint]; ok {
-		return true, services
+func (g *Guard) Suspected(request Fingerprints) (suspected bool, services []string) {
+	for _, fingerprint := range request.each() {
+		if services, ok := g.candidates[fingerprint]; ok {
+			return true, services
+		}
+		if g.detector.Suspected(fingerprint) {
+			return true, g.detector.SuspectedServices(fingerprint)
+		}
 	}
-	return g.detector.Suspected(fingerprint), g.detector.SuspectedServices(fingerprint)
+	return false, nil
 }
 
 // Ended records that an upstream ended while it ran a request.
@@ -132,39 +150,55 @@
 
 // Answered records that upstreams of the services, except the missing ones, have answered a request. It reports whether the
 // request was suspected.
-func (g *Guard) Answered(now time.Time, fingerprint string, services, missing []string) (wasSuspected bool) {
+func (g *Guard) Answered(now time.Time, request Fingerprints, services, missing []string) (wasSuspected bool) {
 	a := answered{at: now, services: services, missing: missing}
-	g.remember(now, fingerprint, a)
-	named, isCandidate := g.candidates[fingerprint]
-	if !isCandidate && !g.detector.Suspected(fingerprint) {
+	for _, fingerprint := range request.each() {
+		g.remember(now, fingerprint, a)
+		_, isCandidate := g.candidates[fingerprint]
+		wasSuspected = wasSuspected || isCandidate || g.detector.Suspected(fingerprint)
+	}
+	if !wasSuspected {
 		return false
 	}
+	g.held = slices.DeleteFunc(g.held, func(h heldEnd) bool { return h.isOf(request) && a.includes(h.end.Service) })
 	cleared := slices.DeleteFunc(slices.Clone(services), func(s string) bool { return !a.includes(s) })
-	g.detector.Cleared(now, Answer{Fingerprint: fingerprint, Services: cleared})
-	g.held = slices.DeleteFunc(g.held, func(h heldEnd) bool { return h.end.Fingerprint == fingerprint && a.includes(h.end.Service) })
-	wasReported := slices.ContainsFunc(g.reported, func(h heldEnd) bool { return h.end.Fingerprint == fingerprint && a.includes(h.end.Service) })
-	if isCandidate || wasReported {
-		g.reportAnswer(fingerprint, named, a)
+	for _, fingerprint := range request.each() {
+		g.detector.Cleared(now, Answer{Fingerprint: fingerprint, Services: cleared})
+		g.reportAnswer(fingerprint, g.takeAnsweredEnds(request, fingerprint, a), a)
 	}
 	return true
 }
 
-// reportAnswer reports the services that have answered a candidate. Without a list of services these are those whose
-// ends this VM has reported.
-func (g *Guard) reportAnswer(fingerprint string, named []string, a answered) {
+// takeAnsweredEnds returns the services of the ends reported under the fingerprint that the answer clears and that no answer has
+// been reported for. Ends under requests of the same caller are dropped; those of other callers count on for these.
+func (g *Guard) takeAnsweredEnds(request Fingerprints, fingerprint string, a answered) []string {
 	var services []string
-	for _, service := range named {
-		if a.includes(service) {
-			services = append(services, service)
+	kept := g.reported[:0]
+	for _, h := range g.reported {
+		under := slices.Contains(h.end.fingerprints().each(), fingerprint) && a.includes(h.end.Service)
+		if under && (h.isOf(request) || !h.contentAnswered) && !slices.Contains(services, h.end.Service) {
+			services = append(services, h.end.Service)
 		}
+		switch {
+		case !under:
+		case !h.isOf(request):
+			h.contentAnswered = true
+		case fingerprint == request.Content:
+			continue
+		}
+		kept = append(kept, h)
 	}
-	g.reported = slices.DeleteFunc(g.reported, func(h heldEnd) bool {
-		clears := h.end.Fingerprint == fingerprint && a.includes(h.end.Service)
-		if clears && !slices.Contains(services, h.end.Service) {
-			services = append(services, h.end.Service)
+	g.reported = kept
+	return services
+}
+
+// reportAnswer reports that a request was answered at the services, and at those of a candidate that the answer includes.
+func (g *Guard) reportAnswer(fingerprint string, services []string, a answered) {
+	for _, service := range g.candidates[fingerprint] {
+		if a.includes(service) && !slices.Contains(services, service) {
+			services = append(services, service)
 		}
-		return clears
-	})
+	}
 	if len(services) > 0 && len(g.answersToReport) < maxReport {
 		g.answersToReport[fingerprint] = Answer{Fingerprint: fingerprint, Services: services}
 	}
@@ -189,7 +223,7 @@
 			a, ok = g.older[request.Fingerprint]
 		}
 		if ok && now.Sub(a.at) <= answerMemory {
-			g.reportAnswer(request.Fingerprint, request.Services, a)
+			g.reportAnswer(request.Fingerprint, nil, a)
 		}
 	}
 }
