Cancel work at relays also if the cancellation overtakes the start

What upstreams saw: work for callers that had left, until the deadline of the request. Cause: net/rpc runs each call of a connection in a goroutine of its own, and the newest runs first. A relay that reads the start of a batch and its cancellation together, since it was busy or the link slow, handled the cancellation first, knew no such batch, and then ran the batch with all of its time. The same held for forwarded requests and for single attempts, and for a cancellation between the registration of a batch and the start of its attempts. More VMs and shards mean more relays with a part of each request. Class: two messages that depend on their order over a transport that does not keep it. wmux-entry was read: its owners remember early cancellations already.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -23,8 +23,8 @@
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, args.Remaining)
 	defer cancel()
-	if !p.addForward(args.Call, cancel) {
-		reply.Ended = Ended{Outcome: Unsent, Reason: "too many calls in progress"}
+	if refusal := p.addForward(args.Call, cancel); refusal != "" {
+		reply.Ended = Ended{Outcome: Unsent, Reason: refusal}
 		return nil
 	}
 	defer p.removeForward(args.Call)
@@ -59,15 +59,19 @@
 	return false
 }
 
-func (p *session) addForward(call uint64, cancel context.CancelFunc) bool {
+// addForward registers a call in progress, or returns why it must not be carried out.
+func (p *session) addForward(call uint64, cancel context.CancelFunc) (refusal string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.early.take(call).all {
+		return cancelledBefore
+	}
 	if _, known := p.forwards[call]; known || len(p.forwards) >= maxBatches {
-		return false
+		return "too many calls in progress"
 	}
 	p.forwards[call] = cancel
 	p.server.running.Add(1)
-	return true
+	return ""
 }
 
 func (p *session) removeForward(call uint64) {
@@ -77,12 +81,14 @@
 	p.server.running.Add(-1)
 }
 
-// CancelForward cancels a call of Forward.
+// CancelForward cancels a call of Forward, also one that has not begun.
 func (p *session) CancelForward(args CancelForwardArgs, _ *Empty) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if cancel, ok := p.forwards[args.Call]; ok {
 		cancel()
+	} else {
+		p.early.add(args.Call, nil)
 	}
 	return nil
 }
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/rpc"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,9 @@
 // exhaust memory.
 const maxBatches = 4096
 
+// cancelledBefore is the reason of an attempt that was cancelled before it began.
+const cancelledBefore = "cancelled before it began"
+
 // drainPollInterval is how often Wait checks for batches in progress during a shutdown, which takes seconds.
 const drainPollInterval = 10 * time.Millisecond
 
@@ -107,6 +111,7 @@
 	batches map[uint64]*running
 	// forwards cancels the calls of Forward in progress.
 	forwards map[uint64]context.CancelFunc
+	early    earlyCancels
 }
 
 // running is a batch in progress.
@@ -132,38 +137,55 @@
 	r := &running{
 		cancel: cancel, changed: make(chan struct{}, 1), state: newReporter(args, time.Now()), cancels: map[int]context.CancelFunc{},
 	}
-	if !p.addBatch(args.Batch, r) {
+	if err := p.begin(ctx, r, args); err != nil {
 		cancel()
-		reply.Fault = fault.ToWire(fault.New(fault.Conflict, "relay.run", "batch %d already exists or exceeds the limit of %d batches",
-			args.Batch, maxBatches))
+		reply.Fault = fault.ToWire(err)
 		return nil
 	}
-	// A batch whose reports are not collected is removed when its time is up. Calls on one connection may overtake each
-	// other, so a Cancel can arrive before the Run of its batch.
+	// A batch whose reports are not collected is removed when its time is up.
 	context.AfterFunc(ctx, func() { p.removeBatch(args.Batch, r) })
-	p.server.start(ctx, r, args)
 	*reply = p.await(args.Batch, r)
 	return nil
 }
 
-// addBatch registers a batch in progress. It returns false if there are too many or if the ID is in use.
-func (p *session) addBatch(id uint64, r *running) bool {
+// begin registers a batch and starts its attempts, with the batch locked meanwhile: a cancellation meets either none of it or all.
+func (p *session) begin(ctx context.Context, r *running, args RunArgs) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	early, err := p.addBatch(args.Batch, r)
+	if err != nil {
+		return err
+	}
+	p.server.start(ctx, r, args, early.numbers)
+	return nil
+}
+
+// addBatch registers a batch in progress, and returns what of it was cancelled before. It returns an error if all of it was, if there
+// are too many batches or if the ID is in use.
+func (p *session) addBatch(id uint64, r *running) (earlyCancel, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	early := p.early.take(id)
+	if early.all {
+		return early, fault.New(fault.Cancelled, "relay.run", "batch %d was cancelled before it began", id)
+	}
 	if _, known := p.batches[id]; known || len(p.batches) >= maxBatches {
-		return false
+		return early, fault.New(fault.Conflict, "relay.run", "batch %d already exists or exceeds the limit of %d batches", id, maxBatches)
 	}
 	p.batches[id] = r
 	p.server.running.Add(1)
-	return true
+	return early, nil
 }
 
-// start runs the attempts of a batch, each until it ends or is cancelled.
-func (s *Server) start(ctx context.Context, r *running, args RunArgs) {
+// start runs the attempts of a batch, each until it ends or is cancelled, except those that are cancelled already. The caller
+// holds the lock of the batch.
+func (s *Server) start(ctx context.Context, r *running, args RunArgs, cancelled []int) {
 	received := time.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	for _, attempt := range args.Attempts {
+		if slices.Contains(cancelled, attempt.Number) {
+			go r.end(Ended{Number: attempt.Number, Outcome: Unsent, Reason: cancelledBefore}, nil)
+			continue
+		}
 		ctx, cancel := context.WithCancel(ctx)
 		r.cancels[attempt.Number] = cancel
 		request := &upstreamconn.Request{
@@ -268,10 +290,13 @@
 	}
 }
 
-// Cancel cancels attempts of a batch. Attempts that have already ended are still reported.
+// Cancel cancels attempts of a batch, also of one that has not begun. Attempts that have already ended are still reported.
 func (p *session) Cancel(args CancelArgs, _ *Empty) error {
 	p.mu.Lock()
 	r, ok := p.batches[args.Batch]
+	if !ok {
+		p.early.add(args.Batch, args.Numbers)
+	}
 	p.mu.Unlock()
 	if !ok {
 		return nil
