Send nothing for a request that is cancelled already

A caller's close ends the attempts in flight, and the end of one may be handled before the close: a second attempt was then sent over a kept connection, which needs no dial that the cancellation would stop, and its connection closed after that. Such a request is now neither sent nor does it cost a connection. Spec: 50 cancelled requests over a kept connection reached the upstream before (the error said that they were sent); none now.

--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -94,7 +94,7 @@
 }
 
 func (f *forwardCall) send(ctx context.Context, kind attemptKind) {
-	if f.attempts >= max(1, f.route.Attempts) || !f.mayTryAgain() {
+	if ctx.Err() != nil || f.attempts >= max(1, f.route.Attempts) || !f.mayTryAgain() {
 		return
 	}
 	a := f.router.chooseUpstream(f.view, f.route, f.service, f.tried, kind)
--- a/internal/upstreamconn/upstreamconn.go
+++ b/internal/upstreamconn/upstreamconn.go
@@ -197,6 +197,9 @@
 // Do sends the request on an idle connection that is still usable, or on a new one, and returns the complete response.
 // The error is a *RequestError.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
+	if ctx.Err() != nil {
+		return nil, newRequestError(false, false, "send", "cancelled before the request was sent: %w", ctx.Err())
+	}
 	c, err := p.acquire(ctx)
 	if err != nil {
 		return nil, err
--- a/internal/upstreamconn/upstreamconn_test.go
+++ b/internal/upstreamconn/upstreamconn_test.go
@@ -223,6 +223,27 @@
 		Expect(pool.IdleCount()).To(BeZero())
 	})
 
+	It("does not send a request that is cancelled already, on a kept connection either", func() {
+		var requests atomic.Int64
+		u := serve(func(conn net.Conn, request *http.Request) {
+			requests.Add(1)
+			writeResponse(conn, request.Header.Get("Id"), "x")
+		})
+		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(upstreamconn.DefaultMemoryBytes))
+		_, err := get(pool, "1")
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		for range 50 {
+			_, err := pool.Do(ctx, &upstreamconn.Request{ID: "2", Method: "GET", Target: "/"})
+			var failed *upstreamconn.RequestError
+			Expect(errors.As(err, &failed)).To(BeTrue())
+			Expect(failed.Sent).To(BeFalse())
+		}
+		Consistently(requests.Load, 100*time.Millisecond).Should(Equal(int64(1)))
+		Expect(pool.IdleCount()).To(Equal(1))
+	})
+
 	It("closes idle connections before the upstream does", func() {
 		u := serve(func(conn net.Conn, r *http.Request) {
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nKeep: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
