--- a/internal/raftnode/cluster_test.go
+++ b/internal/raftnode/cluster_test.go
@@ -144,16 +144,29 @@
 	}
 }
 
-func (h *host) start() {
-	h.machine = &recorder{}
-	node, err := raftnode.Open(h.config())
-	Expect(err).NotTo(HaveOccurred())
-	h.node = node
+func (h *host) start() { Expect(h.reopen()).To(Succeed()) }
+
+func (h *host) reopen() error {
+	machine := &recorder{}
+	config := h.config()
+	config.Machine = machine
+	node, err := raftnode.Open(config)
+	if err != nil {
+		return err
+	}
 	server := rpc.NewServer()
 	Expect(server.RegisterName(raftnode.ServiceName, node.Service())).To(Succeed())
 	h.mu.Lock()
-	h.server = server
-	h.mu.Unlock()
+	defer h.mu.Unlock()
+	h.machine, h.node, h.server = machine, node, server
+	return nil
+}
+
+// commands returns the commands that the state machine has applied.
+func (h *host) commands() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.machine.list()
 }
 
 func (h *host) stop() {
