Remember early cancellations at owners whichever sub-request came last

Same class as the fault of relays: an owner remembered only cancellations of IDs above the highest that had arrived, and stopped to remember any after 1,000 that were never taken. With two batches that overtake each other a sub-request ran on without its caller. Relays and owners now share one memory, from which the oldest go first.

--- a/internal/entry/ownerservice.go
+++ b/internal/entry/ownerservice.go
@@ -6,13 +6,12 @@
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
+	"github.com/wisteriamux/wisteriamux/internal/rpcconn"
 )
 
 const (
 	// sessionExpiry is how long a session is kept after the last call of its sender.
 	sessionExpiry = 3 * ownerrpc.CollectPollTimeout
-	// maxEarlyCancels limits how many cancellations a session keeps for sub-requests that have not arrived.
-	maxEarlyCancels = 1_000
 )
 
 // OwnerService holds the net/rpc methods of the owner service for searches.
@@ -38,10 +37,8 @@
 	lastSeen time.Time
 	// lastReport is when loads were last reported to the sender.
 	lastReport time.Time
-	// highestID is the largest sub-request ID that has arrived. earlyCancels holds cancellations of larger IDs: net/rpc
-	// runs the calls of one connection concurrently, so that a cancellation can overtake its sub-request.
-	highestID    uint64
-	earlyCancels map[uint64]bool
+	// early holds cancellations of sub-requests that are not open.
+	early rpcconn.EarlyCancels
 }
 
 // Submit accepts a batch of sub-requests.
@@ -95,7 +92,7 @@
 	}
 	in, ok := s.sessions[key]
 	if !ok {
-		in = &senderSession{ready: make(chan struct{}, 1), jobs: map[uint64]*job{}, earlyCancels: map[uint64]bool{}, lastSeen: now}
+		in = &senderSession{ready: make(chan struct{}, 1), jobs: map[uint64]*job{}, lastSeen: now}
 		s.sessions[key] = in
 	}
 	in.markSeen(now)
@@ -141,9 +138,7 @@
 
 func (in *senderSession) start(o *owner, sub ownerrpc.SubRequest) {
 	in.mu.Lock()
-	cancelled := in.earlyCancels[sub.ID]
-	delete(in.earlyCancels, sub.ID)
-	in.highestID = max(in.highestID, sub.ID)
+	cancelled := in.early.Take(sub.ID).All
 	if !cancelled {
 		// The entry is added before submit, because the result can arrive before submit returns.
 		in.jobs[sub.ID] = nil
@@ -202,8 +197,8 @@
 	in.mu.Lock()
 	j, open := in.jobs[id]
 	delete(in.jobs, id)
-	if !open && id > in.highestID && len(in.earlyCancels) < maxEarlyCancels {
-		in.earlyCancels[id] = true
+	if !open {
+		in.early.Add(id, nil)
 	}
 	in.mu.Unlock()
 	if j != nil {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -63,7 +63,7 @@
 func (p *session) addForward(call uint64, cancel context.CancelFunc) (refusal string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.early.take(call).all {
+	if p.early.Take(call).All {
 		return cancelledBefore
 	}
 	if _, known := p.forwards[call]; known || len(p.forwards) >= maxBatches {
@@ -88,7 +88,7 @@
 	if cancel, ok := p.forwards[args.Call]; ok {
 		cancel()
 	} else {
-		p.early.add(args.Call, nil)
+		p.early.Add(args.Call, nil)
 	}
 	return nil
 }
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -111,7 +111,7 @@
 	batches map[uint64]*running
 	// forwards cancels the calls of Forward in progress.
 	forwards map[uint64]context.CancelFunc
-	early    earlyCancels
+	early    rpcconn.EarlyCancels
 }
 
 // running is a batch in progress.
@@ -156,17 +156,17 @@
 	if err != nil {
 		return err
 	}
-	p.server.start(ctx, r, args, early.numbers)
+	p.server.start(ctx, r, args, early.Numbers)
 	return nil
 }
 
 // addBatch registers a batch in progress, and returns what of it was cancelled before. It returns an error if all of it was, if there
 // are too many batches or if the ID is in use.
-func (p *session) addBatch(id uint64, r *running) (earlyCancel, error) {
+func (p *session) addBatch(id uint64, r *running) (rpcconn.EarlyCancel, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	early := p.early.take(id)
-	if early.all {
+	early := p.early.Take(id)
+	if early.All {
 		return early, fault.New(fault.Cancelled, "relay.run", "batch %d was cancelled before it began", id)
 	}
 	if _, known := p.batches[id]; known || len(p.batches) >= maxBatches {
@@ -295,7 +295,7 @@
 	p.mu.Lock()
 	r, ok := p.batches[args.Batch]
 	if !ok {
-		p.early.add(args.Batch, args.Numbers)
+		p.early.Add(args.Batch, args.Numbers)
 	}
 	p.mu.Unlock()
 	if !ok {
--- a/internal/rpcconn/early.go
+++ b/internal/rpcconn/early.go
@@ -1,29 +1,30 @@
-package relay
+package rpcconn
 
 import "slices"
 
-// maxEarlyCancels bounds the cancellations that a session remembers. Those of batches that have ended are among them.
+// maxEarlyCancels bounds the cancellations that are remembered. Those of work that has ended are among them.
 const maxEarlyCancels = 1024
 
-// earlyCancels holds cancellations of batches and forwarded requests that are not in progress: net/rpc runs each call of a connection
-// in a goroutine of its own, so that a cancellation may overtake the start. The oldest are forgotten first. It is not safe for concurrent use.
-type earlyCancels struct {
-	byID  map[uint64]earlyCancel
+// EarlyCancels holds cancellations of work that is not in progress: net/rpc runs each call of a connection in a goroutine of its own, so
+// that a cancellation may overtake the start. The oldest are forgotten first. The zero value is ready to use. It is not safe for
+// concurrent use.
+type EarlyCancels struct {
+	byID  map[uint64]EarlyCancel
 	order []uint64
 }
 
-// earlyCancel is the cancellation of the attempts with the numbers, or of all.
-type earlyCancel struct {
-	all     bool
-	numbers []int
+// EarlyCancel is the cancellation of the numbered parts of some work, or of all of it.
+type EarlyCancel struct {
+	All     bool
+	Numbers []int
 }
 
-// add remembers a cancellation, of all attempts if there are no numbers.
-func (e *earlyCancels) add(id uint64, numbers []int) {
+// Add remembers a cancellation, of all the work if there are no numbers.
+func (e *EarlyCancels) Add(id uint64, numbers []int) {
 	known, ok := e.byID[id]
 	if !ok {
 		if e.byID == nil {
-			e.byID = map[uint64]earlyCancel{}
+			e.byID = map[uint64]EarlyCancel{}
 		}
 		if len(e.order) >= maxEarlyCancels {
 			delete(e.byID, e.order[0])
@@ -31,16 +32,16 @@
 		}
 		e.order = append(e.order, id)
 	}
-	known.all = known.all || len(numbers) == 0
-	known.numbers = append(known.numbers, numbers...)
+	known.All = known.All || len(numbers) == 0
+	known.Numbers = append(known.Numbers, numbers...)
 	e.byID[id] = known
 }
 
-// take returns what was cancelled before the start, and forgets it.
-func (e *earlyCancels) take(id uint64) earlyCancel {
+// Take returns what was cancelled before the start, and forgets it.
+func (e *EarlyCancels) Take(id uint64) EarlyCancel {
 	cancelled, ok := e.byID[id]
 	if !ok {
-		return earlyCancel{}
+		return EarlyCancel{}
 	}
 	delete(e.byID, id)
 	e.order = slices.DeleteFunc(e.order, func(other uint64) bool { return other == id })
