--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -100,8 +100,8 @@
 	due := !r.guard.NextWakeup(now).IsZero()
 	r.mu.Unlock()
 	if wasSuspected {
-		r.log.Info("suspected request answered", "request", request.ID, "caller", request.Caller, "fingerprint", request.fingerprints.Narrowest(), "content", request.fingerprints.Content,
-			"status", status, "missing", len(missing))
+		r.log.Info("suspected request answered", "request", request.ID, "caller", request.Caller, "fingerprint", request.fingerprints.Narrowest(),
+			"content", request.fingerprints.Content, "status", status, "missing", len(missing))
 	}
 	if due {
 		r.wakeReporter()
