--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -362,12 +362,21 @@
 })
 
 var _ = Describe("a session", func() {
-	It("removes a batch whose reports are not collected because its Cancel overtook its Run", func() {
+	It("refuses a batch whose Cancel overtook its Run", func() {
 		peer := &session{server: NewServer(&executor{cancelled: map[string]bool{}}, discard), ctx: context.Background(), batches: map[uint64]*running{}}
 		Expect(peer.Cancel(CancelArgs{Batch: 7}, &Empty{})).To(Succeed())
 		var report BatchReport
 		Expect(peer.Run(RunArgs{Batch: 7, Remaining: 100 * time.Millisecond, Attempts: attempts(1)}, &report)).To(Succeed())
 		Expect(report.Ended).To(BeEmpty())
+		Expect(fault.Is(report.Fault.AsError(), fault.Cancelled)).To(BeTrue())
+		Expect(peer.batches).To(BeEmpty())
+	})
+
+	It("removes a batch whose reports are not collected", func() {
+		peer := &session{server: NewServer(&executor{cancelled: map[string]bool{}}, discard), ctx: context.Background(), batches: map[uint64]*running{}}
+		var report BatchReport
+		Expect(peer.Run(RunArgs{Batch: 7, Remaining: 100 * time.Millisecond, Attempts: attempts(1)}, &report)).To(Succeed())
+		Expect(report.Ended).To(BeEmpty())
 		Eventually(func() int {
 			peer.mu.Lock()
 			defer peer.mu.Unlock()
