Keep a relay silent in the spec of overdue relays

Trace: markSilent pings the relay, which is healthy in this spec; its answer made the link usable again before the spec looked (the failing value shows silent false). The relay now answers nothing meanwhile; the checks are the same.

--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -293,6 +293,8 @@
 		peers.Update([]controlrpc.Peer{link.peer}, time.Now())
 		own := peers.links["r"]
 		Eventually(func() bool { return own.usable(time.Now()) }).Should(BeTrue())
+		// The relay does not answer the ping that follows.
+		stalling.setStalled(true)
 		own.markSilent(own.conn)
 		now := time.Now()
 		Expect(peers.Pick("b", 0, nil, now)).To(BeNil())
