--- a/review/cases/drain.go
+++ b/review/cases/drain.go
@@ -19,12 +19,13 @@
 	// usualWork is the duration of the longer requests of that service, and slowFactor that of the disruption.
 	usualWork  = 700 * time.Millisecond
 	slowFactor = 12
-	// slowFor is how long one server is slow before it crashes, and servedOn how long drained servers serve on.
+	// slowFor is how long one server is slow before it crashes. servedOn is how long a server serves after the acknowledgement that
+	// it drains: drain_ms and a little longer. It exits then.
 	slowFor  = 7500 * time.Millisecond
-	servedOn = 5 * time.Second
+	servedOn = 5500 * time.Millisecond
 	// releaseGap is the time between two servers of a release.
 	releaseGap = time.Second
-	released   = 4
+	released   = 5
 	// rounds is the number of releases that are tried.
 	rounds    = 5
 	clients   = 60
@@ -36,7 +37,7 @@
 // drainCase replaces servers of a service one after the other while another one is slow and then crashes. No request may reach a
 // server later than drain_ms after the acknowledgement that it drains.
 func drainCase(ctx context.Context, r *record, trouble bool) error {
-	c, err := startCluster(clusterConfig{cores: 3, fronts: 2, retryFloor: 6}, r)
+	c, err := startCluster(clusterConfig{cores: 3, fronts: 2, retryFloor: 10}, r)
 	if c != nil {
 		defer c.stop()
 	}
@@ -75,6 +76,8 @@
 	// ready holds the servers that are not draining, all also those that have ended.
 	ready, all []*server
 	requests   int
+	// leaving waits for the servers that drain.
+	leaving sync.WaitGroup
 }
 
 func (p *drainPlay) prepare(ctx context.Context) error {
@@ -140,6 +143,10 @@
 		}
 		s.drain(ctx)
 		p.remove(s)
+		p.leaving.Go(func() {
+			sleep(ctx, time.Until(s.drainedAt().Add(servedOn)))
+			s.leave(ctx)
+		})
 		sleep(ctx, releaseGap)
 	}
 	sleep(ctx, time.Until(began.Add(slowFor)))
@@ -148,10 +155,7 @@
 		p.remove(slow)
 	}
 	inFlight.Wait()
-	sleep(ctx, time.Until(leaving[released-1].drainedAt().Add(servedOn)))
-	for _, s := range leaving {
-		s.leave(ctx)
-	}
+	p.leaving.Wait()
 	if trouble {
 		if _, err := p.add(); err != nil {
 			return err
