Log and export the number of losses that the control group tolerates

What callers saw: after a core machine was replaced and two more were lost, the acknowledged configuration never came into force (CONFIG) and its routes got 404 (DENIED). Two hypotheses, which the logs could not distinguish: the group no longer tolerates two losses when they come, or it tolerates them and the successors of the lost machines are not admitted.

The leader now logs voters, voters in touch, standbys and losses tolerated at each change, and exports them. A leader that has just been elected counts only members that answered it.

--- a/internal/logtrail/trail.go
+++ b/internal/logtrail/trail.go
@@ -17,7 +17,7 @@
 	upstreamEvents = map[string]bool{
 		"upstream condition changed": true, "upstream reported": true, "silent upstream removed": true, "upstream report refused": true,
 	}
-	groupEvents = map[string]bool{"leader changed": true, "membership changed": true}
+	groupEvents = map[string]bool{"leader changed": true, "membership changed": true, "fault tolerance changed": true}
 )
 
 // Trail holds the log lines that concern one request.
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -19,12 +19,19 @@
 	// while nothing else was in flight.
 	lastProgress     uint64
 	snapshotTransfer *snapshotTransfer
-	// lastContact is the tick of the last message from the member, and round the last heartbeat round that it
-	// acknowledged.
+	// lastContact is the tick of the last message from the member, or of the time from which the leader expects one.
+	// answered is set once there was one, and round is the last heartbeat round that the member acknowledged.
 	lastContact uint64
+	answered    bool
 	round       uint64
 }
 
+// recordContact records a message from the member.
+func (p *progress) recordContact(tick uint64) {
+	p.lastContact = tick
+	p.answered = true
+}
+
 func (p *progress) becomeProbe(next uint64) {
 	p.next = max(next, p.match+1)
 	p.probing = true
@@ -163,7 +170,7 @@
 	if !ok {
 		return
 	}
-	peer.lastContact = rn.tickCount
+	peer.recordContact(rn.tickCount)
 	peer.lastProgress = rn.tickCount
 	if message.Reject {
 		rn.handleAppendReject(message, peer)
@@ -255,7 +262,7 @@
 	if !ok {
 		return
 	}
-	peer.lastContact = rn.tickCount
+	peer.recordContact(rn.tickCount)
 	peer.round = max(peer.round, message.Round)
 	rn.confirmReads()
 	rn.maybePromoteLearner(message.From, peer)
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -110,7 +110,7 @@
 	if !ok {
 		return
 	}
-	peer.lastContact = rn.tickCount
+	peer.recordContact(rn.tickCount)
 	peer.lastProgress = rn.tickCount
 	if peer.snapshotTransfer == nil || peer.snapshotTransfer.metadata.Position != message.Log {
 		return
--- a/internal/raftnode/loop.go
+++ b/internal/raftnode/loop.go
@@ -390,6 +390,7 @@
 	if member, ok := group.Find(l.node.identity); ok {
 		v.role = roleOf(member, v.leader)
 	}
+	v.tolerance, _ = m.Tolerance()
 	l.logChange(v)
 	l.node.setState(v)
 	l.node.transport.retainPeers(func(id uint64) bool { return l.addressOf(id) != "" })
@@ -404,6 +405,11 @@
 	if !v.group.Equal(before.group) {
 		l.node.config.Log.Info("membership changed", "members", formatMembership(v.group))
 	}
+	if v.role == RoleLeader && v.tolerance != before.tolerance {
+		t := v.tolerance
+		l.node.config.Log.Info("fault tolerance changed", "term", v.term, "voters", t.Voters, "voters_in_touch", t.VotersInTouch,
+			"standbys", t.Standbys, "losses_tolerated", t.Losses)
+	}
 }
 
 func formatMembership(group raft.Membership) string {
--- a/internal/raftnode/node.go
+++ b/internal/raftnode/node.go
@@ -69,6 +69,8 @@
 	Commit        uint64
 	Applied       uint64
 	SnapshotIndex uint64
+	// Tolerance is known on the leader only. It is zero on other members.
+	Tolerance raft.Tolerance
 	// Torn is set if the log ended in an incomplete write, which was removed at startup.
 	Torn *wal.TornTail
 }
@@ -88,6 +90,8 @@
 	last       uint64
 	applied    uint64
 	snapshot   uint64
+	// tolerance is known on the leader only.
+	tolerance raft.Tolerance
 }
 
 // Node is the running Raft node of a control member. It is safe for concurrent use.
@@ -283,7 +287,7 @@
 	v := n.state()
 	return Status{
 		ID: n.identity, Name: n.config.Name, Role: v.role, Leader: v.leaderName, Term: v.term,
-		Commit: v.commit, Applied: v.applied, SnapshotIndex: v.snapshot, Torn: n.tornTail,
+		Commit: v.commit, Applied: v.applied, SnapshotIndex: v.snapshot, Tolerance: v.tolerance, Torn: n.tornTail,
 	}
 }
 
