Keep the number of voters when control members are replaced

Cause: a successor voted in addition to the member that it replaced, which kept raising the quorum while it was gone: for 7 s, or for good if the number of voters was odd. Log of: 6 voters, 5 in touch, 1 loss tolerated when two disks are lost. Ruled out: that successors of the lost members are not admitted; there is no leader that could.

Change: a group has 2 x fault_tolerance + 1 voters; further members are standbys, learners that hold the log. A standby takes the place of a voter that is silent for 1 s, and of one that announces its stop, before that one ends. The standby votes first, then the other one loses its vote, one member a change, so no step lowers the number of losses tolerated. A learner that misses its leader forgets it, so that one that was removed while it was cut off asks for admission again. Weighed and ruled out: shorter times alone (move the window), joint changes (0008).

The specs of RetryLater and RedundantVoter are replaced: a newcomer is a learner at first and needs no deferral; an unresponsive voter is replaced after 1 s instead of 2.5 s, and demoted instead of removed after 7 s. Each rule of them that still exists has a spec as strict.

--- a/cmd/wmux-control/main.go
+++ b/cmd/wmux-control/main.go
@@ -6,6 +6,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/wisteriamux/wisteriamux/internal/cli"
+	"github.com/wisteriamux/wisteriamux/internal/formation"
 	"github.com/wisteriamux/wisteriamux/internal/raftnode"
 	"github.com/wisteriamux/wisteriamux/internal/settings"
 )
@@ -61,5 +62,9 @@
 }
 
 func nodeConfig(loaded settings.Control) raftnode.Config {
-	return raftnode.Config{Name: loaded.ID, Address: loaded.RPCAddress, Dir: loaded.DataDir, SnapshotEntries: loaded.SnapshotEntries}
+	config := raftnode.Config{Name: loaded.ID, Address: loaded.RPCAddress, Dir: loaded.DataDir, SnapshotEntries: loaded.SnapshotEntries}
+	if loaded.Formation == formationSeeds {
+		config.MaxVoters = formation.MaxVoters(loaded.FaultTolerance)
+	}
+	return config
 }
--- a/cmd/wmux-control/run.go
+++ b/cmd/wmux-control/run.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"net"
 	"os"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -28,6 +30,8 @@
 	// transferTimeout limits how long a graceful shutdown waits for the leadership transfer, in case no other voter can
 	// take over.
 	transferTimeout = 3 * time.Second
+	// handOverTimeout limits how long a graceful shutdown waits until another member has taken the vote of this one.
+	handOverTimeout = 2500 * time.Millisecond
 )
 
 // run runs the member until the context is cancelled. After a storage failure the member stops and reopens its data
@@ -85,7 +89,7 @@
 	onOpen()
 	group := control.NewRaftGroup(node)
 	if loaded.Formation == formationSeeds {
-		group = group.SelfManaged()
+		group = group.SelfManaged(formation.MaxVoters(loaded.FaultTolerance))
 	}
 	service := control.NewService(loaded.ID, machine, node, time.Now).WithGroup(group).WithLog(log)
 	tlsListener := transport.Listener(faultRules.Listener(listener), security.RoleControl, security.RoleEntry, security.RoleOperator)
@@ -111,7 +115,7 @@
 	log.Info("started", "rpc_address", loaded.RPCAddress, "identity", fmt.Sprintf("%016x", node.Status().ID))
 	select {
 	case <-ctx.Done():
-		return stop(node, loaded.ID, log)
+		return stop(node, client, loaded.ID, log)
 	case <-node.Done():
 		log.Error("raft node failed", "code", fault.CodeOf(node.Err()), "error", node.Err())
 		return node.Err()
@@ -138,9 +142,9 @@
 	return func(address string) (net.Conn, error) { return dialer.Dial("tcp", address) }
 }
 
-// stop transfers leadership before it closes the node, so that a graceful shutdown does not cost the group an election
-// timeout.
-func stop(node *raftnode.Node, id string, log *slog.Logger) error {
+// stop transfers leadership and the vote of this member before it closes the node, so that a graceful shutdown does not
+// cost the group an election timeout, or a tolerated loss if another member can take the vote.
+func stop(node *raftnode.Node, client *controlrpc.Client, id string, log *slog.Logger) error {
 	if node.Leader() == id && len(node.Members()) > 1 {
 		ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
 		defer cancel()
@@ -150,7 +154,25 @@
 			log.Info("leadership transferred")
 		}
 	}
+	handOverVote(node, client, log)
 	err := node.Close()
 	log.Info("stopped")
 	return err
 }
+
+// handOverVote asks the leader to give the vote of this member to a learner, if there is one.
+func handOverVote(node *raftnode.Node, client *controlrpc.Client, log *slog.Logger) {
+	status := node.Status()
+	hasLearner := slices.ContainsFunc(node.Members(), func(m raftnode.MemberStatus) bool { return m.Role == raftnode.RoleLearner })
+	if status.Role != raftnode.RoleVoter || !hasLearner {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	replaced, err := client.Depart(ctx, controlrpc.DepartArgs{ID: strconv.FormatUint(status.ID, 16)})
+	if err != nil {
+		log.Warn("vote not handed over", "code", fault.CodeOf(err), "error", err)
+		return
+	}
+	log.Info("departure announced", "replaced", replaced)
+}
--- a/internal/control/access.go
+++ b/internal/control/access.go
@@ -220,3 +220,8 @@
 func (a *MemberAccess) Admit(args controlrpc.AdmitArgs, reply *controlrpc.Ack) error {
 	return a.service.Admit(args, reply)
 }
+
+// Depart is Service.Depart.
+func (a *MemberAccess) Depart(args controlrpc.DepartArgs, reply *controlrpc.DepartReply) error {
+	return a.service.Depart(args, reply)
+}
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -15,6 +15,8 @@
 	Members() []controlrpc.GroupMember
 	Add(ctx context.Context, name, address string) error
 	Remove(ctx context.Context, member string) error
+	Promote(ctx context.Context, member string) error
+	Demote(ctx context.Context, member string) error
 	Transfer(ctx context.Context, name string) error
 }
 
@@ -29,6 +31,10 @@
 
 func (g noGroup) Remove(ctx context.Context, _ string) error { return g.Add(ctx, "", "") }
 
+func (g noGroup) Promote(ctx context.Context, _ string) error { return g.Add(ctx, "", "") }
+
+func (g noGroup) Demote(ctx context.Context, _ string) error { return g.Add(ctx, "", "") }
+
 func (g noGroup) Transfer(ctx context.Context, _ string) error { return g.Add(ctx, "", "") }
 
 // GroupMembers lists the members of the control group.
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -7,7 +7,6 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
-	"github.com/wisteriamux/wisteriamux/internal/formation"
 	"github.com/wisteriamux/wisteriamux/internal/raftnode"
 	"github.com/wisteriamux/wisteriamux/internal/registry"
 )
@@ -254,55 +253,3 @@
 		s.log.Info("silent upstream removed", "upstream", instance.ID, "service", instance.Service, "silent_for", instanceTimeout)
 	}
 }
-
-// Admit adds a member to a self-managed group, and removes the member that it replaces.
-func (s *Service) Admit(args controlrpc.AdmitArgs, reply *controlrpc.Ack) error {
-	reply.Members, reply.Leader = s.knownMembers()
-	reply.Fault = fault.ToWire(s.runGroupChange(func(ctx context.Context) error { return s.admit(ctx, args) }))
-	return nil
-}
-
-func (s *Service) admit(ctx context.Context, args controlrpc.AdmitArgs) error {
-	if !s.selfManaged {
-		return fault.New(fault.Forbidden, "control.admit", "only an operator adds members to this control group")
-	}
-	if err := s.confirmLeadershipContext(ctx); err != nil {
-		return err
-	}
-	decision := formation.DecideAdmission(args.ID, args.Name, s.group.Members())
-	if decision.AlreadyMember {
-		return nil
-	}
-	if decision.RetryLater {
-		return fault.New(fault.Conflict, "control.admit", "a member is unresponsive and may only be restarting; retry")
-	}
-	if decision.Remove != "" {
-		if err := s.group.Remove(ctx, decision.Remove); err != nil {
-			return err
-		}
-		s.log.Info("replaced control member removed", "member", decision.Remove, "by", args.Name)
-	}
-	if err := s.group.Add(ctx, args.Name, args.Address); err != nil {
-		return err
-	}
-	s.log.Info("control member admitted", "member", args.ID, "name", args.Name, "address", args.Address)
-	return nil
-}
-
-// removeRedundantVoter removes an unresponsive voter if the group tolerates more failures without it.
-func (s *Service) removeRedundantVoter(ctx context.Context) {
-	if !s.selfManaged {
-		return
-	}
-	id, ok := formation.RedundantVoter(s.group.Members())
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
-	if err := s.group.Remove(ctx, id); err != nil {
-		s.log.Warn("unresponsive control member not removed", "member", id, "code", fault.CodeOf(err), "error", err)
-		return
-	}
-	s.log.Info("unresponsive control member removed", "member", id)
-}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -29,9 +29,12 @@
 	group      Group
 	// selfManaged is set if the group admits, replaces and removes members without an operator.
 	selfManaged bool
-	barriers    *barrierGroup
-	leases      *leaseTable
-	loads       *loadTable
+	// maxVoters is the intended number of voters of a self-managed group, or 0 if every member votes.
+	maxVoters  int
+	departures departures
+	barriers   *barrierGroup
+	leases     *leaseTable
+	loads      *loadTable
 	// instances and watchers track when upstreams and entry VMs were last seen.
 	instances  *presence
 	watchers   *presence
@@ -64,7 +67,7 @@
 func (s *Service) WithGroup(group Group) *Service {
 	s.group = group
 	if selfManaged, ok := group.(RaftGroup); ok {
-		s.selfManaged = selfManaged.selfManaged
+		s.selfManaged, s.maxVoters = selfManaged.selfManaged, selfManaged.maxVoters
 	}
 	return s
 }
@@ -77,14 +80,20 @@
 
 // Run runs the periodic maintenance of the leader until the context ends.
 func (s *Service) Run(ctx context.Context) {
-	ticker := time.NewTicker(maintenanceInterval)
+	go every(ctx, repairInterval, s.repairGroup)
+	every(ctx, maintenanceInterval, s.runMaintenance)
+}
+
+// every runs the task at the interval until the context ends.
+func every(ctx context.Context, interval time.Duration, task func(context.Context)) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.runMaintenance(ctx)
+			task(ctx)
 		}
 	}
 }
@@ -122,15 +131,14 @@
 	return s.confirmLeadershipContext(ctx)
 }
 
-// runMaintenance advances the drain plan, expires members and upstreams, removes a redundant voter, and commits a tick
-// if a quarantine has ended. It does nothing unless this member is the leader.
+// runMaintenance advances the drain plan, expires members and upstreams, and commits a tick if a quarantine has
+// ended. It does nothing unless this member is the leader.
 func (s *Service) runMaintenance(ctx context.Context) {
 	if s.confirmLeadership() != nil {
 		return
 	}
 	s.advancePlan(ctx)
 	s.removeSilentInstances(ctx)
-	s.removeRedundantVoter(ctx)
 	view := s.machine.View()
 	for _, member := range view.Members {
 		if _, left := s.leases.remaining(member, s.now()); left <= 0 {
--- a/internal/controlrpc/messages.go
+++ b/internal/controlrpc/messages.go
@@ -108,6 +108,8 @@
 	// Match is the highest log index that is known to be durable on the member, as in Raft's match index.
 	Match             uint64 `json:"match"`
 	LastContactMillis int64  `json:"last_contact_ms"`
+	// Standby is set for a learner in touch that holds the log and can take a voter's place.
+	Standby bool `json:"standby"`
 }
 
 // GroupArgs asks for the members of the control group.
--- a/internal/controlrpc/routes.go
+++ b/internal/controlrpc/routes.go
@@ -142,6 +142,19 @@
 	Address string
 }
 
+// DepartArgs tells the leader that a control member is about to stop.
+type DepartArgs struct {
+	// ID is the member ID in hexadecimal.
+	ID string
+}
+
+// DepartReply tells how the member may stop.
+type DepartReply struct {
+	Fault *fault.WireError
+	// Replaced is set if another member has taken the vote of the departing one. Otherwise it keeps its vote, or had none.
+	Replaced bool
+}
+
 // Ack is the reply of a call that returns no result.
 type Ack struct {
 	Fault *fault.WireError
@@ -154,6 +167,7 @@
 func (r PutRoutesReply) failure() *fault.WireError  { return r.Fault }
 func (r ReadRoutesReply) failure() *fault.WireError { return r.Fault }
 func (r Ack) failure() *fault.WireError             { return r.Fault }
+func (r DepartReply) failure() *fault.WireError     { return r.Fault }
 
 // memberHint is implemented by the replies that name the members and the leader of the group.
 type memberHint interface {
@@ -234,6 +248,12 @@
 	return err
 }
 
+// Depart tells the leader that a control member is about to stop, and returns whether another member has taken its vote.
+func (c *Client) Depart(ctx context.Context, args DepartArgs) (replaced bool, err error) {
+	reply, err := callWithTimeout[DepartReply](ctx, c, groupTimeout, "Depart", args)
+	return reply.Replaced, err
+}
+
 // SetAddresses replaces the addresses that the client tries. Connections to other addresses stay open until they fail.
 func (c *Client) SetAddresses(addresses []string) {
 	if len(addresses) == 0 {
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -1,6 +1,7 @@
 package raft
 
-// AddLearner adds a non-voting member. The leader promotes it to a voter automatically once it has caught up.
+// AddLearner adds a non-voting member. The leader promotes it to a voter automatically once it has caught up, unless the
+// group has MaxVoters voters.
 func (rn *RawNode) AddLearner(member Member) (Position, error) {
 	member.Voter = false
 	if _, ok := rn.Membership().Find(member.ID); ok {
@@ -20,6 +21,29 @@
 	return rn.proposeMembership("remove", rn.Membership().Without(id))
 }
 
+// Promote makes a voter of a learner that is in touch and has caught up, also beyond MaxVoters.
+func (rn *RawNode) Promote(id uint64) (Position, error) {
+	member, ok := rn.Membership().Find(id)
+	if !ok || !rn.isStandby(id) {
+		return Position{}, conflictError("promote", "%x is not a learner in touch that has caught up", id)
+	}
+	member.Voter = true
+	return rn.proposeMembership("promote", rn.Membership().With(member))
+}
+
+// Demote makes a learner of a voter. A leader must transfer its leadership before it can be demoted.
+func (rn *RawNode) Demote(id uint64) (Position, error) {
+	member, ok := rn.Membership().Find(id)
+	if !ok || !member.Voter {
+		return Position{}, conflictError("demote", "%x is not a voter", id)
+	}
+	if id == rn.id {
+		return Position{}, conflictError("demote", "the leader cannot demote itself; transfer leadership first")
+	}
+	member.Voter = false
+	return rn.proposeMembership("demote", rn.Membership().With(member))
+}
+
 // proposeMembership appends a membership that differs from the current one in a single member, so that their quorums
 // overlap. The overlap holds only if the current membership is committed and the leader has committed an entry of its
 // own term: otherwise two leaders could each commit a change that the other does not know about.
@@ -50,6 +74,9 @@
 	if !ok || member.Voter || rn.role != Leader {
 		return
 	}
+	if limit := rn.config.MaxVoters; limit > 0 && rn.Membership().Voters() >= limit {
+		return
+	}
 	if !rn.isCaughtUp(peer) && !rn.config.faults.promoteUnsynced {
 		return
 	}
@@ -67,6 +94,8 @@
 	Match uint64
 	// TicksSinceContact is the number of ticks since the last message from the member.
 	TicksSinceContact uint64
+	// Standby is set for a learner in touch that has caught up with the log.
+	Standby bool
 }
 
 // Peers returns the status of the other members by ID on the leader, and nil on any other member.
@@ -76,7 +105,7 @@
 	}
 	out := map[uint64]PeerStatus{}
 	for id, peer := range rn.peers {
-		out[id] = PeerStatus{Match: peer.match, TicksSinceContact: rn.tickCount - peer.lastContact}
+		out[id] = PeerStatus{Match: peer.match, TicksSinceContact: rn.tickCount - peer.lastContact, Standby: rn.isStandby(id)}
 	}
 	return out
 }
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -31,7 +31,10 @@
 	HeartbeatTicks int
 	ElectionTicks  int
 	// Random returns a random number in [0, n). It spreads election timeouts over one to two times ElectionTicks.
-	Random       func(n int) int
+	Random func(n int) int
+	// MaxVoters limits the automatic promotion of learners: beyond it, they remain learners and can take a voter's place.
+	// 0 means that every learner is promoted.
+	MaxVoters    int
 	InitialState InitialState
 
 	faults faults
@@ -128,9 +131,15 @@
 		rn.tickLeader()
 		return
 	}
-	if rn.electionElapsed >= rn.electionTimeout && rn.Membership().IsVoter(rn.id) {
+	if rn.electionElapsed < rn.electionTimeout {
+		return
+	}
+	if rn.Membership().IsVoter(rn.id) {
 		rn.campaign(PreCandidate, false)
+		return
 	}
+	// A learner that was removed while it was partitioned finds out only by missing its leader.
+	rn.leader = 0
 }
 
 func (rn *RawNode) tickLeader() {
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -96,7 +96,7 @@
 }
 
 func (s *sim) disrupt(n *simNode) {
-	switch s.rng.IntN(3) {
+	switch s.rng.IntN(4) {
 	case 0:
 		if s.canLoseDisk() {
 			s.wipe(n)
@@ -108,6 +108,14 @@
 		if s.canLoseDisk() {
 			s.eachLeader(func(leader *simNode) { _, _ = leader.rawNode.Remove(n.id) })
 		}
+	case 3:
+		// A demoted voter is promoted again once it has answered, or at once if the leader still takes it for caught up.
+		if s.canLoseDisk() {
+			s.eachLeader(func(leader *simNode) {
+				_, _ = leader.rawNode.Demote(n.id)
+				_, _ = leader.rawNode.Promote(n.id)
+			})
+		}
 	}
 }
 
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -92,6 +92,7 @@
 	wiped   []uint64
 	// noCrashes disables random crashes during the processing of a Ready.
 	noCrashes          bool
+	maxVoters          int
 	firstViolation     *violation
 	violatedInvariants map[string]bool
 }
@@ -132,7 +133,7 @@
 	d := &n.disk
 	info := SnapshotMetadata{Position: d.snapshot.Position, Membership: d.snapshot.Membership, Size: uint64(len(d.snapshot.Data))}
 	rawNode, err := New(Config{
-		ID: n.id, HeartbeatTicks: 1, ElectionTicks: 5, Random: s.rng.IntN, faults: s.faults,
+		ID: n.id, HeartbeatTicks: 1, ElectionTicks: 5, Random: s.rng.IntN, MaxVoters: s.maxVoters, faults: s.faults,
 		InitialState: InitialState{State: d.state, Snapshot: info, Base: d.base, Entries: slices.Clone(d.entries)},
 	})
 	if err != nil {
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -70,17 +70,20 @@
 	return ok && member.Voter
 }
 
-// Quorum returns the number of voters that form a majority.
-func (m Membership) Quorum() int {
+// Voters returns the number of voters.
+func (m Membership) Voters() int {
 	voters := 0
 	for _, member := range m.Members {
 		if member.Voter {
 			voters++
 		}
 	}
-	return voters/2 + 1
+	return voters
 }
 
+// Quorum returns the number of voters that form a majority.
+func (m Membership) Quorum() int { return m.Voters()/2 + 1 }
+
 // With returns a copy in which the member is added, or replaces the member with the same ID.
 func (m Membership) With(member Member) Membership {
 	next := m.Without(member.ID)
--- a/internal/raftnode/admin.go
+++ b/internal/raftnode/admin.go
@@ -86,15 +86,31 @@
 // unreachable voter only after an election timeout, so an operator must not remove a healthy voter right after another
 // one has failed.
 func (n *Node) RemoveMember(ctx context.Context, idOrName string) error {
-	return n.changeMembership(ctx, "remove", func(l *loop) (raft.Position, bool, error) {
+	return n.changeOther(ctx, "remove", idOrName, (*raft.RawNode).Remove)
+}
+
+// PromoteMember makes a voter of the learner with the given identity or name, which must be in touch and hold the log.
+// It returns when the change is committed.
+func (n *Node) PromoteMember(ctx context.Context, idOrName string) error {
+	return n.changeOther(ctx, "promote", idOrName, (*raft.RawNode).Promote)
+}
+
+// DemoteMember makes a learner of the voter with the given identity or name. It returns when the change is committed.
+func (n *Node) DemoteMember(ctx context.Context, idOrName string) error {
+	return n.changeOther(ctx, "demote", idOrName, (*raft.RawNode).Demote)
+}
+
+// changeOther makes a change of the membership that concerns one member other than the leader.
+func (n *Node) changeOther(ctx context.Context, op, idOrName string, change func(*raft.RawNode, uint64) (raft.Position, error)) error {
+	return n.changeMembership(ctx, op, func(l *loop) (raft.Position, bool, error) {
 		member, err := findMember(l.rawNode.Membership(), idOrName)
 		if err != nil {
 			return raft.Position{}, true, err
 		}
 		if member.ID == n.identity {
-			return raft.Position{}, true, fault.New(fault.Conflict, "raftnode.remove", "the leader cannot remove itself; transfer leadership first")
+			return raft.Position{}, true, fault.New(fault.Conflict, "raftnode."+op, "the leader cannot %s itself; transfer leadership first", op)
 		}
-		at, err := l.rawNode.Remove(member.ID)
+		at, err := change(l.rawNode, member.ID)
 		return at, false, err
 	})
 }
--- a/internal/raftnode/config.go
+++ b/internal/raftnode/config.go
@@ -54,6 +54,8 @@
 	HeartbeatTicks int
 	// ElectionTicks is the minimum election timeout; the maximum is twice as long.
 	ElectionTicks int
+	// MaxVoters is the number of voters up to which learners are promoted automatically; 0 means all of them.
+	MaxVoters int
 	// SnapshotEntries is the minimum number of entries applied between two snapshots, each of which compacts the log.
 	SnapshotEntries uint64
 	// FS is the file system; tests replace it to inject failures.
--- a/internal/raftnode/node.go
+++ b/internal/raftnode/node.go
@@ -14,6 +14,8 @@
 //
 //	func (n *Node) AddMember(ctx context.Context, name, address string) error
 //	func (n *Node) RemoveMember(ctx context.Context, idOrName string) error
+//	func (n *Node) PromoteMember(ctx context.Context, idOrName string) error
+//	func (n *Node) DemoteMember(ctx context.Context, idOrName string) error
 //	func (n *Node) TransferLeadership(ctx context.Context, name string) error
 //	func (n *Node) Members() []MemberStatus
 //	func (n *Node) Status() Status
@@ -57,6 +59,8 @@
 	// response. Both are known on the leader only.
 	Match       uint64
 	LastContact time.Duration
+	// Standby is set for a learner in touch that holds the log and can take a voter's place. It is known on the leader only.
+	Standby bool
 }
 
 // Status is the status of this member.
@@ -176,6 +180,7 @@
 	r := disk.recovered
 	rawNode, err := raft.New(raft.Config{
 		ID: n.identity, HeartbeatTicks: n.config.HeartbeatTicks, ElectionTicks: n.config.ElectionTicks, Random: rand.IntN,
+		MaxVoters:    n.config.MaxVoters,
 		InitialState: raft.InitialState{State: r.State, Snapshot: disk.snapshotMetadata(), Base: r.Compacted, Entries: r.Entries},
 	})
 	if err != nil {
@@ -261,7 +266,7 @@
 	for _, member := range v.group.Members {
 		status := MemberStatus{ID: member.ID, Name: member.Name, Address: member.Address, Role: roleOf(member, v.leader)}
 		if peer, ok := v.peers[member.ID]; ok {
-			status.Match = peer.Match
+			status.Match, status.Standby = peer.Match, peer.Standby
 			status.LastContact = time.Duration(peer.TicksSinceContact) * n.config.Tick
 		} else if member.ID == n.identity {
 			status.Match = v.last
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,6 +58,9 @@
 	Formation string `toml:"formation" validate:"oneof=operator seeds"`
 	// Seeds are addresses of control VMs. Only their hosts are used, because all members serve RPC on the same port.
 	Seeds []string `toml:"seeds" validate:"max=16,dive,ip_port"`
+	// FaultTolerance is the number of members that a group formed from seeds can lose at the same time. It has up to twice as
+	// many voters and one more, and holds further members ready to take a voter's place. 0 means that every member votes.
+	FaultTolerance int `toml:"fault_tolerance" validate:"min=0,max=7"`
 	// FirstStart is set when the whole system starts for the first time, with empty disks. The seeds then bootstrap the
 	// group.
 	FirstStart bool `toml:"first_start"`
@@ -164,7 +167,7 @@
 
 // LoadControl reads the settings of wmux-control.
 func LoadControl(path string) (Control, error) {
-	loaded := Control{SnapshotEntries: 10_000, Formation: "operator"}
+	loaded := Control{SnapshotEntries: 10_000, Formation: "operator", FaultTolerance: 2}
 	err := load(path, &loaded)
 	return loaded, err
 }
