Limit messages between processes to 32 MiB

Whoever listens at the address of a peer, such as a faulty server at the address of a VM that is gone, could make a process keep up to 1 GiB of one message, the limit of encoding/gob, on a VM with 184 to 284 MB. net/rpc has no limit of its own.

The connection now follows the framing of gob and ends as soon as a message announces more than 32 MiB, on both sides of every RPC connection of both data planes and the control group. Relayed responses stay below it. Ruled out: a smaller limit, since a response of 8 MiB and a configuration are one message each.

The specs of internal/rpcconn fail without the limit: the client takes 947,847,177 bytes of a message of 900 MB before its call ends.

--- a/cmd/wmux-control/serve.go
+++ b/cmd/wmux-control/serve.go
@@ -12,6 +12,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/raftnode"
+	"github.com/wisteriamux/wisteriamux/internal/rpcconn"
 	"github.com/wisteriamux/wisteriamux/internal/security"
 )
 
@@ -82,7 +83,7 @@
 		_ = conn.Close()
 		return
 	}
-	server.ServeConn(conn)
+	rpcconn.Serve(server, conn)
 }
 
 // serverFor returns the RPC server with the methods that the peer can call. Without TLS every peer can call all
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -21,6 +21,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/membership"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
+	"github.com/wisteriamux/wisteriamux/internal/rpcconn"
 	"github.com/wisteriamux/wisteriamux/internal/telemetry"
 	"github.com/wisteriamux/wisteriamux/internal/trace"
 )
@@ -204,7 +205,7 @@
 	s.peerCalls.Add(1)
 	s.peerMu.Unlock()
 	defer s.peerCalls.Done()
-	server.ServeConn(conn)
+	rpcconn.Serve(server, conn)
 	s.peerMu.Lock()
 	defer s.peerMu.Unlock()
 	delete(s.peerConns, conn)
--- a/internal/ownerlink/link.go
+++ b/internal/ownerlink/link.go
@@ -12,6 +12,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
+	"github.com/wisteriamux/wisteriamux/internal/rpcconn"
 )
 
 const (
@@ -108,7 +109,7 @@
 		l.fail(err)
 		return
 	}
-	conn := rpc.NewClient(raw)
+	conn := rpcconn.NewClient(raw)
 	defer func() { _ = conn.Close() }()
 	errs := make(chan error, concurrentCollects+1)
 	for range concurrentCollects {
--- a/internal/raftnode/admin.go
+++ b/internal/raftnode/admin.go
@@ -8,6 +8,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/raft"
+	"github.com/wisteriamux/wisteriamux/internal/rpcconn"
 )
 
 // adminRetryInterval is the delay before a membership change that was temporarily rejected is retried, and the polling
@@ -60,7 +61,7 @@
 	if err != nil {
 		return 0, false, fault.New(fault.Unavailable, "raftnode.add", "identify the member at %s: %w", address, err)
 	}
-	client := rpc.NewClient(conn)
+	client := rpcconn.NewClient(conn)
 	defer func() { _ = client.Close() }()
 	reply := new(IdentifyReply)
 	call := client.Go(ServiceName+".Identify", IdentifyArgs{}, reply, make(chan *rpc.Call, 1))
--- a/internal/raftnode/transport.go
+++ b/internal/raftnode/transport.go
@@ -7,6 +7,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/raft"
+	"github.com/wisteriamux/wisteriamux/internal/rpcconn"
 	"github.com/wisteriamux/wisteriamux/internal/snapstore"
 )
 
@@ -239,7 +240,7 @@
 	if err != nil {
 		return err
 	}
-	p.client = rpc.NewClient(conn)
+	p.client = rpcconn.NewClient(conn)
 	return nil
 }
 
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -9,12 +9,16 @@
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/notice"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
+	"github.com/wisteriamux/wisteriamux/internal/rpcconn"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
 
 // overdueFactor is the multiple of the usual response time after which the peer of a call is pinged.
 const overdueFactor = 4
 
+// maxRelayedBytes limits the body of a relayed response, which is one message together with its header.
+const maxRelayedBytes = rpcconn.MaxMessageBytes - 1<<20
+
 // Forward executes one attempt on this VM's own links and returns the whole response.
 func (p *session) Forward(args ForwardArgs, reply *ForwardReply) error {
 	if args.Remaining <= 0 {
@@ -31,7 +35,7 @@
 	received := time.Now()
 	response, err := p.server.executor.Attempt(ctx, args.Attempt, args.Expected, &upstreamconn.Request{
 		ID: args.Request, Method: args.Method, Target: args.Target, Host: args.Host, Header: args.Header, Body: args.Body, Caller: args.Caller,
-		Instance: args.Attempt.Instance, Remaining: args.Remaining, MaxBodyBytes: args.MaxBodyBytes,
+		Instance: args.Attempt.Instance, Remaining: args.Remaining, MaxBodyBytes: min(args.MaxBodyBytes, maxRelayedBytes),
 	})
 	reply.Ended = endOf(response, err)
 	reply.Took = time.Since(received)
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -92,7 +92,7 @@
 		return
 	}
 	ended := make(chan struct{})
-	l.conn = rpc.NewClient(rpcconn.OnReadError(rpcconn.WithWriteTimeout(raw), sync.OnceFunc(func() { close(ended) })))
+	l.conn = rpcconn.NewClient(rpcconn.OnReadError(rpcconn.WithWriteTimeout(raw), sync.OnceFunc(func() { close(ended) })))
 	l.health.onConnected()
 	go l.watchShutdown(l.conn, ended)
 	l.log.Info("relay connected", "relay", l.peer.ID, "failure_domain", l.peer.FailureDomain, "address", l.peer.Address)
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -97,7 +97,7 @@
 		return
 	}
 	// After the connection has ended, net/rpc waits for the calls in progress, and those wait for the context.
-	server.ServeConn(rpcconn.OnReadError(rpcconn.WithWriteTimeout(conn), cancel))
+	rpcconn.Serve(server, rpcconn.OnReadError(rpcconn.WithWriteTimeout(conn), cancel))
 }
 
 // session is the RPC service of one connection.
--- a/internal/rpcconn/pool.go
+++ b/internal/rpcconn/pool.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn = rpc.NewClient(raw)
+	conn = NewClient(raw)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if other, ok := p.conns[address]; ok {
