Count complete responses against the response memory until callers have them

Callers would see all requests of a VM end with it: a response counted against response_memory_kb only while it was read, so that complete ones of up to 8 MiB piled up while their callers read slowly.

The reservation is now held until the response is written, at the relay until its reply is encoded; a response that came through another VM is counted, too. A hold belongs to the request, so that attempts that end late free their memory at once. The memory moves to internal/responsemem, since wmux-entry needs it as well.

Ruled out: refusing a complete response when it is written, which would lose the outcome of a request that may run once.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -9,6 +9,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/notice"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
+	"github.com/wisteriamux/wisteriamux/internal/responsemem"
 	"github.com/wisteriamux/wisteriamux/internal/rpcconn"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
@@ -32,10 +33,13 @@
 		return nil
 	}
 	defer p.removeForward(args.Call)
+	// net/rpc encodes the reply after the memory is released, one reply after the other.
+	hold := &responsemem.Hold{}
+	defer hold.Release()
 	received := time.Now()
 	response, err := p.server.executor.Attempt(ctx, args.Attempt, args.Expected, &upstreamconn.Request{
 		ID: args.Request, Method: args.Method, Target: args.Target, Host: args.Host, Header: args.Header, Body: args.Body, Caller: args.Caller,
-		Instance: args.Attempt.Instance, Remaining: args.Remaining, MaxBodyBytes: min(args.MaxBodyBytes, maxRelayedBytes),
+		Instance: args.Attempt.Instance, Remaining: args.Remaining, MaxBodyBytes: min(args.MaxBodyBytes, maxRelayedBytes), Hold: hold,
 	})
 	reply.Ended = endOf(response, err)
 	reply.Took = time.Since(received)
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -229,6 +229,11 @@
 		Host: request.Host, Header: request.Header, Body: request.Body, Caller: request.Caller, Remaining: remaining(rt, request, a), Expected: a.expected,
 		MaxBodyBytes: r.config.MaxResponseBytes,
 	})
+	if response != nil {
+		if memoryErr := r.memory.Keep(request.Hold, response.Body); memoryErr != nil {
+			response, err = nil, &upstreamconn.RequestError{Err: memoryErr, Sent: true}
+		}
+	}
 	r.mu.Lock()
 	r.counts.Relayed++
 	r.mu.Unlock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/registry"
 	"github.com/wisteriamux/wisteriamux/internal/relay"
 	"github.com/wisteriamux/wisteriamux/internal/replica"
+	"github.com/wisteriamux/wisteriamux/internal/responsemem"
 	"github.com/wisteriamux/wisteriamux/internal/route"
 	"github.com/wisteriamux/wisteriamux/internal/suspect"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
@@ -63,7 +64,7 @@
 	log     *slog.Logger
 	builder *viewBuilder
 	// memory is shared by all responses that this VM reads from upstreams.
-	memory *upstreamconn.Memory
+	memory *responsemem.Memory
 	// peers are the entry VMs that act as relays, nil if relaying is disabled on this VM.
 	peers *relay.Peers
 	view  atomic.Pointer[View]
@@ -152,7 +153,7 @@
 	if config.DialUpstream == nil {
 		config.DialUpstream = upstreamconn.DialTCP
 	}
-	memory := upstreamconn.NewMemory(cmp.Or(config.ResponseMemoryBytes, upstreamconn.DefaultMemoryBytes))
+	memory := responsemem.New(cmp.Or(config.ResponseMemoryBytes, responsemem.DefaultBytes))
 	r := &Router{
 		config: config, control: control, log: log, memory: memory,
 		builder: &viewBuilder{domain: config.FailureDomain, dialer: config.DialUpstream, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -10,6 +10,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/registry"
 	"github.com/wisteriamux/wisteriamux/internal/replica"
+	"github.com/wisteriamux/wisteriamux/internal/responsemem"
 	"github.com/wisteriamux/wisteriamux/internal/route"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
@@ -75,7 +76,7 @@
 	// dialled is called after each attempt to connect to an upstream, unless that was cancelled.
 	dialled   func(err error)
 	codec     upstreamconn.Codec
-	memory    *upstreamconn.Memory
+	memory    *responsemem.Memory
 	upstreams map[string]*upstream
 	routes    *route.Index
 	watchers  int
--- a/internal/upstreamconn/limits_test.go
+++ b/internal/upstreamconn/limits_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/responsemem"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
 
@@ -60,7 +61,7 @@
 var _ = Describe("a response without end", func() {
 	DescribeTable("is given up at once, and its connection is closed so that the upstream stops", func(prefix, chunk string) {
 		e := serveEndless(prefix, chunk)
-		pool := upstreamconn.NewPool(e.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(1<<20))
+		pool := upstreamconn.NewPool(e.address, upstreamconn.DialTCP, codec{}, responsemem.New(1<<20))
 		begin := time.Now()
 		_, err := doLimited(pool)
 		var requestErr *upstreamconn.RequestError
@@ -88,7 +89,7 @@
 
 	It("has an error code of its own if a limit is exceeded", func() {
 		for _, prefix := range []string{"HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\n\r\n"} {
-			_, err := doLimited(upstreamconn.NewPool(serveEndless(prefix, "x").address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(1<<20)))
+			_, err := doLimited(upstreamconn.NewPool(serveEndless(prefix, "x").address, upstreamconn.DialTCP, codec{}, responsemem.New(1<<20)))
 			Expect(fault.CodeOf(err)).To(Equal(fault.ResponseTooLarge), "%v", err)
 		}
 	})
@@ -104,7 +105,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 		defer cancel()
 		begin := time.Now()
-		_, err := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(1<<20)).Do(ctx, &upstreamconn.Request{ID: "1", Method: http.MethodGet, Target: "/"})
+		_, err := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, responsemem.New(1<<20)).Do(ctx, &upstreamconn.Request{ID: "1", Method: http.MethodGet, Target: "/"})
 		Expect(err).To(HaveOccurred())
 		Expect(time.Since(begin)).To(BeNumerically("<", time.Second))
 	})
@@ -116,7 +117,7 @@
 	}
 
 	It("is shared by the pools of a VM, released after each response, and not needed for small ones", func() {
-		memory := upstreamconn.NewMemory(300 << 10)
+		memory := responsemem.New(300 << 10)
 		large, small := respond(strings.Repeat("x", 100<<10)), respond("small")
 		largePool := upstreamconn.NewPool(large.address, upstreamconn.DialTCP, codec{}, memory)
 		for range 10 {
@@ -135,7 +136,7 @@
 	})
 
 	It("does not exceed its size while many upstreams send without end", func() {
-		memory := upstreamconn.NewMemory(1 << 20)
+		memory := responsemem.New(1 << 20)
 		errs := make(chan error, 20)
 		for range cap(errs) {
 			e := serveEndless("HTTP/1.1 200 OK\r\n\r\n", "x")
--- a/internal/upstreamconn/truncated_test.go
+++ b/internal/upstreamconn/truncated_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/wisteriamux/wisteriamux/internal/responsemem"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
 
@@ -46,7 +47,7 @@
 					untilEnd := (strings.Contains(name, "end of the connection") || name == "HTTP/1.0") && !reset
 					for n := range len(whole) {
 						cut.Store(int64(n))
-						pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(upstreamconn.DefaultMemoryBytes))
+						pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, responsemem.New(responsemem.DefaultBytes))
 						if kept {
 							_, err := get(pool, "0")
 							Expect(err).NotTo(HaveOccurred())
--- a/internal/upstreamconn/upstreamconn.go
+++ b/internal/upstreamconn/upstreamconn.go
@@ -19,6 +19,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/notice"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
+	"github.com/wisteriamux/wisteriamux/internal/responsemem"
 )
 
 const (
@@ -64,6 +65,8 @@
 	Instance string
 	// MaxBodyBytes limits the body of the response; 0 means DefaultMaxBodyBytes.
 	MaxBodyBytes int64
+	// Hold keeps the memory of the response until it is released; nil if the response is used only for a moment.
+	Hold *responsemem.Hold
 }
 
 // Response is a complete response from an upstream.
@@ -108,6 +111,9 @@
 	return &RequestError{Err: err, Sent: sent, Unreachable: unreachable, Closed: sent && closedByPeer(err)}
 }
 
+// sentError returns the error of a response that was given up because of a limit.
+func sentError(err error) *RequestError { return &RequestError{Err: err, Sent: true} }
+
 // closedByPeer reports whether the error means that the other side has closed or reset the connection.
 func closedByPeer(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
@@ -136,7 +142,7 @@
 	address string
 	dialer  Dialer
 	codec   Codec
-	memory  *Memory
+	memory  *responsemem.Memory
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -145,7 +151,7 @@
 }
 
 // NewPool returns an empty pool. The memory is shared by all pools of a VM.
-func NewPool(address string, dialer Dialer, codec Codec, memory *Memory) *Pool {
+func NewPool(address string, dialer Dialer, codec Codec, memory *responsemem.Memory) *Pool {
 	return &Pool{address: address, dialer: dialer, codec: codec, memory: memory}
 }
 
@@ -349,16 +355,19 @@
 	c.bounded.unbound()
 	switch {
 	case errors.Is(err, errHeadTooLarge):
-		return nil, false, p.memory.tooLarge("response header exceeds the limit of %d bytes", maxHeadBytes)
+		return nil, false, sentError(p.memory.TooLarge("response header exceeds the limit of %d bytes", maxHeadBytes))
 	case err != nil:
 		return nil, false, newRequestError(true, false, "read", "response header: %w", err)
 	case httpResponse.StatusCode < http.StatusOK:
 		return nil, false, newRequestError(true, false, "read", "unexpected interim status %d", httpResponse.StatusCode)
 	}
-	reader := &bodyReader{memory: p.memory, limit: cmp.Or(request.MaxBodyBytes, DefaultMaxBodyBytes)}
-	body, err := reader.read(httpResponse)
-	if err != nil {
-		return nil, false, err
+	limit := cmp.Or(request.MaxBodyBytes, DefaultMaxBodyBytes)
+	body, err := p.memory.ReadBody(httpResponse.Body, httpResponse.ContentLength, limit, request.Hold)
+	switch {
+	case fault.Is(err, fault.ResponseTooLarge):
+		return nil, false, sentError(err)
+	case err != nil:
+		return nil, false, newRequestError(true, false, "read", "response body: %w", err)
 	}
 	response = &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body}
 	p.codec.DecodeHeader(response)
--- a/internal/upstreamconn/upstreamconn_test.go
+++ b/internal/upstreamconn/upstreamconn_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/wisteriamux/wisteriamux/internal/responsemem"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
 
@@ -86,7 +87,7 @@
 var _ = Describe("a pool", func() {
 	It("reuses a connection", func() {
 		u := serve(func(conn net.Conn, r *http.Request) { writeResponse(conn, r.Header.Get("Id"), "x") })
-		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(upstreamconn.DefaultMemoryBytes))
+		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, responsemem.New(responsemem.DefaultBytes))
 		for i := range 5 {
 			got, err := get(pool, fmt.Sprint(i))
 			Expect(err).NotTo(HaveOccurred())
@@ -100,7 +101,7 @@
 			writeResponse(conn, "earlier", "wrong")
 			writeResponse(conn, r.Header.Get("Id"), "right")
 		})
-		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(upstreamconn.DefaultMemoryBytes))
+		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, responsemem.New(responsemem.DefaultBytes))
 		got, err := get(pool, "1")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(got.Body).To(BeEquivalentTo("right"))
@@ -113,7 +114,7 @@
 			time.Sleep(20 * time.Millisecond)
 			writeResponse(conn, r.Header.Get("Id"), "again")
 		})
-		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(upstreamconn.DefaultMemoryBytes))
+		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, responsemem.New(responsemem.DefaultBytes))
 		_, err := get(pool, "1")
 		Expect(err).NotTo(HaveOccurred())
 		time.Sleep(60 * time.Millisecond)
@@ -128,7 +129,7 @@
 			writeResponse(conn, r.Header.Get("Id"), "x")
 			_ = conn.Close()
 		})
-		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(upstreamconn.DefaultMemoryBytes))
+		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, responsemem.New(responsemem.DefaultBytes))
 		for i := range 3 {
 			_, err := get(pool, fmt.Sprint(i))
 			Expect(err).NotTo(HaveOccurred())
@@ -146,7 +147,7 @@
 			}
 			_ = conn.Close()
 		})
-		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(upstreamconn.DefaultMemoryBytes))
+		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, responsemem.New(responsemem.DefaultBytes))
 		got, err := get(pool, "1")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(got.Body).To(BeEquivalentTo("part"))
@@ -162,13 +163,13 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort")
 			_ = conn.Close()
 		})
-		_, err := get(upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(upstreamconn.DefaultMemoryBytes)), "1")
+		_, err := get(upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, responsemem.New(responsemem.DefaultBytes)), "1")
 		Expect(err).To(HaveOccurred())
 	})
 
 	It("rejects data that is not an HTTP response", func() {
 		u := serve(func(conn net.Conn, _ *http.Request) { _, _ = io.WriteString(conn, "garbage\r\n\r\n") })
-		_, err := get(upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(upstreamconn.DefaultMemoryBytes)), "1")
+		_, err := get(upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, responsemem.New(responsemem.DefaultBytes)), "1")
 		Expect(err).To(HaveOccurred())
 	})
 
@@ -187,7 +188,7 @@
 			time.Sleep(time.Second)
 			_ = conn.Close()
 		}()
-		pool := upstreamconn.NewPool(listener.Addr().String(), upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(upstreamconn.DefaultMemoryBytes))
+		pool := upstreamconn.NewPool(listener.Addr().String(), upstreamconn.DialTCP, codec{}, responsemem.New(responsemem.DefaultBytes))
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
 		request := &upstreamconn.Request{ID: "1", Method: http.MethodPost, Target: "/", Body: []byte(strings.Repeat("x", 32<<20))}
@@ -201,7 +202,7 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(listener.Close()).To(Succeed())
-		_, err = get(upstreamconn.NewPool(listener.Addr().String(), upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(upstreamconn.DefaultMemoryBytes)), "1")
+		_, err = get(upstreamconn.NewPool(listener.Addr().String(), upstreamconn.DialTCP, codec{}, responsemem.New(responsemem.DefaultBytes)), "1")
 		var requestErr *upstreamconn.RequestError
 		Expect(errors.As(err, &requestErr)).To(BeTrue())
 		Expect(requestErr.Unreachable).To(BeTrue())
@@ -214,7 +215,7 @@
 			_, _ = conn.Read(make([]byte, 1))
 			close(closed)
 		})
-		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(upstreamconn.DefaultMemoryBytes))
+		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, responsemem.New(responsemem.DefaultBytes))
 		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 		defer cancel()
 		_, err := pool.Do(ctx, &upstreamconn.Request{ID: "1", Method: http.MethodGet, Target: "/"})
@@ -229,7 +230,7 @@
 			requests.Add(1)
 			writeResponse(conn, request.Header.Get("Id"), "x")
 		})
-		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(upstreamconn.DefaultMemoryBytes))
+		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, responsemem.New(responsemem.DefaultBytes))
 		_, err := get(pool, "1")
 		Expect(err).NotTo(HaveOccurred())
 		ctx, cancel := context.WithCancel(context.Background())
@@ -248,7 +249,7 @@
 		u := serve(func(conn net.Conn, r *http.Request) {
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nKeep: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
 		})
-		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, upstreamconn.NewMemory(upstreamconn.DefaultMemoryBytes))
+		pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, responsemem.New(responsemem.DefaultBytes))
 		_, err := get(pool, "1")
 		Expect(err).NotTo(HaveOccurred())
 		pool.SweepIdleConnections(time.Now())
