Bound the memory of all responses in wmux-entry together

Callers of a VM would lose all their requests there: wmux-entry read up to 8 MiB of each upstream's response, with buffers of more than twice that, whatever number of upstreams sent without end at once.

The clients of upstreams now share internal/responsemem, response_memory_kb in the settings (16 MiB by default). A booking's response is read up to the 64 KiB that it may have, instead of 8 MiB. Codes are as before: upstream_failed, for a booking outcome_unknown. Ruled out: a smaller limit for each response, since complete ones are of that size.

--- a/cmd/wmux-entry/main.go
+++ b/cmd/wmux-entry/main.go
@@ -100,6 +100,8 @@
 		Ownership:     entry.Ownership(loaded.Ownership),
 		Balance:       balance.Policy(loaded.Balance),
 		Hedging:       loaded.Hedging,
+
+		ResponseMemoryBytes: loaded.ResponseMemoryKB << 10,
 	}
 	server := entry.New(config, control, loaded.RPCAddress, transport.Dialer(dial, security.RoleEntry), log)
 	log.Info("started", "caller_address", loaded.CallerAddress, "rpc_address", loaded.RPCAddress)
--- a/internal/entry/announce_test.go
+++ b/internal/entry/announce_test.go
@@ -19,6 +19,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
+	"github.com/wisteriamux/wisteriamux/internal/responsemem"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
 )
 
@@ -187,7 +188,7 @@
 		upstream := startUpstream(control, "u1", "clerk", 8)
 		upstream.crashOn = "poison"
 		v := startVM(control, "entry-1", nil)
-		target := upstreamapi.NewClient(upstream.Listener.Addr().String(), 20, 8, upstreamapi.NewRateLimiter("u", slog.New(slog.DiscardHandler)))
+		target := upstreamapi.NewClient(upstream.Listener.Addr().String(), 20, 8, upstreamapi.NewRateLimiter("u", slog.New(slog.DiscardHandler)), responsemem.New(responsemem.DefaultBytes))
 		var group sync.WaitGroup
 		var refused, failed atomic.Int64
 		for i := range 300 {
--- a/internal/entry/bookowner.go
+++ b/internal/entry/bookowner.go
@@ -10,6 +10,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/membership"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
+	"github.com/wisteriamux/wisteriamux/internal/responsemem"
 	"github.com/wisteriamux/wisteriamux/internal/trace"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
 )
@@ -40,6 +41,7 @@
 	session  *membership.Session
 	guard    *crashGuard
 	recorder *trace.Recorder
+	memory   *responsemem.Memory
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -53,9 +55,9 @@
 	totalAccepted int
 }
 
-func newBookingOwner(session *membership.Session, guard *crashGuard, recorder *trace.Recorder) *bookingOwner {
+func newBookingOwner(session *membership.Session, guard *crashGuard, memory *responsemem.Memory, recorder *trace.Recorder) *bookingOwner {
 	return &bookingOwner{
-		session: session, guard: guard, recorder: recorder,
+		session: session, guard: guard, memory: memory, recorder: recorder,
 		table: booking.NewTable(booking.DefaultLimits()), changed: make(chan struct{}),
 		pools: map[string]*bookingPool{}, accepted: map[string]int{},
 	}
@@ -227,7 +229,7 @@
 	} else {
 		created.limiter = upstreamapi.NewRateLimiter(upstream.Name, o.guard.log)
 	}
-	created.client = upstreamapi.NewClient(upstream.Address, upstream.Connections, upstream.Slots, created.limiter)
+	created.client = upstreamapi.NewClient(upstream.Address, upstream.Connections, upstream.Slots, created.limiter, o.memory)
 	o.pools[upstream.Name] = created
 	return created, nil
 }
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -13,6 +13,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/membership"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
+	"github.com/wisteriamux/wisteriamux/internal/responsemem"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
 )
 
@@ -67,14 +68,15 @@
 	session *membership.Session
 	guard   *crashGuard
 	direct  bool
+	memory  *responsemem.Memory
 
 	// mu guards pools.
 	mu    sync.Mutex
 	pools map[string]*pool
 }
 
-func newOwner(session *membership.Session, guard *crashGuard, direct bool) *owner {
-	return &owner{session: session, guard: guard, direct: direct, pools: map[string]*pool{}}
+func newOwner(session *membership.Session, guard *crashGuard, memory *responsemem.Memory, direct bool) *owner {
+	return &owner{session: session, guard: guard, direct: direct, memory: memory, pools: map[string]*pool{}}
 }
 
 // run calls syncPools at each interval until the context ends.
@@ -127,13 +129,13 @@
 		p = &pool{name: upstream.Name, queue: admission.NewQueue[*job](upstream.Slots, admission.EqualWeight), started: map[*job]time.Time{}}
 		o.pools[upstream.Name] = p
 	}
-	p.applyAnnouncement(upstream, o.guard.log)
+	p.applyAnnouncement(upstream, o.memory, o.guard.log)
 	return p
 }
 
 // applyAnnouncement replaces the client and resizes the slots after a changed announcement. Requests in flight keep
 // their slots and connections.
-func (p *pool) applyAnnouncement(upstream model.Upstream, log *slog.Logger) {
+func (p *pool) applyAnnouncement(upstream model.Upstream, memory *responsemem.Memory, log *slog.Logger) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.client != nil && p.upstream.Announcement == upstream.Announcement {
@@ -145,7 +147,7 @@
 	if p.limiter == nil || p.upstream.Instance != upstream.Instance {
 		p.limiter = upstreamapi.NewRateLimiter(upstream.Name, log)
 	}
-	p.client = upstreamapi.NewClient(upstream.Address, upstream.Connections, upstream.Slots, p.limiter)
+	p.client = upstreamapi.NewClient(upstream.Address, upstream.Connections, upstream.Slots, p.limiter, memory)
 	p.queue.Resize(upstream.Slots)
 	p.upstream = upstream
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -21,6 +22,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/membership"
 	"github.com/wisteriamux/wisteriamux/internal/model"
 	"github.com/wisteriamux/wisteriamux/internal/ownerrpc"
+	"github.com/wisteriamux/wisteriamux/internal/responsemem"
 	"github.com/wisteriamux/wisteriamux/internal/rpcconn"
 	"github.com/wisteriamux/wisteriamux/internal/telemetry"
 	"github.com/wisteriamux/wisteriamux/internal/trace"
@@ -64,6 +66,9 @@
 	Ownership Ownership
 	Balance   balance.Policy
 	Hedging   bool
+	// ResponseMemoryBytes limits the memory of all responses of upstreams above 64 KiB that are being read; 0 means the
+	// default of 16 MiB.
+	ResponseMemoryBytes int64
 	// BodyTimeout limits the time to read a request body; 0 means the default of 5 s.
 	BodyTimeout time.Duration
 	// Metrics holds the metric instruments; nil disables metrics.
@@ -115,7 +120,8 @@
 	member := model.Member{ID: config.ID, RPCAddress: rpcAddress, FailureDomain: config.FailureDomain}
 	session := membership.New(control, member, clock, log)
 	guard := newCrashGuard(session, control, config.Recorder, log)
-	owner := newOwner(session, guard, config.Ownership == OwnershipDirect)
+	memory := responsemem.New(cmp.Or(config.ResponseMemoryBytes, responsemem.DefaultBytes))
+	owner := newOwner(session, guard, memory, config.Ownership == OwnershipDirect)
 	searchPolicy := newSearchPolicy(config.Balance, config.Hedging, owner.ownsNow)
 	server := &Server{
 		config:       config,
@@ -129,7 +135,7 @@
 		log:          log,
 		peerConns:    map[net.Conn]struct{}{},
 	}
-	bookingOwner := newBookingOwner(session, server.guard, config.Recorder)
+	bookingOwner := newBookingOwner(session, server.guard, memory, config.Recorder)
 	server.bookings = newBookings(session, control, bookingOwner, server.guard, server.ownerClient, config.Recorder)
 	server.renewals = newRenewals(session, control, server.ownerClient, server.inFlightAt, log)
 	server.objectives = newObjectives(config.Metrics, session, server.inFlightAt)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,8 @@
 	Ownership string `toml:"ownership" validate:"oneof=owner direct"`
 	Balance   string `toml:"balance" validate:"oneof=observed random least-outstanding"`
 	Hedging   bool   `toml:"hedging"`
+	// ResponseMemoryKB limits the memory of all responses of upstreams above 64 KB that are being read at the same time, in KB.
+	ResponseMemoryKB int64 `toml:"response_memory_kb" validate:"min=1,max=16777216"`
 	// TraceFile is the file that records the events of the I/O-free packages for wmux-replay. If empty, none is written.
 	TraceFile string `toml:"trace_file"`
 	// TLS secures the connections to control members and other entry VMs. If absent, TLS is off.
@@ -160,7 +162,7 @@
 
 // LoadEntry reads the settings of wmux-entry.
 func LoadEntry(path string) (Entry, error) {
-	loaded := Entry{LameDuckMillis: 2_000, DrainMillis: 30_000, Ownership: "owner", Balance: "observed", Hedging: true}
+	loaded := Entry{LameDuckMillis: 2_000, DrainMillis: 30_000, Ownership: "owner", Balance: "observed", Hedging: true, ResponseMemoryKB: 16 << 10}
 	err := load(path, &loaded)
 	return loaded, err
 }
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/responsemem"
 	"github.com/wisteriamux/wisteriamux/internal/standin"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
 )
@@ -74,7 +75,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r := &testUpstream{
 		upstream: standin.New(config, slog.New(slog.NewTextHandler(io.Discard, nil))),
-		client:   upstreamapi.NewClient(listener.Addr().String(), 100, 100, upstreamapi.NewRateLimiter("u", slog.New(slog.DiscardHandler))),
+		client:   upstreamapi.NewClient(listener.Addr().String(), 100, 100, upstreamapi.NewRateLimiter("u", slog.New(slog.DiscardHandler)), responsemem.New(responsemem.DefaultBytes)),
 		base:     "http://" + listener.Addr().String(),
 		stop:     stop,
 		ended:    make(chan error, 1),
--- a/internal/upstreamapi/client.go
+++ b/internal/upstreamapi/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/model"
+	"github.com/wisteriamux/wisteriamux/internal/responsemem"
 )
 
 const (
@@ -47,13 +48,14 @@
 	dedicated *http.Transport
 	sparePool *sparePool
 	limiter   *RateLimiter
+	memory    *responsemem.Memory
 }
 
 // NewClient returns a client of the upstream at the address. It divides the given number of connections among spare
 // connections, dedicated connections, of which each request with DedicatedConn uses one and occupies one slot, and
 // pooled connections. Together they never exceed that number. The limiter outlives a client whose upstream process has
-// only changed its announcement.
-func NewClient(address string, connections, slots int, limiter *RateLimiter) *Client {
+// only changed its announcement. The memory is shared by all clients of a VM.
+func NewClient(address string, connections, slots int, limiter *RateLimiter, memory *responsemem.Memory) *Client {
 	spareCount := min(maxSpareConns, max(0, connections-slots))
 	dedicated := min(slots, max(1, (connections-spareCount)/2))
 	sparePool := newSparePool(address, spareCount)
@@ -64,6 +66,7 @@
 		dedicated: newTransport(dialer.DialContext, dedicated, true),
 		sparePool: sparePool,
 		limiter:   limiter,
+		memory:    memory,
 	}
 }
 
@@ -102,7 +105,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
-	data, err := c.post(ctx, PathSearch, call, body, nil)
+	data, err := c.post(ctx, PathSearch, call, body, nil, MaxResponseBytes)
 	if err != nil {
 		return SearchResponse{}, err
 	}
@@ -130,10 +133,7 @@
 	header.Set(HeaderBookingKey, key)
 	header.Set(HeaderAttempt, strconv.FormatUint(attempt, 10))
 	call.DedicatedConn = true
-	data, err := c.post(ctx, PathBook, call, payload, header)
-	if err == nil && len(data) > MaxBookingResponseBytes {
-		err = fault.New(fault.UpstreamFailed, "upstream.book", "response exceeds %d bytes", MaxBookingResponseBytes)
-	}
+	data, err := c.post(ctx, PathBook, call, payload, header, MaxBookingResponseBytes)
 	if err == nil || fault.Is(err, fault.NotRun) {
 		return data, err
 	}
@@ -156,8 +156,9 @@
 	return false
 }
 
-// post sends a request and returns the body of the response. A status other than 200 is an error.
-func (c *Client) post(ctx context.Context, path string, call Call, body []byte, header http.Header) ([]byte, error) {
+// post sends a request and returns the body of the response, which has at most limit bytes. A status other than 200 is an
+// error.
+func (c *Client) post(ctx context.Context, path string, call Call, body []byte, header http.Header, limit int64) ([]byte, error) {
 	if err := c.limiter.take(time.Now()); err != nil {
 		return nil, err
 	}
@@ -181,13 +182,13 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	c.limiter.observe(time.Now(), response.Header)
-	data, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes+1))
-	if err != nil {
+	data, err := c.memory.ReadBody(response.Body, response.ContentLength, limit, nil)
+	switch {
+	case fault.Is(err, fault.ResponseTooLarge):
+		return nil, fault.New(fault.UpstreamFailed, "upstream.post", "%w", err)
+	case err != nil:
 		return nil, transportError(ctx, err, false)
 	}
-	if len(data) > MaxResponseBytes {
-		return nil, fault.New(fault.UpstreamFailed, "upstream.post", "response exceeds %d bytes", MaxResponseBytes)
-	}
 	return data, statusError(response, data)
 }
 
--- a/internal/upstreamapi/ratelimit_test.go
+++ b/internal/upstreamapi/ratelimit_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
+	"github.com/wisteriamux/wisteriamux/internal/responsemem"
 	"github.com/wisteriamux/wisteriamux/internal/upstreamapi"
 )
 
@@ -40,7 +41,7 @@
 			_, _ = w.Write([]byte("{}"))
 		}))
 		DeferCleanup(server.Close)
-		client = upstreamapi.NewClient(strings.TrimPrefix(server.URL, "http://"), 8, 2, upstreamapi.NewRateLimiter("u", slog.New(slog.DiscardHandler)))
+		client = upstreamapi.NewClient(strings.TrimPrefix(server.URL, "http://"), 8, 2, upstreamapi.NewRateLimiter("u", slog.New(slog.DiscardHandler)), responsemem.New(responsemem.DefaultBytes))
 		DeferCleanup(client.Close)
 	})
 
