--- a/cmd/wmuxctl/control.go
+++ b/cmd/wmuxctl/control.go
@@ -1,9 +1,14 @@
 package main
 
 import (
+	"fmt"
+	"io"
+	"slices"
+
 	"github.com/spf13/cobra"
 
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/formation"
 )
 
 func controlCommand(opts *options) *cobra.Command {
@@ -34,12 +39,31 @@
 				if err != nil {
 					return err
 				}
-				return opts.printTable(members, groupHeader, groupRows(members))
+				return opts.print(members, func(w io.Writer) {
+					writeTable(w, groupHeader, groupRows(members))
+					_, _ = fmt.Fprintln(w, describeTolerance(formation.Tolerated(members)))
+				})
 			})
 		},
 	}
 }
 
+// describeTolerance says how many losses the group tolerates.
+func describeTolerance(losses int) string {
+	if losses < 0 {
+		return "the group has no quorum"
+	}
+	return fmt.Sprintf("the group can lose %d more members", losses)
+}
+
+// warnOfRemoval warns if the group tolerates fewer losses without the member.
+func warnOfRemoval(cmd *cobra.Command, members []controlrpc.GroupMember, nameOrID string) {
+	rest := slices.DeleteFunc(slices.Clone(members), func(m controlrpc.GroupMember) bool { return m.Name == nameOrID || m.ID == nameOrID })
+	if after := formation.Tolerated(rest); after < formation.Tolerated(members) {
+		cmd.PrintErrf("warning: after the removal of %s, %s\n", nameOrID, describeTolerance(after))
+	}
+}
+
 // groupChange is the JSON form of a change of the control group.
 type groupChange struct {
 	Added   string `json:"added,omitempty"`
@@ -70,13 +94,19 @@
 
 func controlRemoveCommand(opts *options) *cobra.Command {
 	return &cobra.Command{
-		Use:     "remove NAME|IDENTITY",
-		Short:   "Remove a control member by its name or by the identity of its data directory",
-		Long:    "Remove a control member. The leader cannot remove itself: transfer leadership first.",
+		Use:   "remove NAME|IDENTITY",
+		Short: "Remove a control member by its name or by the identity of its data directory",
+		Long: "Remove a control member. The leader cannot remove itself: transfer leadership first. A removal after which the\n" +
+			"group tolerates fewer losses is made with a warning.",
 		Example: "  wmuxctl control remove control-2",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return opts.withControl(cmd, func(s session) error {
+				members, err := s.GroupMembers(s.ctx)
+				if err != nil {
+					return err
+				}
+				warnOfRemoval(cmd, members, args[0])
 				if err := s.GroupRemove(s.ctx, controlrpc.GroupRemoveArgs{Member: args[0]}); err != nil {
 					return err
 				}
--- a/test/processes/control_test.go
+++ b/test/processes/control_test.go
@@ -142,6 +142,19 @@
 		Expect(g.view().Config.Version).To(BeEquivalentTo(7))
 	})
 
+	// Guards against planned work that takes the last member that the group can lose, unnoticed.
+	It("show how many members they can lose, and warn before a removal that lowers the number", func() {
+		g := startGroup()
+		output, exitCode := g.wmuxctl("control", "members")
+		Expect(exitCode).To(BeZero(), output)
+		Expect(output).To(ContainSubstring("the group can lose 1 more members"))
+		g.wmuxctlJSON(&[]map[string]any{}, "control", "members")
+		removed := g.others(g.leader())[0]
+		output, exitCode = g.wmuxctl("control", "remove", removed.name)
+		Expect(exitCode).To(BeZero(), output)
+		Expect(output).To(ContainSubstring("warning: after the removal of " + removed.name + ", the group can lose 0 more members"))
+	})
+
 	It("report the kind of an error by the exit code of wmuxctl", func() {
 		g := startGroup()
 		_, exitCode := g.wmuxctl("drain", "upstream", "missing")
