Choose the upstream of each attempt from the newest view

Callers got 502 although sound upstreams had room: a request that was sent again went to an upstream that had been acknowledged as draining more than 3 s before, and was lost when that ended.

Cause: forwarded requests and searches kept the view in force when they came and chose each later attempt from it. Ruled out: that the VMs did not know of the drain; new requests avoid these upstreams. Now each attempt is chosen from the newest view, on every path: first attempts, retries, hedges, second choices of a search, direct and through relays. The arrival fixes only the route, services and shards.

--- a/internal/formation/replace_test.go
+++ b/internal/formation/replace_test.go
@@ -181,7 +181,7 @@
 		Entry("in which each new member votes at once and a silent one is removed after 7 s", mutant{everyMemberVotes: true, keepsVoteAtStop: true}),
 		Entry("in which a member that stops keeps its vote", mutant{keepsVoteAtStop: true}),
 		Entry("in which silent voters are not replaced", mutant{ignoresSilence: true}),
-		Entry("in which a VM with an empty disk keeps its identity", mutant{forgetsDisk: true}),
+		Entry("in which a VM with an empty disk keeps its identity", mutant{keepsIdentity: true}),
 	)
 
 	It("is deterministic, so that a seed that failed can be played again", func() {
--- a/internal/formation/sim_test.go
+++ b/internal/formation/sim_test.go
@@ -35,8 +35,8 @@
 	everyMemberVotes bool
 	keepsVoteAtStop  bool
 	ignoresSilence   bool
-	// forgetsDisk lets a VM whose disk was lost return under its old ID.
-	forgetsDisk bool
+	// keepsIdentity lets a VM whose disk was lost return under its old ID.
+	keepsIdentity bool
 }
 
 // simVM is a VM of the simulated group.
@@ -150,7 +150,7 @@
 // wipe empties the disk of a stopped VM, which returns under a new ID.
 func (g *simGroup) wipe(vm *simVM) {
 	vm.state, vm.entries = raft.HardState{}, nil
-	if !g.mutant.forgetsDisk {
+	if !g.mutant.keepsIdentity {
 		vm.id = g.nextID
 		g.nextID++
 	}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -46,10 +46,13 @@
 
 // chooseUpstream selects an upstream of the service that has not been tried yet, is not at its rate limit and still has its
 // address, and records the attempt. It returns nil if there is none or if the budget has no token for an extra attempt.
-func (r *Router) chooseUpstream(view *View, rt *route.Route, service string, tried []*upstream, kind attemptKind) *attempt {
+//
+// The choice is made from the newest view: upstreams may have begun to drain, or have been replaced, since the request came.
+func (r *Router) chooseUpstream(rt *route.Route, service string, tried []*upstream, kind attemptKind) *attempt {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	view := r.View()
 	candidates := view.candidates[service]
 	index := r.tracker.Choose(now, candidates, func(id string) bool { return wasTried(tried, id) || r.unavailable(view.byID[id], now, false) })
 	if index < 0 && !r.notices.Empty() {
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -85,7 +85,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		request := &Request{Request: upstreamconn.Request{ID: "1", Method: "GET", Target: "/x"}, Received: time.Now(), Limit: time.Second}
-		g, err := r.Search(context.Background(), r.View(), rt, request)
+		g, err := r.Search(context.Background(), rt, request)
 		if err != nil || len(g.Stamps) != benchShards {
 			b.Fatal(err, g)
 		}
--- a/internal/router/budget_test.go
+++ b/internal/router/budget_test.go
@@ -38,8 +38,8 @@
 	spend := func(r *Router, count int) int {
 		granted := 0
 		for range count {
-			Expect(r.chooseUpstream(r.View(), rt, "s", nil, firstAttempt)).NotTo(BeNil())
-			if r.chooseUpstream(r.View(), rt, "s", nil, extraAttempt) != nil {
+			Expect(r.chooseUpstream(rt, "s", nil, firstAttempt)).NotTo(BeNil())
+			if r.chooseUpstream(rt, "s", nil, extraAttempt) != nil {
 				granted++
 			}
 		}
--- a/internal/router/crash_shared_test.go
+++ b/internal/router/crash_shared_test.go
@@ -82,14 +82,14 @@
 
 func forwardRequest(rt *route.Route) func(*relayVM, *Request) error {
 	return func(vm *relayVM, request *Request) error {
-		_, err := vm.router.Forward(context.Background(), vm.router.View(), rt, request)
+		_, err := vm.router.Forward(context.Background(), rt, request)
 		return err
 	}
 }
 
 func searchRequest(rt *route.Route) func(*relayVM, *Request) error {
 	return func(vm *relayVM, request *Request) error {
-		_, err := vm.router.Search(context.Background(), vm.router.View(), rt, request)
+		_, err := vm.router.Search(context.Background(), rt, request)
 		return err
 	}
 }
--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -336,7 +336,7 @@
 var _ = Describe("a request under which upstreams end", Label("slow"), func() {
 	forward := func(rt *route.Route) func(*relayVM, string, string) error {
 		return func(vm *relayVM, id, target string) error {
-			_, err := vm.router.Forward(context.Background(), vm.router.View(), rt, testRequest(rt, id, target))
+			_, err := vm.router.Forward(context.Background(), rt, testRequest(rt, id, target))
 			return err
 		}
 	}
@@ -426,7 +426,7 @@
 // searchWith returns a function that sends a search on the route.
 func searchWith(rt *route.Route) func(*relayVM, string, string) error {
 	return func(vm *relayVM, id, target string) error {
-		_, err := vm.router.Search(context.Background(), vm.router.View(), rt, testRequest(rt, id, target))
+		_, err := vm.router.Search(context.Background(), rt, testRequest(rt, id, target))
 		return err
 	}
 }
@@ -463,7 +463,7 @@
 		}
 		vm.router.adopt(reply)
 		rt := &route.Route{Name: "r", Idempotent: true, Attempts: 1, Timeout: time.Second, Objective: time.Second, Service: "s"}
-		_, err := vm.router.Forward(context.Background(), vm.router.View(), rt, testRequest(rt, "1", "/x"))
+		_, err := vm.router.Forward(context.Background(), rt, testRequest(rt, "1", "/x"))
 		Expect(err).To(HaveOccurred())
 		Eventually(func() int {
 			vm.router.mu.Lock()
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -27,7 +27,6 @@
 // forwardCall is the state of one forwarded request. It is used by a single goroutine.
 type forwardCall struct {
 	router   *Router
-	view     *View
 	route    *route.Route
 	service  string
 	request  *Request
@@ -50,7 +49,7 @@
 // Forward sends the request to one upstream of the route and returns its response. An idempotent request is retried
 // after a failure and hedged when the response is slow. Any other request is retried only if it was never sent or if
 // the upstream stated that it did not run it. An error with code NotRun means that no upstream ran the request.
-func (r *Router) Forward(ctx context.Context, view *View, rt *route.Route, request *Request) (*upstreamconn.Response, error) {
+func (r *Router) Forward(ctx context.Context, rt *route.Route, request *Request) (*upstreamconn.Response, error) {
 	request.fingerprints = fingerprintsOf(&request.Request)
 	suspected, err := r.checkSuspect(request.fingerprints)
 	if err != nil {
@@ -60,7 +59,7 @@
 	defer cancel()
 	_, deadline, _ := r.deadlines(rt, request)
 	f := &forwardCall{
-		router: r, view: view, route: rt, service: r.pickService(rt), request: request, deadline: deadline,
+		router: r, route: rt, service: r.pickService(rt), request: request, deadline: deadline,
 		results: make(chan attemptResult, max(1, rt.Attempts)), suspected: suspected.yes,
 	}
 	f.send(ctx, firstAttempt)
@@ -97,7 +96,7 @@
 	if ctx.Err() != nil || f.attempts >= max(1, f.route.Attempts) || !f.mayTryAgain() {
 		return
 	}
-	a := f.router.chooseUpstream(f.view, f.route, f.service, f.tried, kind)
+	a := f.router.chooseUpstream(f.route, f.service, f.tried, kind)
 	if a == nil {
 		return
 	}
@@ -194,7 +193,7 @@
 func (f *forwardCall) noRoomFor() time.Duration {
 	f.router.mu.Lock()
 	defer f.router.mu.Unlock()
-	return f.router.waitForRoom(f.view, f.service, time.Now())
+	return f.router.waitForRoom(f.service, time.Now())
 }
 
 func (f *forwardCall) outcome() (*upstreamconn.Response, error) {
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -149,12 +149,12 @@
 	}
 
 	search := func(vm *relayVM, ctx context.Context, request *Request) error {
-		_, err := vm.router.Search(ctx, vm.router.View(), searchRoute(services()...), request)
+		_, err := vm.router.Search(ctx, searchRoute(services()...), request)
 		return err
 	}
 	forwarding := &route.Route{Name: "forward", Idempotent: true, Attempts: 2, Timeout: 5 * time.Second, Objective: 60 * time.Millisecond, Service: "s0"}
 	forward := func(vm *relayVM, ctx context.Context, request *Request) error {
-		_, err := vm.router.Forward(ctx, vm.router.View(), forwarding, request)
+		_, err := vm.router.Forward(ctx, forwarding, request)
 		return err
 	}
 	expectEnded := func(workedOn []time.Duration, lastArrival time.Duration) {
--- a/internal/router/notice_test.go
+++ b/internal/router/notice_test.go
@@ -214,7 +214,7 @@
 		rt := &route.Route{Name: "w", Attempts: 1, Timeout: time.Second, Objective: time.Second, Service: "near"}
 		only()
 		learn(near, func() error {
-			_, err := requester.router.Forward(context.Background(), requester.router.View(), rt, testRequest(rt, "1", "/x"))
+			_, err := requester.router.Forward(context.Background(), rt, testRequest(rt, "1", "/x"))
 			return err
 		})
 		everything()
--- a/internal/router/partition_test.go
+++ b/internal/router/partition_test.go
@@ -253,7 +253,7 @@
 			request := &Request{
 				Request: upstreamconn.Request{ID: "1", Method: "POST", Target: "/x", Host: "x", Body: []byte("order")}, Received: time.Now(), Limit: rt.Timeout,
 			}
-			_, err := f.a1.router.Forward(context.Background(), f.a1.router.View(), &rt, request)
+			_, err := f.a1.router.Forward(context.Background(), &rt, request)
 			ran := plainRequests(f) - before
 			Expect(ran).To(BeNumerically("<=", 1))
 			switch {
--- a/internal/router/ratelimit.go
+++ b/internal/router/ratelimit.go
@@ -149,7 +149,7 @@
 
 // refuseLimited returns an error if so many shards are at their rate limit that the search cannot reach its coverage, so
 // that it is refused before any upstream runs it.
-func (r *Router) refuseLimited(view *View, rt *route.Route, now time.Time) error {
+func (r *Router) refuseLimited(rt *route.Route, now time.Time) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.limits.Empty() && r.notices.Empty() {
@@ -157,7 +157,7 @@
 	}
 	waits := make([]time.Duration, len(rt.Shards))
 	for shard, service := range rt.Shards {
-		waits[shard] = r.waitForRoom(view, service, now)
+		waits[shard] = r.waitForRoom(service, now)
 	}
 	slices.Sort(waits)
 	if wait := waits[minShards(len(waits), rt.Coverage)-1]; wait > 0 {
@@ -180,9 +180,9 @@
 
 // waitForRoom returns how long all upstreams of the service stay at their rate limits or want no requests. It is 0 if one of them has room, or
 // if there is none, since that is not a matter of limits. The caller must hold mu.
-func (r *Router) waitForRoom(view *View, service string, now time.Time) time.Duration {
+func (r *Router) waitForRoom(service string, now time.Time) time.Duration {
 	var earliest time.Duration
-	for n, u := range view.byService[service] {
+	for n, u := range r.View().byService[service] {
 		wait := max(0, r.limits.RoomAt(u.process()).Sub(now), r.notices.PausedUntil(u.process()).Sub(now))
 		if n == 0 || wait < earliest {
 			earliest = wait
--- a/internal/router/ratelimit_test.go
+++ b/internal/router/ratelimit_test.go
@@ -259,5 +259,5 @@
 	request := &Request{
 		Request: upstreamconn.Request{ID: "1", Method: "GET", Target: "/x", Host: "x"}, Received: time.Now(), Limit: rt.Timeout,
 	}
-	return vm.router.Forward(context.Background(), vm.router.View(), rt, request)
+	return vm.router.Forward(context.Background(), rt, request)
 }
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -115,7 +115,7 @@
 		return false
 	}
 	elsewhere := r.avoidsOwnLink(a.upstream)
-	direct := a.upstream.candidate.Local && !b.search.view.connectionLimited[a.upstream.instance.Service]
+	direct := a.upstream.candidate.Local && !b.search.router.View().connectionLimited[a.upstream.instance.Service]
 	if !elsewhere && (direct || len(b.search.request.Body) > 0) {
 		return false
 	}
@@ -183,7 +183,7 @@
 		args.Remaining = remaining(s.route, r, a)
 		args.Attempts = append(args.Attempts, relay.Attempt{
 			Number: shard, Instance: a.upstream.instance.ID, Rank: s.route.Rank,
-			Optional: len(s.view.byService[s.route.Shards[shard]])-len(s.tried[shard]) >= minAlternatives,
+			Optional: len(s.router.View().byService[s.route.Shards[shard]])-len(s.tried[shard]) >= minAlternatives,
 		})
 	}
 	s.router.mu.Lock()
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -205,7 +205,7 @@
 		Request:  upstreamconn.Request{ID: "1", Method: "GET", Target: "/x", Host: "x"},
 		Received: time.Now(), Limit: rt.Timeout,
 	}
-	return vm.router.Search(context.Background(), vm.router.View(), rt, request)
+	return vm.router.Search(context.Background(), rt, request)
 }
 
 // connect waits until the VM is connected to a relay in the failure domain.
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -45,7 +45,6 @@
 // search is the state of one search. It is used by a single goroutine.
 type search struct {
 	router   *Router
-	view     *View
 	route    *route.Route
 	request  *Request
 	goal     time.Time
@@ -75,7 +74,7 @@
 
 // Search sends the request to one upstream of each shard and returns the top records. An error with code NotRun means
 // that no upstream ran any part.
-func (r *Router) Search(ctx context.Context, view *View, rt *route.Route, request *Request) (*SearchResult, error) {
+func (r *Router) Search(ctx context.Context, rt *route.Route, request *Request) (*SearchResult, error) {
 	request.fingerprints = fingerprintsOf(&request.Request)
 	suspected, err := r.checkSuspect(request.fingerprints)
 	if err != nil {
@@ -84,7 +83,7 @@
 	if err := r.admit(rt, request); err != nil {
 		return nil, err
 	}
-	if err := r.refuseLimited(view, rt, request.Received); err != nil {
+	if err := r.refuseLimited(rt, request.Received); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -93,7 +92,7 @@
 	shards := len(rt.Shards)
 	attempts := max(1, rt.Attempts)
 	s := &search{
-		router: r, view: view, route: rt, request: request, goal: goal, deadline: deadline, hedgeAfter: hedge,
+		router: r, route: rt, request: request, goal: goal, deadline: deadline, hedgeAfter: hedge,
 		state: gather.New(gather.Config{
 			Shards: shards, MinShards: minShards(shards, rt.Coverage), Attempts: attempts,
 			SoftDeadline: goal, Deadline: deadline, HedgeDelay: hedge,
@@ -151,7 +150,7 @@
 	var unsent []int
 	batches := s.newBatchBuilder(kind)
 	for _, shard := range admitted {
-		a := s.router.chooseUpstream(s.view, s.route, s.route.Shards[shard], s.tried[shard], kind)
+		a := s.router.chooseUpstream(s.route, s.route.Shards[shard], s.tried[shard], kind)
 		if a == nil {
 			s.state.MarkExhausted(shard)
 			unsent = append(unsent, shard)
--- a/internal/router/truncated_test.go
+++ b/internal/router/truncated_test.go
@@ -68,7 +68,7 @@
 	})
 	forward := func(service string) error {
 		rt := &route.Route{Name: "f", Idempotent: true, Attempts: 1, Timeout: time.Second, Objective: time.Second, Service: service}
-		_, err := requester.router.Forward(context.Background(), requester.router.View(), rt, testRequest(rt, "1", "/x"))
+		_, err := requester.router.Forward(context.Background(), rt, testRequest(rt, "1", "/x"))
 		return err
 	}
 	ways := map[string]func() error{
