Add teams, public routes and cold rates to the route table

Cause: a configuration with teams is accepted, but its teams, public routes and the cold rates of its services are dropped. Change: the types that hold them, the error codes for unknown keys and used-up quotas, and the TOML form of cold rates. Keys are held as digests. Nothing reads them yet.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -10,7 +10,7 @@
 // Code classifies an error by what its receiver can do about it, for example whether a retry is safe.
 type Code string
 
-// The error codes. NotRun, OverShare, Overloaded and RateLimited guarantee that no upstream ran the request.
+// The error codes. NotRun, OverShare, Overloaded, RateLimited and OverQuota guarantee that no upstream ran the request.
 const (
 	NotRun Code = "not_run"
 	// OverShare rejects a request of a caller that exceeds its fair share while the system is overloaded.
@@ -18,6 +18,8 @@
 	Overloaded Code = "overloaded"
 	// RateLimited means that the upstreams that could serve the request are at the rate limits that they have named.
 	RateLimited Code = "rate_limited"
+	// OverQuota means that the team of the caller has used up its quota.
+	OverQuota Code = "over_quota"
 	// OutcomeUnknown means that the request may or may not have run.
 	OutcomeUnknown Code = "outcome_unknown"
 	// Incomplete means that too few shards or upstreams answered in time.
@@ -31,6 +33,8 @@
 	RequestTimeout Code = "request_timeout"
 	NotFound       Code = "not_found"
 	Forbidden      Code = "forbidden"
+	// Unauthenticated rejects a request whose key belongs to no team.
+	Unauthenticated Code = "unauthenticated"
 	// UnsupportedMedia and MethodNotAllowed reject a request because of its content type or its method.
 	UnsupportedMedia Code = "unsupported_media"
 	MethodNotAllowed Code = "method_not_allowed"
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -16,6 +16,9 @@
 	Routes   []Route   `cbor:"2,keyasint"`
 	Services []Service `cbor:"3,keyasint"`
 	Limits   Limits    `cbor:"4,keyasint"`
+	// Teams are the teams whose callers may use the routes that are not public. Without any team, every caller may use every
+	// route.
+	Teams []Team `cbor:"5,keyasint,omitempty"`
 }
 
 // Route sends the requests of one host and path prefix to its targets. Exactly one of Service, Split and Shards is set.
@@ -41,6 +44,8 @@
 	Shards   []string `cbor:"11,keyasint,omitempty"`
 	Top      int      `cbor:"12,keyasint,omitempty"`
 	Coverage float64  `cbor:"13,keyasint,omitempty"`
+	// Public routes need no key of a team.
+	Public bool `cbor:"14,keyasint,omitempty"`
 }
 
 // WeightedService is a service with its weight among the services of a route's Split.
@@ -55,6 +60,10 @@
 	HealthPath string `cbor:"2,keyasint,omitempty"`
 	// MaxConnections is the number of connections that each upstream accepts from all entry VMs together.
 	MaxConnections int `cbor:"3,keyasint,omitempty"`
+	// ColdStart is how long an upstream is cold after its start. A cold upstream takes ColdPerSecond requests per second from all
+	// entry VMs together; 0 means no limit.
+	ColdStart     time.Duration `cbor:"4,keyasint,omitempty"`
+	ColdPerSecond float64       `cbor:"5,keyasint,omitempty"`
 }
 
 // Limits restricts the size of callers' requests and how long a connection may take to send a header or stay idle.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -208,6 +208,11 @@
 	Limit    time.Duration
 	// Until is when this VM stops, zero if it does not. The request ends before.
 	Until time.Time
+	// Team is the team of the caller, nil if the route is public or the table has no teams. Key is the digest of its key, and
+	// TableVersion the version of the table that maps the key to the team.
+	Team         *route.Team
+	Key          route.KeyDigest
+	TableVersion uint64
 	// fingerprints are empty until the router has taken the request.
 	fingerprints suspect.Fingerprints
 }
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -44,6 +44,10 @@
 	Name           string `toml:"name" validate:"required,max=128"`
 	HealthPath     string `toml:"health_path,omitempty"`
 	MaxConnections int    `toml:"max_connections" validate:"min=0,max=1000000"`
+	// ColdStartMillis is how long an upstream is cold after its start, in ms. While it is cold, it takes ColdPerSecond requests per
+	// second from all entry VMs together; 0 means no limit.
+	ColdStartMillis int64   `toml:"cold_start_ms,omitempty" validate:"min=0,max=3600000"`
+	ColdPerSecond   float64 `toml:"cold_per_second,omitempty" validate:"min=0,max=1000000"`
 }
 
 // RouteLimits is the TOML form of the limits on callers' requests. 0 selects the router's default.
@@ -82,7 +86,10 @@
 		table.Routes = append(table.Routes, out)
 	}
 	for _, s := range f.Services {
-		table.Services = append(table.Services, route.Service(s))
+		table.Services = append(table.Services, route.Service{
+			Name: s.Name, HealthPath: s.HealthPath, MaxConnections: s.MaxConnections,
+			ColdStart: millis(s.ColdStartMillis), ColdPerSecond: s.ColdPerSecond,
+		})
 	}
 	return table
 }
@@ -107,7 +114,10 @@
 		file.Routes = append(file.Routes, out)
 	}
 	for _, s := range table.Services {
-		file.Services = append(file.Services, RouteService(s))
+		file.Services = append(file.Services, RouteService{
+			Name: s.Name, HealthPath: s.HealthPath, MaxConnections: s.MaxConnections,
+			ColdStartMillis: s.ColdStart.Milliseconds(), ColdPerSecond: s.ColdPerSecond,
+		})
 	}
 	return file
 }
