Treat a status outside 200 to 599 as no response

Cause: net/http parses any three digits as a status. 000 to 199 were failures already; a response with 600 to 999, which a caller cannot understand, was forwarded as the answer of the upstream, directly and through relays. Change: such a response is a failed attempt that may have run, its connection is closed, and a reply with such a status from a relay of an earlier version counts the same. wmux-entry takes only 200 from its upstreams and is not affected.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -148,7 +148,7 @@
 }
 
 func (r *ForwardReply) response() *upstreamconn.Response {
-	if r.Response == nil {
+	if r.Response == nil || !upstreamconn.ValidStatus(r.Response.Status) {
 		return nil
 	}
 	response := &upstreamconn.Response{
@@ -164,6 +164,11 @@
 
 func (r *ForwardReply) err() error {
 	switch {
+	case r.Response != nil && !upstreamconn.ValidStatus(r.Response.Status):
+		// A relay of an earlier version passes such a response on.
+		return &upstreamconn.RequestError{
+			Err: fault.New(fault.UpstreamFailed, "relay.forward", "status %03d is not one of a final response", r.Response.Status), Sent: true,
+		}
 	case r.Response != nil:
 		return nil
 	case r.Outcome == Limited:
--- a/internal/upstreamconn/truncated_test.go
+++ b/internal/upstreamconn/truncated_test.go
@@ -1,6 +1,7 @@
 package upstreamconn_test
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -64,3 +65,32 @@
 		}
 	}
 })
+
+// These specs guard against an upstream in trouble whose status reaches a caller as an answer, although no such status exists.
+var _ = Describe("a response with a status outside 200 to 599", func() {
+	for _, status := range []string{"000", "001", "099", "100", "199", "600", "700", "999", "+20", "-01"} {
+		It("is a failure of a request that may have run: "+status, func() {
+			u := serve(func(conn net.Conn, _ *http.Request) {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Trouble\r\nId: 1\r\nStamp: s\r\nContent-Length: 5\r\n\r\nZbody", status)
+			})
+			pool := upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, responsemem.New(responsemem.DefaultBytes))
+			response, err := get(pool, "1")
+			Expect(response).To(BeNil())
+			var failed *upstreamconn.RequestError
+			Expect(errors.As(err, &failed)).To(BeTrue(), "%v", err)
+			Expect(failed.Sent).To(BeTrue())
+			Expect(pool.IdleCount()).To(BeZero(), "the rest of such a response must not be read as the next one")
+		})
+	}
+
+	for _, status := range []int{200, 204, 299, 404, 500, 599} {
+		It(fmt.Sprintf("does not cover the bounds of the range: %d", status), func() {
+			u := serve(func(conn net.Conn, _ *http.Request) {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\nId: 1\r\nStamp: s\r\nContent-Length: 0\r\n\r\n", status)
+			})
+			response, err := get(upstreamconn.NewPool(u.address, upstreamconn.DialTCP, codec{}, responsemem.New(responsemem.DefaultBytes)), "1")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Status).To(Equal(status))
+		})
+	}
+})
--- a/internal/upstreamconn/upstreamconn.go
+++ b/internal/upstreamconn/upstreamconn.go
@@ -36,6 +36,8 @@
 	// network partition would go unnoticed.
 	userTimeoutMillis = 1500
 	readBufferBytes   = 2048
+	// maxStatus is the highest status of a response.
+	maxStatus = 599
 	// maxMismatchedResponses limits how many late responses to earlier requests are skipped on one connection.
 	maxMismatchedResponses = 2
 )
@@ -348,6 +350,10 @@
 	}
 }
 
+// ValidStatus reports whether a final response may have the status. An upstream in trouble may send any three digits, which
+// net/http accepts, also 000.
+func ValidStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // readNext returns the next response, and whether the connection closes after it.
 func (p *Pool) readNext(c *conn, request *Request) (response *Response, closes bool, err error) {
 	c.bounded.boundHead()
@@ -358,8 +364,8 @@
 		return nil, false, sentError(p.memory.TooLarge("response header exceeds the limit of %d bytes", maxHeadBytes))
 	case err != nil:
 		return nil, false, newRequestError(true, false, "read", "response header: %w", err)
-	case httpResponse.StatusCode < http.StatusOK:
-		return nil, false, newRequestError(true, false, "read", "unexpected interim status %d", httpResponse.StatusCode)
+	case !ValidStatus(httpResponse.StatusCode):
+		return nil, false, newRequestError(true, false, "read", "status %03d is not one of a final response, accepted: 200 to 599", httpResponse.StatusCode)
 	}
 	limit := cmp.Or(request.MaxBodyBytes, DefaultMaxBodyBytes)
 	body, err := p.memory.ReadBody(httpResponse.Body, httpResponse.ContentLength, limit, request.Hold)
