Spread relayed batches over more relays, and build views from changes

Cause: each group of shards had two relays in a failure domain for the whole fleet. The unit tests of relay and router pass.

--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -191,7 +191,7 @@
 	return slices.Sorted(maps.Keys(names))
 }
 
-// rankedLinks returns the links of a failure domain in order of preference for a group. In this VM's own failure
+// rankedLinks returns the links of a failure domain in this VM's order of preference for a group. In this VM's own failure
 // domain, a nil link stands for this VM.
 func (p *Peers) rankedLinks(key groupKey) []*Link {
 	p.mu.Lock()
@@ -209,7 +209,7 @@
 		}
 	}
 	var ranked []*Link
-	for _, id := range rank(ids, key.group) {
+	for _, id := range preferFor(p.self, rank(ids, key.group)) {
 		ranked = append(ranked, p.links[id])
 	}
 	p.ranked[key] = ranked
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -13,8 +13,23 @@
 	// relaysPerGroup is the number of relays that serve a group of shards. With two, the less loaded one can be chosen, and
 	// the connections of each relay to its upstreams still stay in use.
 	relaysPerGroup = 2
+	// sharedRelays is the number of relays over which the requesting VMs spread the batches of a group. With fewer, a handful of VMs
+	// carry the work of all searches and run out of processor time during a load spike. With 12, each may still hold four
+	// connections to an upstream that accepts 64, and sees the upstreams of its groups often enough to know slow ones.
+	sharedRelays = 12
 )
 
+// preferFor returns the relays in the order of preference of one requesting VM: it starts at a place of its own among the first
+// sharedRelays, so that requesting VMs prefer different relays and each keeps to its own.
+func preferFor(requester string, ranked []string) []string {
+	shared := min(sharedRelays, len(ranked))
+	if shared <= relaysPerGroup {
+		return ranked
+	}
+	first := int(score(requester, 0) % uint64(shared))
+	return slices.Concat(ranked[first:shared], ranked[:first], ranked[shared:])
+}
+
 // GroupOf returns the group of a shard. The shards of a search are divided into groups; the shards of a group whose
 // upstreams are in the same failure domain form a batch.
 func GroupOf(shard, shards, domains int) int {
--- a/internal/router/budget_test.go
+++ b/internal/router/budget_test.go
@@ -53,7 +53,7 @@
 			r := start(uptime)
 			r.config.ExtraFloor = floor
 			r.builder.watchers = vms
-			r.view.Store(r.builder.build(controlrpc.WatchReply{Revision: 1}))
+			r.view.Store(r.builder.build(1, map[string]bool{"s": true}))
 			r.resizeBudgets(vms)
 			granted += spend(r, requestsEach)
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -156,7 +156,8 @@
 	memory := responsemem.New(cmp.Or(config.ResponseMemoryBytes, responsemem.DefaultBytes))
 	r := &Router{
 		config: config, control: control, log: log, memory: memory,
-		builder: &viewBuilder{domain: config.FailureDomain, dialer: config.DialUpstream, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
+		builder: &viewBuilder{domain: config.FailureDomain, dialer: config.DialUpstream, codec: codec, memory: memory,
+			upstreams: map[string]*upstream{}, byService: map[string]map[string]*upstream{}},
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
 		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), links: reach.New(),
 		notices: notice.NewBook(), taken: map[location]bool{}, endChecks: map[registry.Process][]suspect.End{}, guard: suspect.NewGuard(config.ID), reportDue: make(chan struct{}, 1),
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
@@ -74,14 +76,18 @@
 	domain string
 	dialer upstreamconn.Dialer
 	// dialled is called after each attempt to connect to an upstream, unless that was cancelled.
-	dialled   func(err error)
-	codec     upstreamconn.Codec
-	memory    *responsemem.Memory
+	dialled func(err error)
+	codec   upstreamconn.Codec
+	memory  *responsemem.Memory
+	// upstreams holds all upstreams by instance ID, and byService those of each service by instance ID.
 	upstreams map[string]*upstream
+	byService map[string]map[string]*upstream
 	routes    *route.Index
 	watchers  int
 	// watchersAt is when at least this number of watchers was last reported.
 	watchersAt time.Time
+	// last is the last view, nil before the first.
+	last *View
 }
 
 // updateWatchers adopts a reported number of entry VMs; a lower one only after watcherRetention, and none if the leader
@@ -103,16 +109,32 @@
 	return b.watchers == view.watchers
 }
 
-// apply returns the view that results from a reply, and the connection pools that are no longer needed.
-func (b *viewBuilder) apply(reply controlrpc.WatchReply, now time.Time) (view *View, obsolete []*upstreamconn.Pool) {
+// viewChange is a new view and what it made obsolete.
+type viewChange struct {
+	view *View
+	// obsolete are the connection pools that are no longer needed.
+	obsolete []*upstreamconn.Pool
+	// dropped is set if an upstream, a route or a service is gone, or if another process has taken its place.
+	dropped bool
+}
+
+// apply returns the view that results from a reply. Only the services whose upstreams have changed are built anew: in a large
+// deployment upstreams change many times per second, and every entry VM gets each change.
+func (b *viewBuilder) apply(reply controlrpc.WatchReply, now time.Time) viewChange {
+	var change viewChange
+	watchers := b.watchers
+	b.updateWatchers(reply.Watchers, now)
+	everything := b.watchers != watchers
 	if reply.Table != nil && (b.routes == nil || reply.Table.Version > b.routes.Table.Version) {
 		b.routes = route.NewIndex(*reply.Table)
+		change.dropped, everything = true, true
 	}
-	b.updateWatchers(reply.Watchers, now)
+	dirty := map[string]bool{}
 	keep := map[string]bool{}
 	for _, instance := range reply.Instances.Changed {
 		keep[instance.ID] = true
-		obsolete = append(obsolete, b.upsert(instance, now)...)
+		change.obsolete = append(change.obsolete, b.upsert(instance, now, dirty)...)
+		change.dropped = change.dropped || instance.State != registry.Ready
 	}
 	removed := reply.Instances.Removed
 	if reply.Instances.Whole {
@@ -124,11 +146,20 @@
 	}
 	for _, id := range removed {
 		if removedUpstream, ok := b.upstreams[id]; ok {
-			obsolete = append(obsolete, removedUpstream.pool)
+			change.obsolete = append(change.obsolete, removedUpstream.pool)
+			dirty[removedUpstream.instance.Service] = true
 			delete(b.upstreams, id)
+			delete(b.byService[removedUpstream.instance.Service], id)
 		}
 	}
-	return b.build(reply), obsolete
+	change.dropped = change.dropped || len(change.obsolete) > 0
+	if everything {
+		for service := range b.byService {
+			dirty[service] = true
+		}
+	}
+	change.view = b.build(reply.Revision, dirty)
+	return change
 }
 
 // connectionQuota returns this VM's part of the connection limit of the service's upstreams, or 0 if there is no limit
@@ -144,7 +175,8 @@
 	return connectionShare * float64(existing.MaxConnections) / float64(b.watchers)
 }
 
-func (b *viewBuilder) upsert(instance registry.Instance, now time.Time) (obsolete []*upstreamconn.Pool) {
+// upsert adds or replaces an upstream and marks its services as dirty.
+func (b *viewBuilder) upsert(instance registry.Instance, now time.Time, dirty map[string]bool) (obsolete []*upstreamconn.Pool) {
 	instance = instance.Clamped()
 	existing, ok := b.upstreams[instance.ID]
 	next := &upstream{instance: instance, candidate: replica.Candidate{
@@ -161,7 +193,15 @@
 	default:
 		next.pool = upstreamconn.NewPool(instance.Address, b.dial, b.codec, b.memory)
 	}
-	b.upstreams[instance.ID] = next
+	if ok {
+		dirty[existing.instance.Service] = true
+		delete(b.byService[existing.instance.Service], instance.ID)
+	}
+	dirty[instance.Service] = true
+	if b.byService[instance.Service] == nil {
+		b.byService[instance.Service] = map[string]*upstream{}
+	}
+	b.upstreams[instance.ID], b.byService[instance.Service][instance.ID] = next, next
 	return obsolete
 }
 
@@ -174,25 +214,55 @@
 	return conn, err
 }
 
-func (b *viewBuilder) build(reply controlrpc.WatchReply) *View {
-	view := &View{
-		Revision: reply.Revision, Routes: b.routes, byService: map[string][]*upstream{}, byID: map[string]*upstream{}, connectionLimited: map[string]bool{},
-		candidates: map[string][]replica.Candidate{}, watchers: b.watchers,
+// build returns a view in which the dirty services are built anew. It shares everything else with the last one.
+func (b *viewBuilder) build(revision uint64, dirty map[string]bool) *View {
+	view := &View{Revision: revision, Routes: b.routes, watchers: b.watchers}
+	if b.last == nil {
+		b.last = &View{byService: map[string][]*upstream{}, byID: map[string]*upstream{}, connectionLimited: map[string]bool{}, candidates: map[string][]replica.Candidate{}}
+	}
+	view.byService, view.byID, view.connectionLimited, view.candidates = b.last.byService, b.last.byID, b.last.connectionLimited, b.last.candidates
+	if len(dirty) > 0 {
+		view.byService, view.byID = maps.Clone(view.byService), maps.Clone(view.byID)
+		view.connectionLimited, view.candidates = maps.Clone(view.connectionLimited), maps.Clone(view.candidates)
 	}
-	for _, u := range b.upstreams {
+	for service := range dirty {
+		for _, u := range view.byService[service] {
+			// An upstream may have moved to a service that was built before this one.
+			if view.byID[u.instance.ID] == u {
+				delete(view.byID, u.instance.ID)
+			}
+		}
+		delete(view.byService, service)
+		delete(view.candidates, service)
+		delete(view.connectionLimited, service)
+		b.buildService(view, service)
+	}
+	b.last = view
+	return view
+}
+
+// buildService adds the upstreams of a service to a view, ordered by ID.
+func (b *viewBuilder) buildService(view *View, service string) {
+	members := b.byService[service]
+	if len(members) == 0 {
+		delete(b.byService, service)
+		return
+	}
+	connectionQuota := b.connectionQuota(service)
+	for _, id := range slices.Sorted(maps.Keys(members)) {
+		u := members[id]
 		if u.instance.State != registry.Ready {
 			continue
 		}
-		service := u.instance.Service
-		connectionQuota := b.connectionQuota(service)
-		u.candidate.MaxInFlight = int(connectionQuota)
+		// Views share upstreams and must not change them.
+		limited := *u
+		limited.candidate.MaxInFlight = int(connectionQuota)
 		if connectionQuota > 0 && connectionQuota < 1 {
-			u.candidate.MaxInFlight = 1
+			limited.candidate.MaxInFlight = 1
 			view.connectionLimited[service] = true
 		}
-		view.byService[service] = append(view.byService[service], u)
-		view.byID[u.instance.ID] = u
-		view.candidates[service] = append(view.candidates[service], u.candidate)
+		view.byService[service] = append(view.byService[service], &limited)
+		view.byID[id] = &limited
+		view.candidates[service] = append(view.candidates[service], limited.candidate)
 	}
-	return view
 }
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -112,9 +112,10 @@
 	if reply.Revision < before.Revision || r.builder.unchanged(reply, before, time.Now()) {
 		return
 	}
-	view, obsolete := r.builder.apply(reply, time.Now())
+	change := r.builder.apply(reply, time.Now())
+	view := change.view
 	r.view.Store(view)
-	for _, pool := range obsolete {
+	for _, pool := range change.obsolete {
 		pool.Close()
 	}
 	if view.watchers != before.watchers {
@@ -123,7 +124,9 @@
 	if reply.Revision == before.Revision {
 		return
 	}
-	r.pruneStats(view)
+	if change.dropped {
+		r.pruneStats(view)
+	}
 	version := uint64(0)
 	if view.Routes != nil {
 		version = view.Routes.Table.Version
