Read and export the teams of a route table

Cause: a route table could hold teams, but no document or file could define them. Tables with shared, empty or repeated entries are rejected, and no error quotes a key. wmuxctl gets the table without the document that the operator sent. The leader tells how long it held a watch before its read barrier.

--- a/cmd/wmuxctl/routes.go
+++ b/cmd/wmuxctl/routes.go
@@ -73,7 +73,7 @@
 }
 
 func currentRoutes(s session) (route.Table, error) {
-	reply, err := s.ReadRoutes(s.ctx)
+	reply, err := s.ReadTable(s.ctx)
 	if err != nil {
 		return route.Table{}, err
 	}
--- a/internal/control/access.go
+++ b/internal/control/access.go
@@ -184,8 +184,9 @@
 	return a.service.PutRoutes(args, reply)
 }
 
-// ReadRoutes is Service.ReadRoutes.
+// ReadRoutes is Service.ReadRoutes without the document, which may contain keys and stays on the control VMs.
 func (a *OperatorAccess) ReadRoutes(args controlrpc.ReadRoutesArgs, reply *controlrpc.ReadRoutesReply) error {
+	args.WithoutSource = true
 	return a.service.ReadRoutes(args, reply)
 }
 
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -43,6 +43,7 @@
 }
 
 func (s *Service) watch(args controlrpc.WatchArgs, reply *controlrpc.WatchReply) error {
+	received := time.Now()
 	reply.Members, reply.Leader = s.knownMembers()
 	if err := s.checkLeader(); err != nil {
 		return s.watchProvisionally(args, reply, err)
@@ -50,6 +51,7 @@
 	s.recordWatcher(args, s.now())
 	s.awaitChange(args)
 	// The read barrier comes after the wait, so that the reply is current when it is sent.
+	held := time.Since(received)
 	if err := s.confirmLeadership(); err != nil {
 		return err
 	}
@@ -57,6 +59,7 @@
 		return err
 	}
 	s.machine.fillDelta(args.Known, s.now(), reply)
+	reply.Held = held
 	reply.Members, reply.Leader = s.knownMembers()
 	reply.Watchers = s.watchers.settledCount(watcherTimeout, watcherSettleTime, s.now())
 	s.fillPeers(args, reply)
@@ -175,7 +178,7 @@
 }
 
 // ReadRoutes returns the route table in force. It is a linearizable read.
-func (s *Service) ReadRoutes(_ controlrpc.ReadRoutesArgs, reply *controlrpc.ReadRoutesReply) error {
+func (s *Service) ReadRoutes(args controlrpc.ReadRoutesArgs, reply *controlrpc.ReadRoutesReply) error {
 	if err := s.confirmLeadership(); err != nil {
 		reply.Fault = fault.ToWire(err)
 		return nil
@@ -183,7 +186,9 @@
 	routes := s.machine.routes()
 	reply.Version = routes.Table.Version
 	reply.Table = routes.Table
-	reply.Source = routes.Source
+	if !args.WithoutSource {
+		reply.Source = routes.Source
+	}
 	return nil
 }
 
--- a/internal/controlrpc/client.go
+++ b/internal/controlrpc/client.go
@@ -150,7 +150,7 @@
 	for attempt := 0; ; attempt++ {
 		address := c.address()
 		answer := new(R)
-		err := c.callOnce(ctx, timeout, address, method, args, answer)
+		err := c.callOnce(ctx, timeout, address, method, attemptArgs(args, attempt), answer)
 		if err == nil {
 			err = (*answer).failure().AsError()
 		}
@@ -175,6 +175,14 @@
 	}
 }
 
+// attemptArgs returns the arguments for an attempt, where 0 is the first.
+func attemptArgs(args any, attempt int) any {
+	if prepared, ok := args.(interface{ forAttempt(attempt int) any }); ok {
+		return prepared.forAttempt(attempt)
+	}
+	return args
+}
+
 func retryable(err error) bool {
 	code := fault.CodeOf(err)
 	return code == fault.NotLeader || code == fault.Unavailable
--- a/internal/controlrpc/routes.go
+++ b/internal/controlrpc/routes.go
@@ -18,6 +18,9 @@
 // or isolated leader within one watch.
 const MaxWatchWait = 600 * time.Millisecond
 
+// CallTimeout bounds the call of one member, so that a client tries the next one after that time.
+const CallTimeout = attemptTimeout
+
 // WatchArgs asks for the changes after the revision Known, and waits for a change for up to WaitMillis.
 type WatchArgs struct {
 	Known      uint64
@@ -35,6 +38,27 @@
 	// the digest from the last reply.
 	FollowsSuspects bool
 	SuspectsDigest  uint64
+	// onSend is called before each call of a member, see OnSend. The leader does not get it.
+	onSend func()
+}
+
+// OnSend returns the arguments with a function that is called before each call of a member. A retry then asks for an immediate
+// reply, because the caller has waited already.
+func (a WatchArgs) OnSend(f func()) WatchArgs {
+	a.onSend = f
+	return a
+}
+
+// forAttempt prepares the arguments for a call of a member, where 0 is the first.
+func (a WatchArgs) forAttempt(attempt int) any {
+	if a.onSend == nil {
+		return a
+	}
+	a.onSend()
+	if attempt > 0 {
+		a.WaitMillis = 0
+	}
+	return a
 }
 
 // Peer is an entry VM that accepts relayed batches from other entry VMs.
@@ -91,6 +115,9 @@
 	// the request.
 	SuspectsDigest uint64
 	Suspects       []suspect.Candidate
+	// Held is the time between the arrival of the watch at the leader and the start of its read barrier. The reply contains
+	// every change that was acknowledged before that. 0 if the leader does not tell.
+	Held time.Duration
 }
 
 // ReportSuspectsArgs carries what an entry VM knows about requests under which upstreams ended.
@@ -114,7 +141,10 @@
 }
 
 // ReadRoutesArgs asks for the route table in a linearizable read.
-type ReadRoutesArgs struct{}
+type ReadRoutesArgs struct {
+	// WithoutSource asks for the table only. The document may contain keys, which only control VMs may hold.
+	WithoutSource bool
+}
 
 // ReadRoutesReply carries the route table and the document that it was parsed from. Version 0 means that there is none.
 type ReadRoutesReply struct {
@@ -224,6 +254,14 @@
 	return call[ReadRoutesReply](ctx, c, "ReadRoutes", ReadRoutesArgs{})
 }
 
+// ReadTable returns the route table in a linearizable read, without the document that it was parsed from.
+func (c *Client) ReadTable(ctx context.Context) (ReadRoutesReply, error) {
+	reply, err := call[ReadRoutesReply](ctx, c, "ReadRoutes", ReadRoutesArgs{WithoutSource: true})
+	// A leader of an older version sends the document.
+	reply.Source = nil
+	return reply, err
+}
+
 // Report applies a report about an upstream and returns once it is durable on a quorum.
 func (c *Client) Report(ctx context.Context, report registry.Report) error {
 	_, err := call[Ack](ctx, c, "Report", ReportArgs{Report: report})
--- a/internal/route/diff.go
+++ b/internal/route/diff.go
@@ -10,7 +10,7 @@
 type Change struct {
 	// Kind is "added", "removed" or "changed".
 	Kind string `json:"kind"`
-	// Object is "route", "service" or "limits". Name is empty for limits.
+	// Object is "route", "service", "team" or "limits". Name is empty for limits.
 	Object string `json:"object"`
 	Name   string `json:"name"`
 }
@@ -18,7 +18,8 @@
 // String returns the change on one line.
 func (c Change) String() string { return fmt.Sprintf("%s %s %q", c.Kind, c.Object, c.Name) }
 
-// Diff returns the changes from the current to the next table: routes, then services, each sorted by name, then limits.
+// Diff returns the changes from the current to the next table: routes, then services, then teams, each sorted by name, then limits.
+// Keys do not appear in it.
 func Diff(current, next Table) []Change {
 	routes := func(t Table) map[string]any {
 		all := map[string]any{}
@@ -34,7 +35,15 @@
 		}
 		return all
 	}
+	teams := func(t Table) map[string]any {
+		all := map[string]any{}
+		for _, team := range t.Teams {
+			all[team.Name] = team
+		}
+		return all
+	}
 	changes := append(diffObjects("route", routes(current), routes(next)), diffObjects("service", services(current), services(next))...)
+	changes = append(changes, diffObjects("team", teams(current), teams(next))...)
 	if current.Limits != next.Limits {
 		changes = append(changes, Change{Kind: "changed", Object: "limits"})
 	}
--- a/internal/route/match.go
+++ b/internal/route/match.go
@@ -13,13 +13,15 @@
 	// hosts maps each normalized host to its routes, longest prefix first.
 	hosts    map[string][]*Route
 	services map[string]Service
+	// teams maps the digests of keys to teams.
+	teams map[KeyDigest]*Team
 	// shardCounts holds the different numbers of shards of the routes.
 	shardCounts []int
 }
 
 // NewIndex returns the index of a table that Validate accepts.
 func NewIndex(table Table) *Index {
-	idx := &Index{Table: table, hosts: map[string][]*Route{}, services: map[string]Service{}}
+	idx := &Index{Table: table, hosts: map[string][]*Route{}, services: map[string]Service{}, teams: map[KeyDigest]*Team{}}
 	for i := range idx.Table.Routes {
 		r := &idx.Table.Routes[i]
 		host := NormalizeHost(r.Host)
@@ -34,9 +36,21 @@
 	for _, service := range table.Services {
 		idx.services[service.Name] = service
 	}
+	for i := range idx.Table.Teams {
+		team := &idx.Table.Teams[i]
+		for _, key := range team.Keys {
+			idx.teams[key] = team
+		}
+	}
 	return idx
 }
 
+// Team returns the team that has the key with the digest, or nil.
+func (idx *Index) Team(key KeyDigest) *Team { return idx.teams[key] }
+
+// HasTeams reports whether callers need a key of a team on the routes that are not public.
+func (idx *Index) HasTeams() bool { return len(idx.Table.Teams) > 0 }
+
 // Match returns the host's route with the longest matching path prefix, or nil.
 func (idx *Index) Match(host, path string) *Route {
 	for _, r := range idx.hosts[NormalizeHost(host)] {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -96,8 +96,14 @@
 		if service.Name == "" || services[service.Name] {
 			return invalid("service %q has no name or is defined twice", service.Name)
 		}
+		if service.ColdStart < 0 || !isAmount(service.ColdPerSecond) {
+			return invalid("service %q: cold start is %s and cold rate is %g, both must be at least 0", service.Name, service.ColdStart, service.ColdPerSecond)
+		}
 		services[service.Name] = true
 	}
+	if err := validateTeams(t.Teams); err != nil {
+		return err
+	}
 	type routeKey struct{ host, prefix string }
 	nameByKey := map[routeKey]string{}
 	for _, r := range t.Routes {
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -12,6 +12,7 @@
 	Limits   RouteLimits    `toml:"limits"`
 	Services []RouteService `toml:"service" validate:"dive"`
 	Routes   []Route        `toml:"route" validate:"dive"`
+	Teams    []RouteTeam    `toml:"team,omitempty" validate:"dive"`
 }
 
 // Route is the TOML form of a route. Exactly one of Service, Split and Shards is set.
@@ -31,6 +32,8 @@
 	Top             int                    `toml:"top,omitempty" validate:"min=0,max=100000"`
 	// Coverage is the minimum fraction of the shards that a response must include, from 0 to 1.
 	Coverage float64 `toml:"coverage,omitempty" validate:"min=0,max=1"`
+	// Public routes need no key of a team.
+	Public bool `toml:"public,omitempty"`
 }
 
 // RouteWeightedService is the TOML form of a service with its weight in a route's Split.
@@ -61,15 +64,18 @@
 // LoadRoutes reads and validates a route table.
 func LoadRoutes(path string) (route.Table, error) {
 	var file Routes
-	if err := load(path, &file); err != nil {
+	if err := loadSecret(path, &file); err != nil {
+		return route.Table{}, err
+	}
+	table, err := file.table()
+	if err != nil {
 		return route.Table{}, err
 	}
-	table := file.table()
 	return table, table.Validate()
 }
 
 // table returns the route table. It does not validate it.
-func (f Routes) table() route.Table {
+func (f Routes) table() (route.Table, error) {
 	table := route.Table{Version: f.Version, Limits: route.Limits{
 		MaxHeaderBytes: f.Limits.MaxHeaderBytes, MaxBodyBytes: f.Limits.MaxBodyBytes,
 		HeaderTimeout: millis(f.Limits.HeaderTimeoutMillis), IdleTimeout: millis(f.Limits.IdleTimeoutMillis),
@@ -78,7 +84,7 @@
 		out := route.Route{
 			Name: r.Name, Host: r.Host, Prefix: r.PathPrefix, Idempotent: r.Idempotent, Timeout: millis(r.TimeoutMillis),
 			Objective: millis(r.ObjectiveMillis), Rank: r.Rank, Attempts: r.Attempts, Service: r.Service, Shards: r.Shards,
-			Top: r.Top, Coverage: r.Coverage,
+			Top: r.Top, Coverage: r.Coverage, Public: r.Public,
 		}
 		for _, share := range r.Split {
 			out.Split = append(out.Split, route.WeightedService(share))
@@ -91,7 +97,14 @@
 			ColdStart: millis(s.ColdStartMillis), ColdPerSecond: s.ColdPerSecond,
 		})
 	}
-	return table
+	for _, t := range f.Teams {
+		team, err := t.team()
+		if err != nil {
+			return route.Table{}, err
+		}
+		table.Teams = append(table.Teams, team)
+	}
+	return table, nil
 }
 
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
@@ -106,7 +119,7 @@
 		out := Route{
 			Name: r.Name, Host: r.Host, PathPrefix: r.Prefix, Idempotent: r.Idempotent, TimeoutMillis: r.Timeout.Milliseconds(),
 			ObjectiveMillis: r.Objective.Milliseconds(), Rank: r.Rank, Attempts: r.Attempts, Service: r.Service, Shards: r.Shards,
-			Top: r.Top, Coverage: r.Coverage,
+			Top: r.Top, Coverage: r.Coverage, Public: r.Public,
 		}
 		for _, share := range r.Split {
 			out.Split = append(out.Split, RouteWeightedService(share))
@@ -119,5 +132,8 @@
 			ColdStartMillis: s.ColdStart.Milliseconds(), ColdPerSecond: s.ColdPerSecond,
 		})
 	}
+	for _, team := range table.Teams {
+		file.Teams = append(file.Teams, routeTeamOf(team))
+	}
 	return file
 }
