Check keys of teams, and stop removed keys within a bound

Cause: a table could hold teams, but every caller could use every route, and a VM without contact to the control group would have accepted removed keys for ever. Change: requests to routes that are not public need exactly one known key (401, or 503 while the VM cannot be sure). Upstreams get the team's name instead of the key, and a team's rank replaces that of the route. With key_revoke_ms, a VM tracks the age of its view as confirmed by a quorum on CLOCK_BOOTTIME, from the start of the watch plus the time that the leader held it. Requests with keys are checked on arrival and before each send, after waiting for a connection or a permit, and again at relays. A VM whose view is too old is not ready.

--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -49,6 +49,10 @@
 		"wisteriamux.notices.unreadable":   func() int64 { return r.Counts().NoticesUnreadable },
 		"wisteriamux.upstreams.ended":      func() int64 { return r.Counts().UpstreamEnds },
 		"wisteriamux.requests.quarantined": func() int64 { return r.Counts().Quarantined },
+		"wisteriamux.keys.unknown":         func() int64 { return r.Counts().KeysUnknown },
+		"wisteriamux.keys.unsure":          func() int64 { return r.Counts().KeysUnsure },
+		"wisteriamux.keys.sends.refused":   func() int64 { return r.Counts().KeyedSendsRefused },
+		"wisteriamux.view.age.ms":          r.ViewAgeMillis,
 		"wisteriamux.log.dropped":          output.Dropped,
 	}
 	for name, read := range gauges {
--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -70,15 +70,19 @@
 
 	cli.OnReload(func() { reload(path, r, log) })
 	var stopping platform.Stop
-	ready := func() bool { return !stopping.Begun() && r.View().Ready() }
+	ready := func() bool { return !stopping.Begun() && r.View().Ready() && r.ServesKeys() }
 	serve(healthListener, platform.NewReadyHandler(ready), log)
 	observe, err := serveMetrics(loaded, r, output, log)
 	if err != nil {
 		return err
 	}
 	server := serve(callerListener, platform.NewCallerHandler(r, &stopping, observe, log), log)
+	if revoke := loaded.KeyRevokeMillis; revoke > 0 && revoke <= float64(router.MinKeyRevoke.Milliseconds()) {
+		log.Warn("key_revoke_ms is too short for an election", "key_revoke_ms", revoke, "above_ms", router.MinKeyRevoke.Milliseconds())
+	}
 	log.Info("started", "caller_address", loaded.CallerAddress, "health_address", loaded.HealthAddress,
-		"extra_share", loaded.ExtraShare, "extra_floor", loaded.ExtraFloor, "answer_margin_ms", loaded.AnswerMarginMillis)
+		"extra_share", loaded.ExtraShare, "extra_floor", loaded.ExtraFloor, "answer_margin_ms", loaded.AnswerMarginMillis,
+		"key_revoke_ms", loaded.KeyRevokeMillis)
 	<-ctx.Done()
 	exitAt := time.Now().Add(time.Duration(loaded.LameDuckMillis+loaded.DrainMillis) * time.Millisecond)
 	stopping.Begin(exitAt.Add(-finalAnswers))
@@ -104,6 +108,7 @@
 		AnswerMargin: answerMargin(loaded),
 		RelayAddress: loaded.RelayAddress, DialRelay: transport.Dialer(controlrpc.PlainDialer, security.RoleEntry),
 		MaxResponseBytes: loaded.MaxResponseKB << 10, ResponseMemoryBytes: loaded.ResponseMemoryKB << 10,
+		KeyRevoke: time.Duration(loaded.KeyRevokeMillis * float64(time.Millisecond)),
 	}, control, platform.Codec{}, log)
 	relayServer := relay.NewServer(r, log)
 	if loaded.RelayAddress == "" {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -10,7 +10,7 @@
 // Code classifies an error by what its receiver can do about it, for example whether a retry is safe.
 type Code string
 
-// The error codes. NotRun, OverShare, Overloaded, RateLimited and OverQuota guarantee that no upstream ran the request.
+// The error codes. NotRun, OverShare, Overloaded, RateLimited, OverQuota and Unconfirmed guarantee that no upstream ran the request.
 const (
 	NotRun Code = "not_run"
 	// OverShare rejects a request of a caller that exceeds its fair share while the system is overloaded.
@@ -35,6 +35,8 @@
 	Forbidden      Code = "forbidden"
 	// Unauthenticated rejects a request whose key belongs to no team.
 	Unauthenticated Code = "unauthenticated"
+	// Unconfirmed rejects a request because this VM cannot be sure which team the key of the request belongs to.
+	Unconfirmed Code = "unconfirmed"
 	// UnsupportedMedia and MethodNotAllowed reject a request because of its content type or its method.
 	UnsupportedMedia Code = "unsupported_media"
 	MethodNotAllowed Code = "method_not_allowed"
--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -92,6 +92,13 @@
 	s.failIfDone(index)
 }
 
+// Reopen records that another attempt at the shard is possible after all, unless the shard has failed for good.
+func (s *Search) Reopen(index int) {
+	if sh := &s.shards[index]; sh.attempts >= 0 {
+		sh.exhausted = false
+	}
+}
+
 // Ended records the outcome of an attempt and reports whether the shard should be retried at once.
 func (s *Search) Ended(index int, outcome Outcome) (retry bool) {
 	sh := &s.shards[index]
--- a/internal/relay/cancel_test.go
+++ b/internal/relay/cancel_test.go
@@ -16,6 +16,8 @@
 // countingExecutor counts the attempts that run, and ends each when it is cancelled.
 type countingExecutor struct{ started, running atomic.Int64 }
 
+func (e *countingExecutor) CheckKey(*KeyClaim) error { return nil }
+
 func (e *countingExecutor) Permit(PermitArgs) PermitReply { return PermitReply{} }
 
 func (e *countingExecutor) Attempt(ctx context.Context, _ Attempt, _ time.Duration, _ *upstreamconn.Request) (*upstreamconn.Response, error) {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -40,6 +40,7 @@
 	response, err := p.server.executor.Attempt(ctx, args.Attempt, args.Expected, &upstreamconn.Request{
 		ID: args.Request, Method: args.Method, Target: args.Target, Host: args.Host, Header: args.Header, Body: args.Body, Caller: args.Caller,
 		Instance: args.Attempt.Instance, Remaining: args.Remaining, MaxBodyBytes: min(args.MaxBodyBytes, maxRelayedBytes), Hold: hold,
+		Check: p.server.keyCheck(args.Key),
 	})
 	reply.Ended = endOf(response, err)
 	reply.Took = time.Since(received)
@@ -102,7 +103,7 @@
 }
 
 // Forward executes one attempt at the relay. The error tells whether the upstream may have received the request: it is a
-// RequestError, a LinkLostError or a NoRoomError. Cancelling the context cancels the attempt.
+// RequestError, a LinkLostError, a NoRoomError or a KeyError. Cancelling the context cancels the attempt.
 func (l *Link) Forward(ctx context.Context, args ForwardArgs) (*upstreamconn.Response, ForwardReply, error) {
 	l.mu.Lock()
 	conn := l.conn
@@ -136,8 +137,11 @@
 		return nil, ForwardReply{}, err
 	}
 	l.onReport()
-	if reply.Outcome == Partitioned {
+	switch reply.Outcome {
+	case Partitioned:
 		l.MarkPartitioned(time.Now())
+	case Unconfirmed:
+		l.MarkUnconfirmed(time.Now())
 	}
 	return reply.response(), reply, reply.err()
 }
@@ -168,6 +172,11 @@
 		return nil
 	case r.Outcome == Limited:
 		return &ratelimit.NoRoomError{RetryAfter: r.RetryAfter}
+	case r.Outcome == KeyRemoved:
+		return RemovedKeyError()
+	case r.Outcome == Unconfirmed:
+		// The request may be sent through another VM.
+		return &LinkLostError{}
 	case r.Outcome == Partitioned || r.LinkLost:
 		return &LinkLostError{Sent: r.Sent}
 	}
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -38,9 +38,22 @@
 
 func (*olderRelay) Stay(Empty, *Empty) error { select {} }
 
+// CheckKey refuses the keys of the team "removed", and those of the team "unconfirmed" for the age of the view.
+func (e *executor) CheckKey(claim *KeyClaim) error {
+	if claim.Team == "removed" || claim.Team == "unconfirmed" {
+		return &KeyError{Removed: claim.Team == "removed", Err: errors.New("refused")}
+	}
+	return nil
+}
+
 func (e *executor) Permit(PermitArgs) PermitReply { return PermitReply{} }
 
 func (e *executor) Attempt(ctx context.Context, a Attempt, _ time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error) {
+	if request.Check != nil {
+		if err := request.Check(); err != nil {
+			return nil, err
+		}
+	}
 	e.mu.Lock()
 	e.lastRequest = request
 	response, err := e.responses[a.Instance], e.errors[a.Instance]
@@ -276,6 +289,26 @@
 		Expect(link.usable(time.Now())).To(BeTrue(), "the connection still serves batches")
 	})
 
+	It("sends nothing for a refused key, and avoids a relay whose view is too old for a while", func() {
+		exec.responses["u1"] = part("s")
+		send := func(team string) error {
+			_, reply, err := link.Forward(ctx, ForwardArgs{Attempt: Attempt{Instance: "u1"}, Remaining: time.Second, Expected: time.Second, Key: &KeyClaim{Team: team}})
+			Expect(reply.Sent).To(Equal(err == nil))
+			return err
+		}
+		Expect(send("known")).To(Succeed())
+		var refused *KeyError
+		Expect(errors.As(send("removed"), &refused)).To(BeTrue())
+		Expect(refused.Removed).To(BeTrue())
+		now := time.Now()
+		Expect(pick([]*Link{link}, nil, now, usableOther)).To(Equal(link))
+		var elsewhere *LinkLostError
+		Expect(errors.As(send("unconfirmed"), &elsewhere)).To(BeTrue(), "another VM may send it")
+		now = time.Now()
+		Expect(pick([]*Link{link}, nil, now, usableOther)).To(BeNil())
+		Expect(pick([]*Link{link}, nil, now.Add(partitionedFor), usableOther)).To(Equal(link))
+	})
+
 	It("avoids a relay that has lost its links to upstreams for a while", func() {
 		exec.errors["lost"] = &LinkLostError{}
 		_, err := forward(ctx, "lost")
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -56,6 +56,8 @@
 	Body []byte
 	// Caller is as in upstreamconn.Request.
 	Caller string
+	// Key is nil if the request needs no key.
+	Key *KeyClaim
 }
 
 // ForwardArgs are the arguments of Forward, which executes one attempt and returns the whole response. The requesting VM
@@ -76,6 +78,8 @@
 	Remaining    time.Duration
 	Expected     time.Duration
 	MaxBodyBytes int64
+	// Key is as in RunArgs.
+	Key *KeyClaim
 }
 
 // ForwardReply is the end of the attempt. Its Ended has neither records nor a number.
@@ -124,6 +128,10 @@
 	Limited
 	// Partitioned means that the request was not sent because the relay has lost its links to all upstreams.
 	Partitioned
+	// Unconfirmed means that the request was not sent because the view of the relay is too old for requests with keys.
+	Unconfirmed
+	// KeyRemoved means that the request was not sent because the table of the relay does not assign its key to the team.
+	KeyRemoved
 )
 
 // Ended describes how one attempt ended.
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -35,6 +35,8 @@
 	Attempt(ctx context.Context, attempt Attempt, expected time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error)
 	// Permit grants or denies a permit for an upstream with a rate limit.
 	Permit(args PermitArgs) PermitReply
+	// CheckKey returns a KeyError if no request with the claim may be sent.
+	CheckKey(claim *KeyClaim) error
 }
 
 // Server executes the batches of other entry VMs. It is safe for concurrent use.
@@ -191,6 +193,7 @@
 		request := &upstreamconn.Request{
 			ID: args.Request, Method: args.Method, Target: args.Target, Host: args.Host, Header: args.Header,
 			Body: args.Body, Caller: args.Caller, Instance: attempt.Instance, Remaining: args.Remaining, MaxBodyBytes: gather.MaxPartBytes(args.Top),
+			Check: s.keyCheck(args.Key),
 		}
 		go func() {
 			defer cancel()
@@ -340,7 +343,12 @@
 	var declined *DeclinedError
 	var noRoom *ratelimit.NoRoomError
 	var linkLost *LinkLostError
+	var keyRefused *KeyError
 	switch {
+	case errors.As(err, &keyRefused) && keyRefused.Removed:
+		return KeyRemoved
+	case errors.As(err, &keyRefused):
+		return Unconfirmed
 	case errors.As(err, &linkLost) && !linkLost.Sent:
 		return Partitioned
 	case errors.As(err, &declined):
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -104,7 +104,7 @@
 	// relay is the ID of the entry VM that executed the attempt, empty if it was this one.
 	relay string
 	cause error
-	// noRoom is set if the upstream was at its rate limit. Such ends are counted, not logged: there may be one for each
+	// noRoom is set if the upstream was at its rate limit, or the request was not sent because of its key. Such ends are counted, not logged: there may be one for each
 	// request.
 	noRoom bool
 }
@@ -115,12 +115,13 @@
 	upstreamRequest.Instance = a.upstream.instance.ID
 	upstreamRequest.Remaining = remaining(rt, request, a)
 	upstreamRequest.MaxBodyBytes = r.config.MaxResponseBytes
+	upstreamRequest.Check = r.sendCheck(request)
 	if len(rt.Shards) > 0 {
 		upstreamRequest.MaxBodyBytes = gather.MaxPartBytes(rt.Top)
 	}
-	response, err := r.send(ctx, a.upstream, rt.Rank, a.expected, &upstreamRequest)
+	response, err := r.send(ctx, a.upstream, request.Team.RankOn(rt), a.expected, &upstreamRequest)
 	took := time.Since(a.sent)
-	r.recordEnd(rt, request, a, attemptEnd{result: directResult(response, err, ctx.Err() != nil), took: took, cause: err, noRoom: isNoRoom(err)})
+	r.recordEnd(rt, request, a, attemptEnd{result: directResult(response, err, ctx.Err() != nil), took: took, cause: err, noRoom: isNoRoom(err) || keyRefusal(err) != nil})
 	return response, err
 }
 
@@ -174,7 +175,7 @@
 	var requestErr *upstreamconn.RequestError
 	var linkLost *relay.LinkLostError
 	switch {
-	case isNoRoom(err):
+	case isNoRoom(err), keyRefusal(err) != nil:
 		return replica.Declined
 	case errors.As(err, &linkLost):
 		return replica.Unknown
@@ -205,7 +206,7 @@
 // mayHaveArrived reports whether an upstream may have received the attempt, in which case a retry costs a token.
 func mayHaveArrived(response *upstreamconn.Response, err error) bool {
 	var requestErr *upstreamconn.RequestError
-	if isNoRoom(err) || isUnsentForLinks(err) {
+	if isNoRoom(err) || isUnsentForLinks(err) || keyRefusal(err) != nil {
 		return false
 	}
 	return response != nil || !errors.As(err, &requestErr) || requestErr.Sent
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -44,6 +44,8 @@
 	// mayHaveRun is set once an upstream may have run the request.
 	mayHaveRun   bool
 	lastResponse *upstreamconn.Response
+	// keyRefused is set once nothing more may be sent because of the key of the request.
+	keyRefused *relay.KeyError
 }
 
 // Forward sends the request to one upstream of the route and returns its response. An idempotent request is retried
@@ -93,7 +95,7 @@
 }
 
 func (f *forwardCall) send(ctx context.Context, kind attemptKind) {
-	if ctx.Err() != nil || f.attempts >= max(1, f.route.Attempts) || !f.mayTryAgain() {
+	if ctx.Err() != nil || f.attempts >= max(1, f.route.Attempts) || !f.mayTryAgain() || !f.keyAllowsSend() {
 		return
 	}
 	a := f.router.chooseUpstream(f.route, f.service, f.tried, kind)
@@ -158,6 +160,9 @@
 	if closedByUpstream(done.err) {
 		f.closed++
 	}
+	if refused := keyRefusal(done.err); refused != nil {
+		f.keyRefused = refused
+	}
 	switch {
 	case isNoRoom(done.err):
 		f.attempts--
@@ -200,6 +205,8 @@
 	switch {
 	case f.lastResponse != nil:
 		return f.lastResponse, nil
+	case !f.mayHaveRun && f.keyRefused != nil:
+		return nil, f.keyRefused
 	case !f.mayHaveRun && f.noRoomFor() > 0:
 		return nil, fault.New(fault.RateLimited, "router.forward", "no upstream of %q has room: %w", f.service,
 			noRoomError(f.noRoomFor()))
@@ -224,9 +231,9 @@
 		return r.run(ctx, rt, a, request)
 	}
 	response, reply, err := link.Forward(ctx, relay.ForwardArgs{
-		Attempt: relay.Attempt{Instance: a.upstream.instance.ID, Rank: rt.Rank}, Request: request.ID, Method: request.Method, Target: request.Target,
+		Attempt: relay.Attempt{Instance: a.upstream.instance.ID, Rank: request.Team.RankOn(rt)}, Request: request.ID, Method: request.Method, Target: request.Target,
 		Host: request.Host, Header: request.Header, Body: request.Body, Caller: request.Caller, Remaining: remaining(rt, request, a), Expected: a.expected,
-		MaxBodyBytes: r.config.MaxResponseBytes,
+		MaxBodyBytes: r.config.MaxResponseBytes, Key: request.claim(),
 	})
 	if response != nil {
 		if memoryErr := r.memory.Keep(request.Hold, response.Body); memoryErr != nil {
@@ -246,7 +253,8 @@
 		r.recordFull(a.upstream, reply.RetryAfter)
 	}
 	r.recordEnd(rt, request, a, attemptEnd{
-		result: directResult(response, err, ctx.Err() != nil), took: time.Since(a.sent), relay: link.PeerID(), cause: err, noRoom: isNoRoom(err),
+		result: directResult(response, err, ctx.Err() != nil), took: time.Since(a.sent), relay: link.PeerID(), cause: err,
+		noRoom: isNoRoom(err) || keyRefusal(err) != nil,
 	})
 	return response, err
 }
--- a/internal/router/partition_test.go
+++ b/internal/router/partition_test.go
@@ -36,6 +36,8 @@
 type upstreamLinks struct {
 	state atomic.Int32
 	dials atomic.Int64
+	// beforeDial is called before each connection is opened, nil for nothing.
+	beforeDial func()
 
 	// mu guards conns.
 	mu    sync.Mutex
@@ -57,6 +59,9 @@
 
 func (l *upstreamLinks) dial(ctx context.Context, address string) (net.Conn, error) {
 	l.dials.Add(1)
+	if l.beforeDial != nil {
+		l.beforeDial()
+	}
 	switch partition(l.state.Load()) {
 	case silent:
 		ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
--- a/internal/router/ratelimit.go
+++ b/internal/router/ratelimit.go
@@ -20,8 +20,13 @@
 
 // send sends a request of the rank, which usually takes the expected time, to an upstream. Every request of this VM to an
 // upstream passes here, so that all of them count towards the upstream's rate limit. A NoRoomError means that nothing was
-// sent.
+// sent, as does an error of request.Check, which is called before a permit is taken and again before the request is written.
 func (r *Router) send(ctx context.Context, u *upstream, rank int, expected time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error) {
+	if request.Check != nil {
+		if err := request.Check(); err != nil {
+			return nil, err
+		}
+	}
 	if err := r.permit(ctx, u, rank); err != nil {
 		return nil, err
 	}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -173,7 +173,7 @@
 	r := s.request
 	args := relay.RunArgs{
 		Request: r.ID, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Top: s.route.Top, Whole: batch.kind != firstAttempt,
-		Body: r.Body, Caller: r.Caller, Attempts: make([]relay.Attempt, 0, len(batch.open)),
+		Body: r.Body, Caller: r.Caller, Key: r.claim(), Attempts: make([]relay.Attempt, 0, len(batch.open)),
 	}
 	// Parts of second attempts are not held back: the search waits for little else.
 	if batch.kind == firstAttempt {
@@ -182,7 +182,7 @@
 	for shard, a := range batch.open {
 		args.Remaining = remaining(s.route, r, a)
 		args.Attempts = append(args.Attempts, relay.Attempt{
-			Number: shard, Instance: a.upstream.instance.ID, Rank: s.route.Rank,
+			Number: shard, Instance: a.upstream.instance.ID, Rank: s.request.Team.RankOn(s.route),
 			Optional: len(s.router.View().byService[s.route.Shards[shard]])-len(s.tried[shard]) >= minAlternatives,
 		})
 	}
@@ -249,12 +249,18 @@
 		case relay.Partitioned:
 			r.from.link.MarkPartitioned(now)
 			s.tried[shard] = without(s.tried[shard], a.upstream)
+		case relay.Unconfirmed:
+			r.from.link.MarkUnconfirmed(now)
+			s.tried[shard] = without(s.tried[shard], a.upstream)
+			s.reopenAfterUnconfirmed(shard)
+		case relay.KeyRemoved:
+			s.refuseKey(relay.RemovedKeyError())
 		}
 		s.router.observeNotice(a.upstream, notice.Notice{Leaving: ended.Leaving, Pause: ended.Pause})
 		if ended.RateLimit != nil {
 			s.router.observeLimit(a.upstream, ratelimit.Statement{PerSecond: *ended.RateLimit})
 		}
-		s.finishRelayed(r.from, shard, a, attemptEnd{result: relayedResult(ended), took: ended.Took, cause: reasonOf(ended), noRoom: ended.Outcome == relay.Limited})
+		s.finishRelayed(r.from, shard, a, attemptEnd{result: relayedResult(ended), took: ended.Took, cause: reasonOf(ended), noRoom: isUnlogged(ended.Outcome)})
 		if !s.state.Ended(shard, outcome) {
 			released = append(released, s.caution.GaveUp(shard)...)
 			continue
@@ -309,7 +315,7 @@
 	switch outcome {
 	case relay.Answered:
 		return gather.Success
-	case relay.Unsent, relay.Unreachable, relay.Declined, relay.Limited, relay.Partitioned:
+	case relay.Unsent, relay.Unreachable, relay.Declined, relay.Limited, relay.Partitioned, relay.Unconfirmed, relay.KeyRemoved:
 		return gather.NotSent
 	}
 	return gather.Failure
@@ -353,7 +359,7 @@
 		return replica.Misdirected
 	case relay.Unreachable:
 		return replica.Unreachable
-	case relay.Declined, relay.Limited:
+	case relay.Declined, relay.Limited, relay.Unconfirmed, relay.KeyRemoved:
 		return replica.Declined
 	}
 	return replica.Failed
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,6 +55,10 @@
 	// large responses that are being read. If 0, the defaults of upstreamconn apply.
 	MaxResponseBytes    int64
 	ResponseMemoryBytes int64
+	// KeyRevoke is the time after the acknowledgement of a table from which no request with a key that the table has removed may
+	// run. 0 means that this is not required. BootTime reads CLOCK_BOOTTIME; the default is boottime.Now.
+	KeyRevoke time.Duration
+	BootTime  func() time.Duration
 }
 
 // Router routes requests to upstreams. It is safe for concurrent use.
@@ -65,6 +69,7 @@
 	builder *viewBuilder
 	// memory is shared by all responses that this VM reads from upstreams.
 	memory *responsemem.Memory
+	keys   *keyState
 	// peers are the entry VMs that act as relays, nil if relaying is disabled on this VM.
 	peers *relay.Peers
 	view  atomic.Pointer[View]
@@ -137,6 +142,9 @@
 	Leaving, Paused, NoticesUnreadable int64
 	// Quarantined counts the requests that were refused because they are quarantined.
 	Quarantined int64
+	// KeysUnknown and KeysUnsure count the requests that were refused because no configuration contains their key, and because
+	// this VM could not tell. KeyedSendsRefused counts the sends of accepted requests that were refused because of the key.
+	KeysUnknown, KeysUnsure, KeyedSendsRefused int64
 }
 
 // routeStats holds the statistics of one route.
@@ -155,7 +163,7 @@
 	}
 	memory := responsemem.New(cmp.Or(config.ResponseMemoryBytes, responsemem.DefaultBytes))
 	r := &Router{
-		config: config, control: control, log: log, memory: memory,
+		config: config, control: control, log: log, memory: memory, keys: newKeyState(config),
 		builder: &viewBuilder{domain: config.FailureDomain, dialer: config.DialUpstream, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
 		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), links: reach.New(),
@@ -188,6 +196,7 @@
 	}
 	counts.Limited, counts.LimitsUnreadable = int64(len(r.limits.InForce())), r.limits.Unreadable()
 	counts.NoticesUnreadable = r.notices.Unreadable()
+	counts.KeysUnknown, counts.KeysUnsure, counts.KeyedSendsRefused = r.keys.unknown.Load(), r.keys.unsure.Load(), r.keys.refusedSends.Load()
 	now := time.Now()
 	for _, n := range r.notices.InForce(now) {
 		if !n.LeavingSince.IsZero() {
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -70,6 +70,8 @@
 	inFlight int
 	// mayHaveRun is set once an upstream may have run a part.
 	mayHaveRun bool
+	// keyRefused is set once nothing more may be sent because of the key of the request.
+	keyRefused *relay.KeyError
 }
 
 // Search sends the request to one upstream of each shard and returns the top records. An error with code NotRun means
@@ -137,6 +139,9 @@
 
 // send sends one attempt to each of the shards, as far as caution allows it now.
 func (s *search) send(ctx context.Context, shards []int, kind attemptKind) {
+	if len(shards) > 0 && !s.keyAllowsSend() {
+		return
+	}
 	admitted, dropped := s.caution.Admit(shards)
 	if len(admitted) < len(shards) {
 		for _, shard := range shards {
@@ -251,12 +256,15 @@
 		s.sendHeld(ctx, s.caution.Answered(p.shard))
 		return
 	}
+	if refused := keyRefusal(p.err); refused != nil {
+		s.refuseKey(refused)
+	}
 	if closedByUpstream(p.err) {
 		s.giveUp(s.caution.Closed(p.shard))
 	}
 	outcome := gather.Failure
 	switch {
-	case isNoRoom(p.err):
+	case isNoRoom(p.err), keyRefusal(p.err) != nil:
 		outcome = gather.NotSent
 	case isUnsentForLinks(p.err):
 		outcome = gather.NotSent
@@ -306,6 +314,8 @@
 func (s *search) failure(now time.Time) error {
 	in, shards := s.state.AnsweredCount(), len(s.parts)
 	switch {
+	case !s.mayHaveRun && s.inFlight == 0 && s.keyRefused != nil:
+		return s.keyRefused
 	case !s.mayHaveRun && s.inFlight == 0:
 		return fault.New(fault.NotRun, "router.search", "no upstream of %d shards accepted the request", shards)
 	case !now.Before(s.deadline):
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -35,7 +35,8 @@
 	go r.reportSuspects(ctx)
 	connected := true
 	for ctx.Err() == nil {
-		reply, err := r.watchOnce(ctx)
+		reply, began, err := r.watchOnce(ctx)
+		r.keys.pollFailed = err != nil
 		if err != nil {
 			if connected && ctx.Err() == nil {
 				r.log.Warn("control group lost", "revision", r.View().Revision, "code", fault.CodeOf(err), "error", err)
@@ -49,6 +50,7 @@
 		}
 		r.control.SetAddresses(r.appendSeeds(reply.Members))
 		r.adopt(reply)
+		r.confirmView(reply, began)
 		r.adoptPeers(reply)
 		r.adoptSuspects(reply)
 	}
@@ -72,16 +74,22 @@
 	}
 }
 
-func (r *Router) watchOnce(ctx context.Context) (controlrpc.WatchReply, error) {
+// watchOnce returns the reply to one watch and when, on CLOCK_BOOTTIME, the call began that got it.
+func (r *Router) watchOnce(ctx context.Context) (reply controlrpc.WatchReply, began time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	args := controlrpc.WatchArgs{Known: r.View().Revision, WaitMillis: controlrpc.MaxWatchWait.Milliseconds(), Watcher: r.config.ID,
+	args := controlrpc.WatchArgs{Known: r.View().Revision, WaitMillis: r.pollWait().Milliseconds(), Watcher: r.config.ID,
 		RelayAddress: r.config.RelayAddress, FailureDomain: r.config.FailureDomain, PeersDigest: r.peersDigest,
 		FollowsSuspects: true, SuspectsDigest: r.suspectsDigest}
+	began = r.keys.now()
 	if args.Known > 0 {
-		return r.control.Watch(ctx, args)
+		if r.needsConfirmation() {
+			args = args.OnSend(func() { began = r.keys.now() })
+		}
+		reply, err = r.control.Watch(ctx, args)
+		return reply, began, err
 	}
-	reply, err := r.control.WatchAny(ctx, args)
+	reply, err = r.control.WatchAny(ctx, args)
 	if err != nil {
 		pause := time.NewTimer(startupRetryDelay)
 		defer pause.Stop()
@@ -90,7 +98,7 @@
 		case <-ctx.Done():
 		}
 	}
-	return reply, err
+	return reply, began, err
 }
 
 // appendSeeds appends the addresses from the settings to those of the known members, in case all members are replaced.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -110,6 +110,10 @@
 	// 64 KB that are being read at the same time, in KB.
 	MaxResponseKB    int64 `toml:"max_response_kb" validate:"min=1,max=1048576"`
 	ResponseMemoryKB int64 `toml:"response_memory_kb" validate:"min=1,max=16777216"`
+	// KeyRevokeMillis is the time in ms after the acknowledgement of a route table from which no request with a key that the table
+	// has removed may run. A VM whose view no leader has confirmed for that long, less a margin, refuses requests with keys. 0
+	// means that a VM keeps serving from its last view.
+	KeyRevokeMillis float64 `toml:"key_revoke_ms" validate:"min=0,max=3600000"`
 	// LogLevel is the minimum level of log events.
 	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error"`
 	// TLS secures the connections to control members. If absent, TLS is off.
--- a/internal/upstreamconn/upstreamconn.go
+++ b/internal/upstreamconn/upstreamconn.go
@@ -67,6 +67,9 @@
 	MaxBodyBytes int64
 	// Hold keeps the memory of the response until it is released; nil if the response is used only for a moment.
 	Hold *responsemem.Hold
+	// Check is called immediately before the request is written to a connection, and its error keeps it from being sent. It is
+	// nil if there is nothing to check.
+	Check func() error
 }
 
 // Response is a complete response from an upstream.
@@ -201,7 +204,7 @@
 }
 
 // Do sends the request on an idle connection that is still usable, or on a new one, and returns the complete response.
-// The error is a *RequestError.
+// The error is a *RequestError, or that of request.Check.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
 	if ctx.Err() != nil {
 		return nil, newRequestError(false, false, "send", "cancelled before the request was sent: %w", ctx.Err())
@@ -210,6 +213,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if request.Check != nil {
+		if err := request.Check(); err != nil {
+			p.giveBack(c)
+			return nil, err
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	response, reusable, err := p.roundTrip(c, request)
 	if !stop() || err != nil || !reusable {
@@ -295,6 +304,15 @@
 		keepFor = max(response.IdleTimeout-idleMargin, response.IdleTimeout/2)
 	}
 	c.idleUntil = time.Now().Add(keepFor)
+	p.giveBack(c)
+}
+
+// giveBack makes a connection idle, or closes it if it is new, because the upstream has not said how long it stays open.
+func (p *Pool) giveBack(c *conn) {
+	if c.idleUntil.IsZero() {
+		_ = c.Close()
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
