--- a/internal/settings/teams.go
+++ b/internal/settings/teams.go
@@ -17,7 +17,7 @@
 	// Keys and KeyDigests have no rules for their values here: an error would quote the value.
 	Keys []string `toml:"keys,omitempty" json:"-"`
 	// KeyDigests are SHA-256 digests of further keys in hexadecimal.
-	KeyDigests []string `toml:"key_digests,omitempty" json:"key_digests,omitempty"`
+	KeyDigests []string `toml:"key_digests,omitempty"`
 	// Rank replaces the rank of the route if it is set.
 	Rank *int `toml:"rank,omitempty" validate:"omitempty,min=0,max=1000"`
 	// PerSecond and Burst are the quota of the team over all entry VMs together. A PerSecond of 0 means no limit.
