Count the time that a leader held a watch for 600 ms at most

Cause: a leader whose clock runs too fast, together with a VM that was frozen before it read the reply, could have made an old view look fresh: the time counted up to the whole duration of the watch. Change: it counts up to controlrpc.MaxWatchWait, which is how long a leader holds one. Measured: internal/router/keycheck_test.go has the case.

--- a/internal/router/keycheck.go
+++ b/internal/router/keycheck.go
@@ -84,5 +84,8 @@
 }
 
 // heldFor returns the part of the duration of a watch for which the reply shows that the leader held it, so that the view is
-// confirmed from that time after the start of the watch. The leader's clock cannot make it longer than the watch itself.
-func heldFor(held, took time.Duration) time.Duration { return max(0, min(held, took)) }
+// confirmed from that time after the start of the watch. The leader's clock cannot make it longer than a leader holds a watch, or than
+// the watch itself.
+func heldFor(held, took time.Duration) time.Duration {
+	return max(0, min(held, took, controlrpc.MaxWatchWait))
+}
--- a/internal/router/keycheck_test.go
+++ b/internal/router/keycheck_test.go
@@ -62,7 +62,9 @@
 	},
 		Entry("a long poll", 600*time.Millisecond, 602*time.Millisecond, 600*time.Millisecond),
 		Entry("a leader of an older version", time.Duration(0), 602*time.Millisecond, time.Duration(0)),
-		Entry("a leader whose clock runs too fast", time.Hour, 602*time.Millisecond, 602*time.Millisecond),
+		Entry("a short poll", 3*time.Millisecond, 5*time.Millisecond, 3*time.Millisecond),
+		Entry("a leader whose clock runs too fast", time.Hour, 302*time.Millisecond, 302*time.Millisecond),
+		Entry("a leader whose clock runs too fast, and a VM that was frozen", time.Hour, time.Minute, 600*time.Millisecond),
 		Entry("a leader that sends nonsense", -time.Second, 602*time.Millisecond, time.Duration(0)),
 	)
 
