--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -90,6 +90,13 @@
 	last *View
 }
 
+func newViewBuilder(config Config, codec upstreamconn.Codec, memory *responsemem.Memory) *viewBuilder {
+	return &viewBuilder{
+		domain: config.FailureDomain, dialer: config.DialUpstream, codec: codec, memory: memory,
+		upstreams: map[string]*upstream{}, byService: map[string]map[string]*upstream{},
+	}
+}
+
 // updateWatchers adopts a reported number of entry VMs; a lower one only after watcherRetention, and none if the leader
 // does not know it yet.
 func (b *viewBuilder) updateWatchers(seen int, now time.Time) {
