Add the division of a request rate among many VMs

Teams get quotas over all entry VMs, and a VM sees a given team only every few seconds, so that equal shares would be fractions of a request. internal/sharedrate holds the token bucket of a team at one VM, which issues credits to the others. Each candidate for that role lends its part of the rate to one holder at a time for 450 ms, so that several holders together never issue more than the rate. The issuer of internal/ratelimit uses the same bucket; its figures and tests are unchanged.

--- a/internal/ratelimit/issuer.go
+++ b/internal/ratelimit/issuer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/registry"
+	"github.com/wisteriamux/wisteriamux/internal/sharedrate"
 )
 
 const (
@@ -77,10 +78,9 @@
 	RetryAfter time.Duration
 }
 
-// bucket is the token bucket of one upstream.
+// bucket is the token bucket of one upstream, with the figures of this package as its policy.
 type bucket struct {
-	tokens     float64
-	refilledAt time.Time
+	sharedrate.Bucket
 	// since is when this VM began to grant permits.
 	since time.Time
 	// urgentRank is the most urgent rank that asked lately, urgentAt when it did so last.
@@ -106,23 +106,20 @@
 	if now.Sub(b.since) < handOver {
 		rate /= 2
 	}
-	b.tokens = math.Min(burst, b.tokens+rate*now.Sub(b.refilledAt).Seconds())
-	b.refilledAt = now
+	b.Refill(now, rate, burst)
 	needed := math.Min(1+b.reserve(now, d.Rank), math.Max(burst, 1))
 	if burst < 1 {
 		return b.drawPart(draw, rate)
 	}
-	if b.tokens >= needed {
-		b.tokens--
+	if b.Take(needed) {
 		return Grant{Granted: true}
 	}
-	return Grant{RetryAfter: secondsDuration((needed - b.tokens) / rate)}
+	return Grant{RetryAfter: secondsDuration((needed - b.Tokens()) / rate)}
 }
 
 // drawPart takes the part of a token that the bucket holds, and grants a permit with the same probability.
 func (b *bucket) drawPart(draw, rate float64) Grant {
-	granted := draw < b.tokens
-	b.tokens = 0
+	granted := draw < b.TakeAll()
 	if granted {
 		return Grant{Granted: true}
 	}
@@ -136,8 +133,8 @@
 // bucket returns the bucket of the upstream. One that was not used lately begins anew.
 func (i *Issuer) bucket(now time.Time, key registry.Process, first float64) *bucket {
 	b, ok := i.buckets[key]
-	if !ok || now.Sub(b.refilledAt) > handOver {
-		b = &bucket{tokens: first, refilledAt: now, since: now, urgentRank: math.MaxInt}
+	if !ok || now.Sub(b.RefilledAt()) > handOver {
+		b = &bucket{Bucket: sharedrate.NewBucket(now, first), since: now, urgentRank: math.MaxInt}
 		i.buckets[key] = b
 	}
 	return b
