Count requests against the quotas of teams over all entry VMs

Nothing enforced the rate of a team in the route table. Before the first send of a search or a forwarded request, the router now takes a credit: from the VM's own credits, or with one call (Relay.Credits) from the VM that holds the team's bucket. A VM that begins to hold a bucket asks the other candidates for it and for their parts of the rate (Relay.TakeOver). Requests over the quota are refused with 429 and a time at which there is room, and with 503 if the holder does not answer within a quarter of the objective. A credit is given back if nothing was sent. Without teams that have a rate there are no calls and no connections.

--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -50,6 +50,14 @@
 		"wisteriamux.upstreams.ended":      func() int64 { return r.Counts().UpstreamEnds },
 		"wisteriamux.requests.quarantined": func() int64 { return r.Counts().Quarantined },
 		"wisteriamux.log.dropped":          output.Dropped,
+		"wisteriamux.quota.granted":        func() int64 { return r.QuotaCounts().Granted },
+		"wisteriamux.quota.denied":         func() int64 { return r.QuotaCounts().Denied },
+		"wisteriamux.quota.returned":       func() int64 { return r.QuotaCounts().Returned },
+		"wisteriamux.quota.unavailable":    func() int64 { return r.QuotaCounts().Unavailable },
+		"wisteriamux.quota.calls":          func() int64 { return r.QuotaCounts().Calls },
+		"wisteriamux.quota.claims":         func() int64 { return r.QuotaCounts().Claims },
+		"wisteriamux.quota.takenover":      func() int64 { return r.QuotaCounts().TakenOver },
+		"wisteriamux.quota.handedover":     func() int64 { return r.QuotaCounts().HandedOver },
 	}
 	for name, read := range gauges {
 		if err := metrics.RegisterGauge(name, "total or state of the router", read); err != nil {
@@ -63,6 +71,7 @@
 	paths := mux.NewRouter()
 	paths.Handle("/metrics", metrics.Handler()).Methods(http.MethodGet)
 	paths.HandleFunc("/limits", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Limits(), log) }).Methods(http.MethodGet)
+	paths.HandleFunc("/quotas", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Quotas(), log) }).Methods(http.MethodGet)
 	paths.HandleFunc("/notices", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Notices(), log) }).Methods(http.MethodGet)
 	serve(listener, paths, log)
 	return func(rt *route.Route, status int, latency time.Duration) { recordRequest(metrics, rt, status, latency) }, nil
--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -104,6 +104,8 @@
 		AnswerMargin: answerMargin(loaded),
 		RelayAddress: loaded.RelayAddress, DialRelay: transport.Dialer(controlrpc.PlainDialer, security.RoleEntry),
 		MaxResponseBytes: loaded.MaxResponseKB << 10, ResponseMemoryBytes: loaded.ResponseMemoryKB << 10,
+		QuotaWindow: time.Duration(loaded.QuotaWindowSeconds * float64(time.Second)), QuotaOverage: loaded.QuotaOverage,
+		ColdOverage: loaded.ColdOverage, ColdSlack: loaded.ColdSlack,
 	}, control, platform.Codec{}, log)
 	relayServer := relay.NewServer(r, log)
 	if loaded.RelayAddress == "" {
--- a/internal/relay/cancel_test.go
+++ b/internal/relay/cancel_test.go
@@ -18,6 +18,10 @@
 
 func (e *countingExecutor) Permit(PermitArgs) PermitReply { return PermitReply{} }
 
+func (e *countingExecutor) Credits(context.Context, CreditsArgs) CreditsReply { return CreditsReply{} }
+
+func (e *countingExecutor) TakeOver(TakeOverArgs) TakeOverReply { return TakeOverReply{} }
+
 func (e *countingExecutor) Attempt(ctx context.Context, _ Attempt, _ time.Duration, _ *upstreamconn.Request) (*upstreamconn.Response, error) {
 	e.started.Add(1)
 	e.running.Add(1)
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -40,6 +40,10 @@
 
 func (e *executor) Permit(PermitArgs) PermitReply { return PermitReply{} }
 
+func (e *executor) Credits(context.Context, CreditsArgs) CreditsReply { return CreditsReply{} }
+
+func (e *executor) TakeOver(TakeOverArgs) TakeOverReply { return TakeOverReply{} }
+
 func (e *executor) Attempt(ctx context.Context, a Attempt, _ time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error) {
 	e.mu.Lock()
 	e.lastRequest = request
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -35,6 +35,9 @@
 	Attempt(ctx context.Context, attempt Attempt, expected time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error)
 	// Permit grants or denies a permit for an upstream with a rate limit.
 	Permit(args PermitArgs) PermitReply
+	// Credits grants or denies credits of a team, and TakeOver lends the parts of the rates of teams.
+	Credits(ctx context.Context, args CreditsArgs) CreditsReply
+	TakeOver(args TakeOverArgs) TakeOverReply
 }
 
 // Server executes the batches of other entry VMs. It is safe for concurrent use.
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -107,6 +107,8 @@
 	// noRoom is set if the upstream was at its rate limit. Such ends are counted, not logged: there may be one for each
 	// request.
 	noRoom bool
+	// unsent is set if a relay reports that no upstream received the request.
+	unsent bool
 }
 
 // run executes an attempt and records its result. Cancelling the context aborts the attempt.
@@ -130,6 +132,7 @@
 }
 
 func (r *Router) recordEnd(rt *route.Route, request *Request, a *attempt, e attemptEnd) {
+	request.quota.end(e)
 	r.mu.Lock()
 	s := r.stats(rt)
 	switch e.result {
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -55,6 +55,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := r.takeQuota(ctx, rt, request); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	_, deadline, _ := r.deadlines(rt, request)
@@ -64,6 +67,9 @@
 	}
 	f.send(ctx, firstAttempt)
 	response, err := f.await(ctx)
+	if err != nil {
+		r.refundQuota(request)
+	}
 	if err == nil && provesRun(response) {
 		r.recordAnswered(request, response.Status, []string{f.service}, nil)
 	}
@@ -100,6 +106,7 @@
 	if a == nil {
 		return
 	}
+	f.request.quota.begin()
 	f.tried = append(f.tried, a.upstream)
 	f.attempts++
 	f.pending++
--- /dev/null
+++ b/internal/router/quota.go
@@ -0,0 +1,698 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wisteriamux/wisteriamux/internal/boottime"
+	"github.com/wisteriamux/wisteriamux/internal/fault"
+	"github.com/wisteriamux/wisteriamux/internal/relay"
+	"github.com/wisteriamux/wisteriamux/internal/route"
+	"github.com/wisteriamux/wisteriamux/internal/sharedrate"
+	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
+)
+
+const (
+	// holderPatience is the part of the latency objective for which a request waits for a credit while the holder is not known
+	// or does not answer.
+	holderPatience = 0.25
+	// quotaRetry is the time between two calls while the holder is not known or does not answer.
+	quotaRetry = 5 * time.Millisecond
+	// claimTimeout is how long a VM that begins to hold a bucket waits for the other candidates.
+	claimTimeout = 50 * time.Millisecond
+	// refundDelay is the time for which refunds wait for a call of the same team before one is made for them.
+	refundDelay = 20 * time.Millisecond
+	// refundShare is the part of the overage that covers refunds: credits that are counted, and given back later, add to the
+	// sum of a window what the bucket refills meanwhile.
+	refundShare = 0.5
+	// refusalsEndAfter is how long no request of a team must be refused before the refusals count as ended.
+	refusalsEndAfter = 10 * time.Second
+	// maxQuotaLines limits the log lines about quotas in quotaLinesSpan: there may be many teams.
+	maxQuotaLines  = 20
+	quotaLinesSpan = 10 * time.Second
+	// unusedQuotaAfter is how long the state of a team without requests is kept.
+	unusedQuotaAfter = time.Minute
+)
+
+// OverQuotaError is returned for a request that was not sent because its team has used up its quota.
+type OverQuotaError struct {
+	Team string
+	// RetryAfter is the time after which there may be room for the request.
+	RetryAfter time.Duration
+}
+
+// Error implements the error interface.
+func (e *OverQuotaError) Error() string {
+	return fmt.Sprintf("team %q has used up its quota, room expected in %d ms", e.Team, e.RetryAfter.Milliseconds())
+}
+
+// QuotaCounts holds counters of quotas since the start of the process.
+type QuotaCounts struct {
+	// Granted and Denied count this VM's requests, and Returned the credits that it gave back.
+	Granted, Denied, Returned int64
+	// Unavailable counts the requests that were refused because the holder did not answer.
+	Unavailable int64
+	// Calls counts the calls to other VMs for credits, and Claims those for parts of rates.
+	Calls, Claims int64
+	// TakenOver counts the buckets that this VM began to hold, and HandedOver those that it handed to another one.
+	TakenOver, HandedOver int64
+}
+
+// quotaMeter counts the attempts of a request, so that its credit is returned only if none was sent.
+type quotaMeter struct {
+	counted       time.Time
+	begun, unsent atomic.Int64
+}
+
+// begin records that an attempt begins.
+func (m *quotaMeter) begin() {
+	if m != nil {
+		m.begun.Add(1)
+	}
+}
+
+// end records the end of an attempt.
+func (m *quotaMeter) end(e attemptEnd) {
+	var failed *upstreamconn.RequestError
+	neverSent := errors.As(e.cause, &failed) && !failed.Sent
+	if m != nil && (e.unsent || e.noRoom || neverSent || isUnsentForLinks(e.cause)) {
+		m.unsent.Add(1)
+	}
+}
+
+// quotas is the state of team quotas at this VM.
+type quotas struct {
+	// refundLife is how long after it was counted a credit is given back.
+	refundLife time.Duration
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	holder *sharedrate.Holder
+	teams  map[string]*teamQuota
+	// claims holds a channel for each bucket that this VM is about to hold, which is closed at the end.
+	claims map[string]chan struct{}
+	// index is the route table that limits belongs to.
+	index  *route.Index
+	limits map[string]sharedrate.Limit
+	counts QuotaCounts
+	// lines is the number of log lines since linesSince.
+	lines      int
+	linesSince time.Time
+}
+
+// teamQuota is what this VM knows of one team as a sender.
+type teamQuota struct {
+	wallet   sharedrate.Wallet
+	sequence uint64
+	calling  bool
+	waiting  []*quotaWaiter
+	// refusedAt is when a request was refused last. refusing is set from the first refusal until they end.
+	refusedAt time.Time
+	refusing  bool
+	refused   int64
+}
+
+// quotaWaiter is a request that waits for a credit.
+type quotaWaiter struct {
+	// done gets nil or an error. It has room for one.
+	done chan error
+	gone bool
+}
+
+// bootNow returns the time since boot as a time.Time, so that credits and loans end while a VM is suspended.
+func bootNow() time.Time { return time.Unix(0, 0).Add(boottime.Now()) }
+
+func newQuotas(config Config) *quotas {
+	return &quotas{
+		refundLife: time.Duration(refundShare * config.QuotaOverage * float64(config.QuotaWindow)),
+		holder:     sharedrate.NewHolder(config.ID, bootNow(), config.QuotaOverage),
+		teams:      map[string]*teamQuota{}, claims: map[string]chan struct{}{}, limits: map[string]sharedrate.Limit{},
+	}
+}
+
+// limitsOf adopts the limits of the VM's newest route table. The caller must hold mu.
+func (q *quotas) limitsOf(index *route.Index, now time.Time) map[string]sharedrate.Limit {
+	if index == q.index {
+		return q.limits
+	}
+	q.index, q.limits = index, map[string]sharedrate.Limit{}
+	for _, team := range index.Table.Teams {
+		if team.PerSecond > 0 {
+			q.limits[team.Name] = sharedrate.Limit{PerSecond: team.PerSecond, Burst: team.Burst, Version: index.Table.Version}
+		}
+	}
+	q.holder.Adopt(now, q.limits)
+	return q.limits
+}
+
+// limit returns the quota of the request's team, or false if it has none. The rate comes from this VM's newest table: the team may
+// have another one there than in the table by which the request was accepted.
+func (q *quotas) limit(index *route.Index, request *Request, now time.Time) (sharedrate.Limit, bool) {
+	if index != nil {
+		limits := q.limitsOf(index, now)
+		if l, ok := limits[request.Team.Name]; ok {
+			return l, true
+		}
+		for i := range index.Table.Teams {
+			if index.Table.Teams[i].Name == request.Team.Name {
+				return sharedrate.Limit{}, false
+			}
+		}
+	}
+	l := sharedrate.Limit{PerSecond: request.Team.PerSecond, Burst: request.Team.Burst, Version: request.TableVersion}
+	return l, l.PerSecond > 0
+}
+
+func (q *quotas) team(name string) *teamQuota {
+	t, ok := q.teams[name]
+	if !ok {
+		t = &teamQuota{}
+		q.teams[name] = t
+	}
+	return t
+}
+
+// takeQuota counts the request against the quota of its team. It must be called before anything is sent. An error with code
+// OverQuota means that the quota is used up, and one with code NotRun that the holder of the bucket did not answer.
+func (r *Router) takeQuota(ctx context.Context, rt *route.Route, request *Request) error {
+	if request.Team == nil {
+		return nil
+	}
+	q, now := r.quotas, bootNow()
+	q.mu.Lock()
+	limit, limited := q.limit(r.View().Routes, request, now)
+	if !limited {
+		q.mu.Unlock()
+		return nil
+	}
+	t := q.team(request.Team.Name)
+	t.wallet.Arrived(now)
+	if t.wallet.Take(now) {
+		q.counts.Granted++
+		q.mu.Unlock()
+		request.quota = &quotaMeter{counted: now}
+		return nil
+	}
+	if retryAfter, denied := t.wallet.Denied(now, rand.Float64()); denied {
+		err := r.overQuota(request.Team.Name, t, retryAfter, now)
+		q.mu.Unlock()
+		return err
+	}
+	waiter := &quotaWaiter{done: make(chan error, 1)}
+	t.waiting = append(t.waiting, waiter)
+	if !t.calling {
+		t.calling = true
+		go r.obtainCredits(request.Team.Name, limit, t)
+	}
+	q.mu.Unlock()
+	return r.awaitCredit(ctx, rt, request, t, waiter)
+}
+
+// overQuota counts and returns a refusal. The caller must hold the mutex of the quotas.
+func (r *Router) overQuota(team string, t *teamQuota, retryAfter time.Duration, now time.Time) error {
+	r.quotas.counts.Denied++
+	t.refusedAt = now
+	t.refused++
+	if !t.refusing {
+		t.refusing = true
+		r.quotas.logBounded(now, func() { r.log.Info("team over quota", "team", team, "retry_after_ms", retryAfter.Milliseconds()) })
+	}
+	return fault.New(fault.OverQuota, "router.quota", "%w", &OverQuotaError{Team: team, RetryAfter: retryAfter})
+}
+
+// logBounded writes a log line unless there were too many lately. The caller must hold mu.
+func (q *quotas) logBounded(now time.Time, write func()) {
+	if now.Sub(q.linesSince) > quotaLinesSpan {
+		q.lines, q.linesSince = 0, now
+	}
+	if q.lines++; q.lines <= maxQuotaLines {
+		write()
+	}
+}
+
+// awaitCredit waits until the request has a credit or is refused.
+func (r *Router) awaitCredit(ctx context.Context, rt *route.Route, request *Request, t *teamQuota, waiter *quotaWaiter) error {
+	objective := rt.Objective
+	if objective <= 0 {
+		objective = rt.Timeout
+	}
+	timer := time.NewTimer(time.Duration(holderPatience * float64(objective)))
+	defer timer.Stop()
+	var err error
+	select {
+	case err = <-waiter.done:
+		if err == nil {
+			request.quota = &quotaMeter{counted: bootNow()}
+		}
+		return err
+	case <-ctx.Done():
+		err = fault.New(fault.Cancelled, "router.quota", "caller cancelled the request: %w", ctx.Err())
+	case <-timer.C:
+		err = fault.New(fault.NotRun, "router.quota", "the VM that holds the quota of team %q does not answer", request.Team.Name)
+	}
+	q := r.quotas
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	select {
+	case result := <-waiter.done:
+		// The answer came at the same time.
+		if result == nil {
+			t.wallet.Refund(bootNow(), bootNow(), q.refundLife)
+		}
+	default:
+		waiter.gone = true
+	}
+	if fault.Is(err, fault.NotRun) {
+		q.counts.Unavailable++
+	}
+	return err
+}
+
+// obtainCredits asks the holder of the team's bucket until no request waits for a credit. One call is in progress at a time.
+func (r *Router) obtainCredits(team string, limit sharedrate.Limit, t *teamQuota) {
+	q := r.quotas
+	for {
+		now := bootNow()
+		q.mu.Lock()
+		t.dropGone()
+		if len(t.waiting) == 0 && !t.wallet.HasRefunds() {
+			t.calling = false
+			q.mu.Unlock()
+			return
+		}
+		if index := r.View().Routes; index != nil {
+			if newest, ok := q.limitsOf(index, now)[team]; ok {
+				limit = newest
+			}
+		}
+		t.sequence++
+		asked := len(t.waiting)
+		ask := sharedrate.Ask{Team: team, VM: r.config.ID, Process: r.started.UnixNano(), Sequence: t.sequence, Limit: limit, Waiting: asked}
+		t.wallet.Ask(now, &ask)
+		q.counts.Returned += int64(ask.Unused + ask.Refunded)
+		q.mu.Unlock()
+		answer, ok := r.askQuotaHolder(ask)
+		if ok {
+			r.settleCredits(team, t, now, asked, answer)
+			continue
+		}
+		if asked == 0 {
+			// Only refunds were pending, and they are lost with the call.
+			continue
+		}
+		time.Sleep(quotaRetry)
+	}
+}
+
+// dropGone removes requests that no longer wait. The caller must hold the mutex of the quotas.
+func (t *teamQuota) dropGone() {
+	kept := t.waiting[:0]
+	for _, w := range t.waiting {
+		if !w.gone {
+			kept = append(kept, w)
+		}
+	}
+	clear(t.waiting[len(kept):])
+	t.waiting = kept
+}
+
+// settleCredits distributes the answer to a call that began at start among the first requests that wait.
+func (r *Router) settleCredits(team string, t *teamQuota, start time.Time, asked int, answer sharedrate.Answer) {
+	q, now := r.quotas, bootNow()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	granted := t.wallet.Answered(start, now, asked, answer)
+	if granted == 0 && answer.Granted >= asked && asked > 0 {
+		// The answer came after the end of its credits: the requests ask again.
+		return
+	}
+	for n, w := range t.waiting[:asked] {
+		switch {
+		case n < granted && w.gone:
+			t.wallet.Refund(now, now, q.refundLife)
+		case n < granted:
+			q.counts.Granted++
+			w.done <- nil
+		case !w.gone:
+			w.done <- r.overQuota(team, t, answer.RetryAfter+time.Duration(n-granted)*answer.Step, now)
+		}
+	}
+	t.waiting = append([]*quotaWaiter(nil), t.waiting[asked:]...)
+}
+
+// askQuotaHolder asks the holder of the team's bucket, and the next candidate if the first one says that it is not the holder.
+func (r *Router) askQuotaHolder(ask sharedrate.Ask) (sharedrate.Answer, bool) {
+	ctx := context.Background()
+	if r.peers == nil {
+		return r.shareAlone(ask), true
+	}
+	for _, holder := range r.peers.QuotaHolders(ask.Team, time.Now()) {
+		var answer sharedrate.Answer
+		if holder.Self {
+			answer = r.Credits(ctx, relay.CreditsArgs{Ask: ask}).Answer
+		} else {
+			reply, err := r.callHolder(ctx, holder.Link, relay.CreditsArgs{Ask: ask})
+			if err != nil && !fault.Is(err, fault.Unsupported) {
+				return sharedrate.Answer{}, false
+			}
+			answer = reply.Answer
+			answer.NotHolder = answer.NotHolder || err != nil
+		}
+		if !answer.NotHolder {
+			return answer, true
+		}
+	}
+	return sharedrate.Answer{}, false
+}
+
+func (r *Router) callHolder(ctx context.Context, link *relay.Link, args relay.CreditsArgs) (relay.CreditsReply, error) {
+	q := r.quotas
+	q.mu.Lock()
+	q.counts.Calls++
+	q.mu.Unlock()
+	reply, err := link.Credits(ctx, args)
+	if err != nil && ctx.Err() == nil {
+		q.mu.Lock()
+		q.logBounded(bootNow(), func() {
+			r.log.Warn("credits not obtained", "team", args.Ask.Team, "holder", link.PeerID(), "code", fault.CodeOf(err), "error", err)
+		})
+		q.mu.Unlock()
+	}
+	return reply, err
+}
+
+// shareAlone grants credits at a VM without a relay address, which has no way to talk to others: an equal share of the quota.
+func (r *Router) shareAlone(ask sharedrate.Ask) sharedrate.Answer {
+	q, now := r.quotas, bootNow()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	vms := float64(max(1, r.View().watchers))
+	ask.Limit.PerSecond /= vms
+	ask.Limit.Burst /= vms
+	q.holder.Confirm(now)
+	q.holder.SeeCandidates(now, 1)
+	if !q.holder.Has(ask.Team) {
+		q.holder.Begin(now, now, ask.Team, ask.Limit, nil)
+	}
+	return q.holder.Credits(now, ask, rand.Float64())
+}
+
+// Credits grants or denies credits to another entry VM or to this one. It implements relay.Executor. A VM that is not the holder
+// passes the call on once, since the asking VM may not reach the holder.
+func (r *Router) Credits(ctx context.Context, args relay.CreditsArgs) relay.CreditsReply {
+	unknown := relay.CreditsReply{Answer: sharedrate.Answer{NotHolder: true}}
+	if r.peers == nil {
+		return unknown
+	}
+	q := r.quotas
+	if answer, held := r.grantHeld(args.Ask); held {
+		return relay.CreditsReply{Answer: answer}
+	}
+	holders := r.peers.QuotaHolders(args.Ask.Team, time.Now())
+	switch {
+	case len(holders) == 0:
+		return unknown
+	case holders[0].Self:
+		r.becomeHolder(args.Ask.Team, args.Ask.Limit)
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		return relay.CreditsReply{Answer: q.holder.Credits(bootNow(), args.Ask, rand.Float64())}
+	case args.Forwarded || args.Ask.VM == r.config.ID:
+		return unknown
+	}
+	args.Forwarded = true
+	reply, err := r.callHolder(ctx, holders[0].Link, args)
+	if err != nil {
+		return unknown
+	}
+	return reply
+}
+
+// grantHeld answers from the bucket of this VM if it holds one.
+func (r *Router) grantHeld(ask sharedrate.Ask) (sharedrate.Answer, bool) {
+	q, now := r.quotas, bootNow()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if index := r.View().Routes; index != nil {
+		q.limitsOf(index, now)
+	}
+	if !q.holder.Holds(now, ask.Team) {
+		return sharedrate.Answer{}, false
+	}
+	return q.holder.Credits(now, ask, rand.Float64()), true
+}
+
+// becomeHolder makes this VM the holder of the team's bucket. Of several calls at the same time one does so, and the others wait.
+func (r *Router) becomeHolder(team string, limit sharedrate.Limit) {
+	q := r.quotas
+	q.mu.Lock()
+	if begun, ok := q.claims[team]; ok {
+		q.mu.Unlock()
+		<-begun
+		return
+	}
+	done := make(chan struct{})
+	q.claims[team] = done
+	if newest, ok := q.limits[team]; ok && newest.Version >= limit.Version {
+		limit = newest
+	}
+	q.mu.Unlock()
+	start := bootNow()
+	yields := r.claim([]string{team}, "", nil)[team]
+	if from := releasedBy(yields); from != "" {
+		// The loans to the previous holder have ended.
+		for id, y := range r.claim([]string{team}, from, func(id string) bool { return yields[id].Share == 0 && yields[id].LentTo == from })[team] {
+			yields[id] = y
+		}
+	}
+	now := bootNow()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.holder.Begin(start, now, team, limit, yields)
+	q.counts.TakenOver++
+	q.logBounded(now, func() {
+		r.log.Info("quota bucket taken over", "team", team, "from", releasedBy(yields), "answers", len(yields), "took_ms", now.Sub(start).Milliseconds())
+	})
+	delete(q.claims, team)
+	close(done)
+}
+
+// releasedBy returns the ID of a VM that handed its bucket over, or "" if none did.
+func releasedBy(yields map[string]sharedrate.Yield) string {
+	for id, y := range yields {
+		if y.Released {
+			return id
+		}
+	}
+	return ""
+}
+
+// claim asks the other candidates, or those that the filter accepts, for their parts of the rates of the teams, and returns the
+// answers that come in time by team and candidate.
+func (r *Router) claim(teams []string, released string, accept func(id string) bool) map[string]map[string]sharedrate.Yield {
+	q := r.quotas
+	links, total := r.peers.QuotaCandidates(time.Now())
+	var claims []sharedrate.Claim
+	q.mu.Lock()
+	q.holder.SeeCandidates(bootNow(), total)
+	for _, team := range teams {
+		claims = append(claims, sharedrate.Claim{Team: team, Holder: r.config.ID, Candidates: total, Reached: q.holder.Reached(team), ReleasedBy: released})
+	}
+	q.mu.Unlock()
+	all := map[string]map[string]sharedrate.Yield{}
+	for _, team := range teams {
+		all[team] = map[string]sharedrate.Yield{}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	called := int64(0)
+	for _, link := range links {
+		if accept != nil && !accept(link.PeerID()) {
+			continue
+		}
+		called++
+		wg.Go(func() {
+			reply, err := link.TakeOver(ctx, relay.TakeOverArgs{Claims: claims})
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for n, y := range reply.Yields {
+				all[claims[n].Team][link.PeerID()] = y
+			}
+		})
+	}
+	wg.Wait()
+	q.mu.Lock()
+	q.counts.Claims += called
+	q.mu.Unlock()
+	return all
+}
+
+// TakeOver answers claims of another entry VM. It implements relay.Executor.
+func (r *Router) TakeOver(args relay.TakeOverArgs) relay.TakeOverReply {
+	q, now := r.quotas, bootNow()
+	reply := relay.TakeOverReply{Yields: make([]sharedrate.Yield, len(args.Claims))}
+	for n, c := range args.Claims {
+		before := r.peers != nil && r.peers.PrecedesSelf(c.Team, c.Holder)
+		q.mu.Lock()
+		y := q.holder.Yield(now, c, before)
+		if y.Released {
+			q.counts.HandedOver++
+			q.logBounded(now, func() { r.log.Info("quota bucket handed over", "team", c.Team, "to", c.Holder, "tokens", y.Tokens) })
+		}
+		q.mu.Unlock()
+		reply.Yields[n] = y
+	}
+	return reply
+}
+
+// KeepQuotas renews the loans of the buckets that this VM holds, and keeps links to the other candidates open, until the context
+// ends. Without teams that have a rate it does nothing.
+func (r *Router) KeepQuotas(ctx context.Context) {
+	ticker := time.NewTicker(sharedrate.RenewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.renewQuotas()
+		}
+	}
+}
+
+func (r *Router) renewQuotas() {
+	q, now := r.quotas, bootNow()
+	index := r.View().Routes
+	if index == nil || r.peers == nil {
+		return
+	}
+	q.mu.Lock()
+	limited := len(q.limitsOf(index, now)) > 0
+	teams := q.holder.Teams(now)
+	q.endRefusals(now, r)
+	q.mu.Unlock()
+	if !limited {
+		return
+	}
+	r.peers.QuotaCandidates(time.Now())
+	if len(teams) == 0 {
+		return
+	}
+	yields := r.claim(teams, "", nil)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, team := range teams {
+		q.holder.Renewed(now, bootNow(), team, yields[team])
+	}
+}
+
+// endRefusals logs the end of refusals and drops the state of teams without requests. The caller must hold mu.
+func (q *quotas) endRefusals(now time.Time, r *Router) {
+	for name, t := range q.teams {
+		if t.refusing && now.Sub(t.refusedAt) > refusalsEndAfter {
+			refused := t.refused
+			t.refusing, t.refused = false, 0
+			q.logBounded(now, func() { r.log.Info("team within quota", "team", name, "refused", refused) })
+		}
+		if !t.calling && !t.refusing && now.Sub(t.wallet.LastUsed()) > unusedQuotaAfter {
+			delete(q.teams, name)
+		}
+	}
+}
+
+// confirmQuotas records that the control group has confirmed the list of entry VMs.
+func (r *Router) confirmQuotas() {
+	q := r.quotas
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.holder.Confirm(bootNow())
+}
+
+// refundQuota gives the credit of a refused request back if nothing of it was sent.
+func (r *Router) refundQuota(request *Request) {
+	m := request.quota
+	if m == nil || m.begun.Load() != m.unsent.Load() {
+		return
+	}
+	request.quota = nil
+	q, now, team := r.quotas, bootNow(), request.Team.Name
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	t, ok := q.teams[team]
+	if !ok || !t.wallet.Refund(now, m.counted, q.refundLife) {
+		return
+	}
+	limit, _ := q.limit(r.View().Routes, request, now)
+	time.AfterFunc(refundDelay, func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		if !t.calling && t.wallet.HasRefunds() {
+			t.calling = true
+			go r.obtainCredits(team, limit, t)
+		}
+	})
+}
+
+// QuotaCounts returns a snapshot of the counters of quotas.
+func (r *Router) QuotaCounts() QuotaCounts {
+	r.quotas.mu.Lock()
+	defer r.quotas.mu.Unlock()
+	return r.quotas.counts
+}
+
+// Quota describes the quota of one team.
+type Quota struct {
+	Team string `json:"team"`
+	// PerSecond and Burst are the quota over all entry VMs together.
+	PerSecond float64 `json:"per_second"`
+	Burst     float64 `json:"burst"`
+	// Holder is the ID of the entry VM that holds the bucket, empty if it is not known.
+	Holder string `json:"holder"`
+	// Held is set if this VM has a bucket of the team. Tokens and Outstanding are its tokens and the credits that other VMs hold,
+	// and Part is the part of the rate that it may issue.
+	Held        bool    `json:"held"`
+	Tokens      float64 `json:"tokens"`
+	Outstanding float64 `json:"outstanding"`
+	Part        float64 `json:"part"`
+}
+
+// Quotas returns the quotas of all teams that have one, ordered as in the route table.
+func (r *Router) Quotas() []Quota {
+	all := []Quota{}
+	index := r.View().Routes
+	if index == nil {
+		return all
+	}
+	q, now := r.quotas, bootNow()
+	q.mu.Lock()
+	q.limitsOf(index, now)
+	states := map[string]sharedrate.State{}
+	for _, s := range q.holder.States(now) {
+		states[s.Team] = s
+	}
+	q.mu.Unlock()
+	for _, team := range index.Table.Teams {
+		if team.PerSecond <= 0 {
+			continue
+		}
+		quota := Quota{Team: team.Name, PerSecond: team.PerSecond, Burst: team.Burst}
+		if s, ok := states[team.Name]; ok {
+			quota.Held, quota.Tokens, quota.Outstanding, quota.Part = true, s.Tokens, s.Outstanding, s.Part
+		}
+		if r.peers != nil {
+			quota.Holder = r.peers.FirstQuotaHolder(team.Name)
+		}
+		all = append(all, quota)
+	}
+	return all
+}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -254,7 +254,8 @@
 		if ended.RateLimit != nil {
 			s.router.observeLimit(a.upstream, ratelimit.Statement{PerSecond: *ended.RateLimit})
 		}
-		s.finishRelayed(r.from, shard, a, attemptEnd{result: relayedResult(ended), took: ended.Took, cause: reasonOf(ended), noRoom: ended.Outcome == relay.Limited})
+		s.finishRelayed(r.from, shard, a, attemptEnd{result: relayedResult(ended), took: ended.Took, cause: reasonOf(ended), noRoom: ended.Outcome == relay.Limited,
+			unsent: outcome == gather.NotSent})
 		if !s.state.Ended(shard, outcome) {
 			released = append(released, s.caution.GaveUp(shard)...)
 			continue
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,6 +55,13 @@
 	// large responses that are being read. If 0, the defaults of upstreamconn apply.
 	MaxResponseBytes    int64
 	ResponseMemoryBytes int64
+	// QuotaWindow is the span in which the requests of a team are counted, and QuotaOverage the fraction by which they may exceed
+	// the quota.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	// ColdOverage is the factor by which the requests to a cold upstream in a second may exceed its rate, and ColdSlack the number
+	// by which they may on top.
+	ColdOverage, ColdSlack float64
 }
 
 // Router routes requests to upstreams. It is safe for concurrent use.
@@ -65,6 +72,7 @@
 	builder *viewBuilder
 	// memory is shared by all responses that this VM reads from upstreams.
 	memory *responsemem.Memory
+	quotas *quotas
 	// peers are the entry VMs that act as relays, nil if relaying is disabled on this VM.
 	peers *relay.Peers
 	view  atomic.Pointer[View]
@@ -155,7 +163,7 @@
 	}
 	memory := responsemem.New(cmp.Or(config.ResponseMemoryBytes, responsemem.DefaultBytes))
 	r := &Router{
-		config: config, control: control, log: log, memory: memory,
+		config: config, control: control, log: log, memory: memory, quotas: newQuotas(config),
 		builder: &viewBuilder{domain: config.FailureDomain, dialer: config.DialUpstream, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
 		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), links: reach.New(),
@@ -213,6 +221,8 @@
 	Team         *route.Team
 	Key          route.KeyDigest
 	TableVersion uint64
+	// quota is nil unless the request was counted against the quota of its team.
+	quota *quotaMeter
 	// fingerprints are empty until the router has taken the request.
 	fingerprints suspect.Fingerprints
 }
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -86,6 +86,9 @@
 	if err := r.refuseLimited(rt, request.Received); err != nil {
 		return nil, err
 	}
+	if err := r.takeQuota(ctx, rt, request); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	goal, deadline, hedge := r.deadlines(rt, request)
@@ -108,10 +111,12 @@
 	defer s.abandonRelayed()
 	s.send(ctx, suspected.order(rt.Shards), firstAttempt)
 	result, err := s.collect(ctx)
-	if err == nil {
-		r.recordAnswered(request, http.StatusOK, rt.Shards, result.MissingShards)
+	if err != nil {
+		r.refundQuota(request)
+		return nil, err
 	}
-	return result, err
+	r.recordAnswered(request, http.StatusOK, rt.Shards, result.MissingShards)
+	return result, nil
 }
 
 // minShards returns the smallest number of shards that reaches the coverage. The tolerance keeps a product such as
@@ -156,6 +161,7 @@
 			unsent = append(unsent, shard)
 			continue
 		}
+		s.request.quota.begin()
 		s.tried[shard] = append(s.tried[shard], a.upstream)
 		s.state.Sent(a.sent, shard)
 		s.inFlight++
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -33,6 +33,7 @@
 // have left refuse requests themselves.
 func (r *Router) WatchControl(ctx context.Context) {
 	go r.reportSuspects(ctx)
+	go r.KeepQuotas(ctx)
 	connected := true
 	for ctx.Err() == nil {
 		reply, err := r.watchOnce(ctx)
@@ -63,6 +64,7 @@
 		r.relayList, r.peersDigest = reply.Peers, reply.PeersDigest
 		r.log.Info("relay list adopted", "relays", len(reply.Peers), "revision", reply.Revision)
 	}
+	r.confirmQuotas()
 	now := time.Now()
 	r.peers.Update(r.relayList, now)
 	if view := r.View(); view.Routes != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -110,6 +110,15 @@
 	// 64 KB that are being read at the same time, in KB.
 	MaxResponseKB    int64 `toml:"max_response_kb" validate:"min=1,max=1048576"`
 	ResponseMemoryKB int64 `toml:"response_memory_kb" validate:"min=1,max=16777216"`
+	// QuotaWindowSeconds is the span in s in which the requests of a team are counted. They may exceed the quota by the fraction
+	// QuotaOverage and the number QuotaSlack.
+	QuotaWindowSeconds float64 `toml:"quota_window_s" validate:"min=0.5,max=3600"`
+	QuotaOverage       float64 `toml:"quota_overage" validate:"min=0,max=10"`
+	QuotaSlack         float64 `toml:"quota_slack" validate:"min=0,max=100000"`
+	// ColdOverage is the factor, and ColdSlack the number on top, by which the requests to a cold upstream in one second may exceed
+	// the rate of its service for cold upstreams.
+	ColdOverage float64 `toml:"cold_overage" validate:"min=1,max=100"`
+	ColdSlack   float64 `toml:"cold_slack" validate:"min=0,max=100000"`
 	// LogLevel is the minimum level of log events.
 	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error"`
 	// TLS secures the connections to control members. If absent, TLS is off.
@@ -177,7 +186,8 @@
 // LoadRouter reads the settings of wmux-router.
 func LoadRouter(path string) (Router, error) {
 	loaded := Router{ExtraShare: 0.1, ExtraFloor: 10, ExtraWindowSeconds: 10, AnswerMarginMillis: 1, CPUShare: 1, LameDuckMillis: 2_300, DrainMillis: 3_000,
-		MaxResponseKB: 8 << 10, ResponseMemoryKB: 16 << 10, LogLevel: "info"}
+		MaxResponseKB: 8 << 10, ResponseMemoryKB: 16 << 10, LogLevel: "info",
+		QuotaWindowSeconds: 5, QuotaOverage: 0.1, QuotaSlack: 20, ColdOverage: 1.5, ColdSlack: 5}
 	err := load(path, &loaded)
 	return loaded, err
 }
--- a/test/wire/wire_test.go
+++ b/test/wire/wire_test.go
@@ -78,6 +78,7 @@
 	for _, t := range []reflect.Type{
 		reflect.TypeFor[relay.RunArgs](), reflect.TypeFor[relay.BatchReport](), reflect.TypeFor[relay.ForwardArgs](), reflect.TypeFor[relay.ForwardReply](),
 		reflect.TypeFor[relay.CancelForwardArgs](), reflect.TypeFor[relay.PermitArgs](), reflect.TypeFor[relay.PermitReply](),
+		reflect.TypeFor[relay.CreditsArgs](), reflect.TypeFor[relay.CreditsReply](), reflect.TypeFor[relay.TakeOverArgs](), reflect.TypeFor[relay.TakeOverReply](),
 		reflect.TypeFor[relay.NextArgs](), reflect.TypeFor[relay.CancelArgs](),
 		reflect.TypeFor[ownerrpc.BookArgs](), reflect.TypeFor[ownerrpc.ResolveArgs](), reflect.TypeFor[ownerrpc.AttemptReply](),
 		reflect.TypeFor[ownerrpc.RenewalsArgs](), reflect.TypeFor[ownerrpc.RenewalsReply](), reflect.TypeFor[ownerrpc.SubmitArgs](),
