Limit the requests to cold upstreams over all entry VMs

An upstream that has just started gets its full share from all VMs at once, and a warm one that reports to be cold again was not announced: a renewal does not change the table. Router.permit now asks the holder of the upstream's bucket also if the upstream is cold and its service has cold_per_s; the lower of that rate and a named limit applies. A heartbeat that moves the end of the cold start is registered, once; heartbeats that count down write nothing. Services without cold_per_s write and send what they did before.

--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -121,6 +121,19 @@
 	return m.state.Instances().Preview(report)
 }
 
+// WithColdEnd returns the report with the end of the cold start if the upstream's service limits the requests to cold
+// upstreams. Other reports are returned as they are.
+func (m *Machine) WithColdEnd(report registry.Report, now time.Time) registry.Report {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, service := range m.state.Routes().Table.Services {
+		if service.Name == report.Instance.Service && service.ColdPerSecond > 0 {
+			return m.state.Instances().WithColdEnd(report, now)
+		}
+	}
+	return report
+}
+
 func (m *Machine) instances() []registry.Instance {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -36,6 +36,8 @@
 // Preview computes the effect that a report would have on the state of this member, without applying it.
 type Preview interface {
 	Preview(report registry.Report) registry.Effect
+	// WithColdEnd returns the report with the end of the cold start, if requests to cold upstreams of the service are limited.
+	WithColdEnd(report registry.Report, now time.Time) registry.Report
 }
 
 // Directory serves upstreams and operators. It is safe for concurrent use.
@@ -100,6 +102,7 @@
 func (d *Directory) Report(ctx context.Context, report registry.Report) error {
 	// A departure always goes to the leader, because this member may lag behind and not know the upstream yet.
 	if !report.Left {
+		report = d.localState.WithColdEnd(report, time.Now())
 		switch d.localState.Preview(report) {
 		case registry.Stale:
 			return nil
--- a/internal/ratelimit/issuer.go
+++ b/internal/ratelimit/issuer.go
@@ -54,21 +54,52 @@
 	Issuers int
 	// Deputy is the number of VMs that would grant the permits if the issuer could reach them.
 	Deputy int
+	// ColdOverage is set if PerSecond is the rate of a cold upstream: the factor by which the requests of a second may exceed it.
+	ColdOverage float64
 }
 
+const (
+	// coldShare is the part of the users' bound that one issuer grants to a cold upstream. The parts of deputies add up to 1.66
+	// times that, and all must stay below the bound of a single second, not of 4 s.
+	coldShare = 0.5
+	// coldBurstBase and coldBurstSeconds give the number of permits for a cold upstream that can accumulate.
+	coldBurstBase    = 1.0
+	coldBurstSeconds = 0.1
+	// coldPause is the time without a request for a permit after which an issuer grants them at half the rate again.
+	coldPause = 500 * time.Millisecond
+	// coldPauseTokens makes that longer for low rates, at which VMs that were denied return after the time for two tokens at half
+	// the rate.
+	coldPauseTokens = 4.0
+)
+
 // rate returns the number of permits per second that one issuer grants. If some VMs cannot reach each other for long,
 // several of them grant permits for an upstream. The parts of deputies are so small that all of them together stay below
 // the limit and a half that is allowed: a half, an eighth, a thirty-second part.
 func (d Demand) rate() float64 {
 	share := usableShare
-	if d.Issuers > 1 {
+	switch {
+	case d.Issuers > 1:
 		share = independentShare
+	case d.ColdOverage > 0:
+		share = coldShare * d.ColdOverage
 	}
 	rate := math.Max(share*d.PerSecond, minPerSecond) / math.Max(1, float64(d.Issuers))
+	return rate * d.deputyPart()
+}
+
+func (d Demand) deputyPart() float64 {
 	if d.Deputy > 0 {
-		rate *= 2 * math.Pow(4, -float64(d.Deputy))
+		return 2 * math.Pow(4, -float64(d.Deputy))
 	}
-	return rate
+	return 1
+}
+
+// burst returns the number of permits that can accumulate at one of the issuers.
+func (d Demand) burst(issuers float64) float64 {
+	if d.ColdOverage > 0 {
+		return max(1, (coldBurstBase+coldBurstSeconds*d.PerSecond)*d.deputyPart()) / issuers
+	}
+	return (burstBase + burstSeconds*d.PerSecond) / issuers
 }
 
 // Grant is the answer to a request for a permit.
@@ -100,9 +131,14 @@
 // bucket that is too small for a whole token grants its part of a token with the same probability.
 func (i *Issuer) Take(now time.Time, key registry.Process, d Demand, draw float64) Grant {
 	issuers := float64(max(1, d.Issuers))
-	burst := (burstBase + burstSeconds*d.PerSecond) / issuers
+	burst := d.burst(issuers)
 	b := i.bucket(now, key, math.Min(firstPermits, burst)/issuers)
 	rate := d.rate()
+	if d.ColdOverage > 0 && now.Sub(b.RefilledAt()) > max(coldPause, secondsDuration(coldPauseTokens/rate)) {
+		// Another VM may have granted permits meanwhile, and a second leaves no room for two full rates.
+		b.Refill(now, rate, math.Min(firstPermits, burst))
+		b.since = now
+	}
 	if now.Sub(b.since) < handOver {
 		rate /= 2
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -32,6 +32,9 @@
 	ColdMillis int64 `cbor:"9,keyasint,omitempty"`
 	// Since is the log index of the last change of this record.
 	Since uint64 `cbor:"10,keyasint,omitempty"`
+	// ColdUntil is when the reported cold start ends, in Unix milliseconds, or 0. It is set only for services that limit the
+	// requests to cold upstreams: ColdMillis does not tell a VM that starts later when the report was made.
+	ColdUntil int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Process identifies an upstream process. A process that starts again under the same ID has a later Born.
@@ -51,6 +54,9 @@
 	Left bool `cbor:"2,keyasint,omitempty"`
 	// Silent is set when the upstream has sent no heartbeat within the timeout. A newer report registers it again.
 	Silent bool `cbor:"3,keyasint,omitempty"`
+	// ColdChanged is set when the end of the cold start differs from the registered one by more than reports do that count down.
+	// Such a report changes the table. It is set only for services that limit the requests to cold upstreams.
+	ColdChanged bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Departure is the tombstone of a removed upstream, which keeps late reports from registering it again.
@@ -108,7 +114,7 @@
 		case r.Instance.Born > current.Born:
 		case r.Instance.Sequence < current.Sequence:
 			return Stale
-		case sameRegistration(r.Instance, current):
+		case sameRegistration(r.Instance, current) && (!r.ColdChanged || r.Instance.Sequence == current.Sequence):
 			return Renewal
 		case r.Instance.Sequence == current.Sequence:
 			return Stale
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -163,6 +163,8 @@
 	Age       time.Duration
 	// Rank is the priority of the request, where 0 is the most urgent.
 	Rank int
+	// ColdPerSecond is the rate of the service for cold upstreams if the asking VM knows the upstream as cold, otherwise 0.
+	ColdPerSecond float64
 }
 
 // PermitReply is the answer to PermitArgs.
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -88,7 +88,7 @@
 	switch {
 	case r.taken[u.location()]:
 		return true
-	case !r.limits.Empty() && r.limits.RoomAt(u.process()).After(now):
+	case r.roomAt(u).After(now):
 		return true
 	case r.notices.Empty():
 		return false
--- a/internal/router/ratelimit.go
+++ b/internal/router/ratelimit.go
@@ -66,10 +66,11 @@
 	r.mu.Lock()
 	perSecond, statedAt := r.limits.Known(key)
 	r.mu.Unlock()
-	if perSecond == 0 {
+	cold := r.coldPerSecond(u, now)
+	if perSecond == 0 && cold == 0 {
 		return nil
 	}
-	args := relay.PermitArgs{Upstream: key, PerSecond: perSecond, Age: now.Sub(statedAt), Rank: rank}
+	args := relay.PermitArgs{Upstream: key, PerSecond: perSecond, Age: now.Sub(statedAt), Rank: rank, ColdPerSecond: cold}
 	grant := r.askHolder(ctx, u, args)
 	if grant.Granted {
 		return nil
@@ -104,6 +105,9 @@
 // issue takes a permit from the bucket that this VM holds.
 func (r *Router) issue(args relay.PermitArgs, demand ratelimit.Demand) ratelimit.Grant {
 	demand.PerSecond, demand.Rank = args.PerSecond, args.Rank
+	if args.ColdPerSecond > 0 && (args.PerSecond == 0 || args.ColdPerSecond < args.PerSecond) {
+		demand.PerSecond, demand.ColdOverage = args.ColdPerSecond, max(1, r.config.ColdOverage)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.issuer.Take(time.Now(), args.Upstream, demand, rand.Float64())
@@ -120,8 +124,9 @@
 		perSecond, statedAt := r.limits.Known(args.Upstream)
 		r.mu.Unlock()
 		reply.PerSecond, reply.Age = perSecond, now.Sub(statedAt)
+		args.ColdPerSecond = lowerLimit(args.ColdPerSecond, r.coldPerSecond(u, now))
 	}
-	if reply.PerSecond == 0 {
+	if reply.PerSecond == 0 && args.ColdPerSecond == 0 {
 		reply.Grant = ratelimit.Grant{Granted: true}
 		return reply
 	}
@@ -137,7 +142,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.counts.NoRoom++
-	r.limits.Full(u.process(), time.Now().Add(retryAfter))
+	until := time.Now().Add(retryAfter)
+	r.limits.Full(u.process(), until)
+	if r.coldPerSecond(u, time.Now()) > 0 {
+		r.coldFull[u.process()] = until
+	}
 }
 
 // Leave hands the buckets of this VM over to others, because it is about to stop.
@@ -152,7 +161,7 @@
 func (r *Router) refuseLimited(rt *route.Route, now time.Time) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.limits.Empty() && r.notices.Empty() {
+	if r.limits.Empty() && r.notices.Empty() && len(r.coldFull) == 0 {
 		return nil
 	}
 	waits := make([]time.Duration, len(rt.Shards))
@@ -183,7 +192,7 @@
 func (r *Router) waitForRoom(service string, now time.Time) time.Duration {
 	var earliest time.Duration
 	for n, u := range r.View().byService[service] {
-		wait := max(0, r.limits.RoomAt(u.process()).Sub(now), r.notices.PausedUntil(u.process()).Sub(now))
+		wait := max(0, r.roomAt(u).Sub(now), r.notices.PausedUntil(u.process()).Sub(now))
 		if n == 0 || wait < earliest {
 			earliest = wait
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -100,6 +100,8 @@
 	// holds.
 	limits *ratelimit.Book
 	issuer *ratelimit.Issuer
+	// coldFull is the time until which no permit is expected for cold upstreams.
+	coldFull map[registry.Process]time.Time
 	// links observes this VM's own links to upstreams.
 	links *reach.Monitor
 	// notices holds what upstreams have said of themselves.
@@ -166,7 +168,7 @@
 		config: config, control: control, log: log, memory: memory, quotas: newQuotas(config),
 		builder: &viewBuilder{domain: config.FailureDomain, dialer: config.DialUpstream, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
-		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), links: reach.New(),
+		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), coldFull: map[registry.Process]time.Time{}, links: reach.New(),
 		notices: notice.NewBook(), taken: map[location]bool{}, endChecks: map[registry.Process][]suspect.End{}, guard: suspect.NewGuard(config.ID), reportDue: make(chan struct{}, 1),
 	}
 	r.builder.dialled = r.recordDial
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -148,13 +148,14 @@
 	instance = instance.Clamped()
 	existing, ok := b.upstreams[instance.ID]
 	next := &upstream{instance: instance, candidate: replica.Candidate{
-		ID: instance.ID, Slots: instance.Slots, Local: instance.FailureDomain == b.domain,
-		ColdUntil: now.Add(time.Duration(instance.ColdMillis) * time.Millisecond),
+		ID: instance.ID, Slots: instance.Slots, Local: instance.FailureDomain == b.domain, ColdUntil: reportedColdUntil(instance, now),
 	}}
 	switch {
 	case ok && existing.instance.Address == instance.Address && existing.instance.Born == instance.Born:
 		next.pool = existing.pool
-		next.candidate.ColdUntil = existing.candidate.ColdUntil
+		if instance.ColdUntil == 0 && existing.instance.ColdUntil == 0 {
+			next.candidate.ColdUntil = existing.candidate.ColdUntil
+		}
 	case ok:
 		obsolete = append(obsolete, existing.pool)
 		fallthrough
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -156,6 +156,7 @@
 		return !ok || u.location() != l
 	})
 	r.limits.Retain(registered)
+	maps.DeleteFunc(r.coldFull, func(key registry.Process, _ time.Time) bool { return !registered(key) })
 	r.notices.Retain(registered)
 	r.issuer.Retain(registered)
 	if view.Routes == nil {
