--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -21,6 +21,8 @@
 	// holderPatience is the part of the latency objective for which a request waits for a credit while the holder is not known
 	// or does not answer.
 	holderPatience = 0.25
+	// holderHedge is how long a call to the holder may take before the next candidate is asked, too. Calls take 1 to 2 ms.
+	holderHedge = 20 * time.Millisecond
 	// quotaRetry is the time between two calls while the holder is not known or does not answer.
 	quotaRetry = 5 * time.Millisecond
 	// claimTimeout is how long a VM that begins to hold a bucket waits for the other candidates.
@@ -345,31 +347,65 @@
 	t.waiting = append([]*quotaWaiter(nil), t.waiting[asked:]...)
 }
 
-// askQuotaHolder asks the holder of the team's bucket, and the next candidate if the first one says that it is not the holder.
+// askQuotaHolder asks the holder of the team's bucket, and the next candidate if the first one says that it is not the holder or does
+// not answer soon. The holder counts a call that reaches it twice once.
 func (r *Router) askQuotaHolder(ask sharedrate.Ask) (sharedrate.Answer, bool) {
-	ctx := context.Background()
 	if r.peers == nil {
 		return r.shareAlone(ask), true
 	}
-	for _, holder := range r.peers.QuotaHolders(ask.Team, time.Now()) {
-		var answer sharedrate.Answer
-		if holder.Self {
-			answer = r.Credits(ctx, relay.CreditsArgs{Ask: ask}).Answer
-		} else {
-			reply, err := r.callHolder(ctx, holder.Link, relay.CreditsArgs{Ask: ask})
-			if err != nil && !fault.Is(err, fault.Unsupported) {
-				return sharedrate.Answer{}, false
+	holders := r.peers.QuotaHolders(ask.Team, time.Now())
+	if len(holders) == 0 {
+		return sharedrate.Answer{}, false
+	}
+	answers := make(chan quotaAnswer, len(holders))
+	pending := 1
+	go func() { answers <- r.askCandidate(holders[0], ask) }()
+	hedge := time.NewTimer(holderHedge)
+	defer hedge.Stop()
+	for pending > 0 {
+		askNext := false
+		select {
+		case a := <-answers:
+			pending--
+			if a.ok && !a.NotHolder {
+				return a.Answer, true
 			}
-			answer = reply.Answer
-			answer.NotHolder = answer.NotHolder || err != nil
+			askNext = a.ok
+		case <-hedge.C:
+			askNext = true
 		}
-		if !answer.NotHolder {
-			return answer, true
+		if askNext && len(holders) > 1 {
+			next := holders[1]
+			holders = holders[:1]
+			pending++
+			go func() { answers <- r.askCandidate(next, ask) }()
 		}
 	}
 	return sharedrate.Answer{}, false
 }
 
+// quotaAnswer is the answer of a candidate. It is not ok if the candidate did not answer.
+type quotaAnswer struct {
+	sharedrate.Answer
+	ok bool
+}
+
+// askCandidate asks one candidate for credits. A VM of an older version counts as one that is not the holder.
+func (r *Router) askCandidate(candidate relay.QuotaHolder, ask sharedrate.Ask) quotaAnswer {
+	ctx := context.Background()
+	if candidate.Self {
+		return quotaAnswer{r.Credits(ctx, relay.CreditsArgs{Ask: ask}).Answer, true}
+	}
+	reply, err := r.callHolder(ctx, candidate.Link, relay.CreditsArgs{Ask: ask})
+	switch {
+	case fault.Is(err, fault.Unsupported):
+		return quotaAnswer{sharedrate.Answer{NotHolder: true}, true}
+	case err != nil:
+		return quotaAnswer{}
+	}
+	return quotaAnswer{reply.Answer, true}
+}
+
 func (r *Router) callHolder(ctx context.Context, link *relay.Link, args relay.CreditsArgs) (relay.CreditsReply, error) {
 	q := r.quotas
 	q.mu.Lock()
@@ -417,7 +453,7 @@
 	switch {
 	case len(holders) == 0:
 		return unknown
-	case holders[0].Self:
+	case holders[0].Self, r.replaces(holders, args.Ask.Team):
 		r.becomeHolder(args.Ask.Team, args.Ask.Limit)
 		q.mu.Lock()
 		defer q.mu.Unlock()
@@ -433,6 +469,16 @@
 	return reply
 }
 
+// replaces reports whether this VM is the next candidate after one that has stopped to renew its loan of this VM's part.
+func (r *Router) replaces(holders []relay.QuotaHolder, team string) bool {
+	if len(holders) < 2 || !holders[1].Self {
+		return false
+	}
+	r.quotas.mu.Lock()
+	defer r.quotas.mu.Unlock()
+	return r.quotas.holder.LoanEnded(bootNow(), team, holders[0].Link.PeerID())
+}
+
 // grantHeld answers from the bucket of this VM if it holds one.
 func (r *Router) grantHeld(ask sharedrate.Ask) (sharedrate.Answer, bool) {
 	q, now := r.quotas, bootNow()
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -135,3 +135,30 @@
 		Entry("an undefined service", `service = "pickup"`, `service = "pick"`, `"pick" is unknown`),
 	)
 })
+
+var _ = Describe("LoadRouter", func() {
+	const valid = `id = "r"
+failure_domain = "a"
+caller_address = "127.0.0.1:8001"
+health_address = "127.0.0.1:8002"
+seeds = ["127.0.0.1:7001"]
+control_port = 7000
+`
+	loadRouter := func(content string) (settings.Router, error) {
+		path := filepath.Join(GinkgoT().TempDir(), "router.toml")
+		Expect(os.WriteFile(path, []byte(content), 0o600)).To(Succeed())
+		return settings.LoadRouter(path)
+	}
+
+	It("has the users' bounds for quotas and cold upstreams as defaults", func() {
+		loaded, err := loadRouter(valid)
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]float64{loaded.QuotaWindowSeconds, loaded.QuotaOverage, loaded.QuotaSlack, loaded.ColdOverage, loaded.ColdSlack}).
+			To(Equal([]float64{5, 0.1, 20, 1.5, 5}))
+	})
+
+	It("rejects bounds that cannot be kept, and names all of them", func() {
+		_, err := loadRouter(valid + "quota_window_s = 0\nquota_overage = -0.1\nquota_slack = -1\ncold_overage = 0.9\ncold_slack = -1\n")
+		Expect(problemsOf(err)).To(HaveLen(5))
+	})
+})
--- a/internal/sharedrate/holder.go
+++ b/internal/sharedrate/holder.go
@@ -417,6 +417,13 @@
 	return y
 }
 
+// LoanEnded reports whether the VM to which this one lent its part of the team's rate has stopped renewing the loan a short while
+// ago, as it does when it has ended or is frozen.
+func (h *Holder) LoanEnded(now time.Time, team, holder string) bool {
+	l, ok := h.lent[team]
+	return ok && l.holder == holder && !now.Before(l.until) && now.Sub(l.until) < seenCandidatesFor
+}
+
 // Teams returns the teams whose bucket this VM holds, and drops buckets that have not been used for long.
 func (h *Holder) Teams(now time.Time) []string {
 	maps.DeleteFunc(h.held, func(_ string, t *held) bool { return now.Sub(t.askedAt) > idleAfter })
--- a/internal/sharedrate/sharedrate_test.go
+++ b/internal/sharedrate/sharedrate_test.go
@@ -251,6 +251,7 @@
 		w.calls = 0
 		sent := len(w.sent)
 		w.run(simEnd, constant(0))
+		GinkgoWriter.Printf("calls per request of busy VMs: %.3f\n", float64(w.calls)/float64(len(w.sent)-sent))
 		Expect(w.denied + w.unavailable).To(BeZero())
 		Expect(float64(w.calls) / float64(len(w.sent)-sent)).To(BeNumerically("<", 0.1))
 	})
--- a/internal/sharedrate/sim_test.go
+++ b/internal/sharedrate/sim_test.go
@@ -16,6 +16,7 @@
 	simCallTimeout  = 100 * time.Millisecond
 	simClaimTimeout = 50 * time.Millisecond
 	simPatience     = 60 * time.Millisecond
+	simHedge        = 20 * time.Millisecond
 	simRetry        = 5 * time.Millisecond
 	simQuotaWindow  = 5 * time.Second
 	simOverage      = 0.1
@@ -351,17 +352,10 @@
 		return
 	}
 	to := w.vms[order[0]]
-	next := func() {
-		if len(order) > 1 {
-			w.askNext(vm, a, order[1:min(2, len(order))], done)
-			return
-		}
-		done(Answer{}, false)
-	}
 	if to == vm {
 		w.serve(vm, a, true, func(answer Answer) {
 			if answer.NotHolder {
-				next()
+				w.askNext(vm, a, order[1:min(2, len(order))], done)
 				return
 			}
 			done(answer, true)
@@ -369,6 +363,24 @@
 		return
 	}
 	w.calls++
+	// The next candidate is also asked if the first one does not answer soon. The first answer counts.
+	ended, hedged, pending := false, false, 1
+	end := func(answer Answer, ok bool) {
+		pending--
+		if !ended && (ok || pending == 0) {
+			ended = true
+			done(answer, ok)
+		}
+	}
+	hedge := func() {
+		if !ended && !hedged {
+			hedged = true
+			pending++
+			w.askNext(vm, a, order[1:min(2, len(order))], end)
+		}
+	}
+	process := vm.process
+	w.after(simHedge, func() { w.on(vm, process, hedge) })
 	var answer Answer
 	w.call(vm, to, simCallTimeout, func(reply func(func())) {
 		w.serve(to, a, true, func(got Answer) { reply(func() { answer = got }) })
@@ -376,11 +388,12 @@
 		switch {
 		case !ok:
 			vm.silent[to.id] = true
-			done(Answer{}, false)
+			end(Answer{}, false)
 		case answer.NotHolder:
-			next()
+			hedge()
+			end(Answer{}, false)
 		default:
-			done(answer, true)
+			end(answer, true)
 		}
 	})
 }
@@ -395,7 +408,7 @@
 	switch {
 	case len(order) == 0:
 		done(Answer{NotHolder: true})
-	case order[0] == vm.id:
+	case order[0] == vm.id, len(order) > 1 && order[1] == vm.id && vm.holder.LoanEnded(w.clock(), a.Team, fmt.Sprint(order[0])):
 		w.claim(vm, a, func() { done(vm.holder.Credits(w.clock(), a, w.random.Float64())) })
 	case mayForward:
 		var answer Answer
