Wait longer for renewals of loans than for a take-over, and test searches against quotas

Answers of candidates that are short of processor time came after the 50 ms that a take-over waits, so that their parts would be missing.

--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -27,6 +27,9 @@
 	quotaRetry = 5 * time.Millisecond
 	// claimTimeout is how long a VM that begins to hold a bucket waits for the other candidates.
 	claimTimeout = 50 * time.Millisecond
+	// renewTimeout is how long a renewal waits. It ends before the next one, and late answers of VMs that are short of processor
+	// time still count.
+	renewTimeout = 100 * time.Millisecond
 	// refundDelay is the time for which refunds wait for a call of the same team before one is made for them.
 	refundDelay = 20 * time.Millisecond
 	// refundShare is the part of the overage that covers refunds: credits that are counted, and given back later, add to the
@@ -509,10 +512,10 @@
 	}
 	q.mu.Unlock()
 	start := bootNow()
-	yields := r.claim([]string{team}, "", nil)[team]
+	yields := r.claim(claimTimeout, []string{team}, "", nil)[team]
 	if from := releasedBy(yields); from != "" {
 		// The loans to the previous holder have ended.
-		for id, y := range r.claim([]string{team}, from, func(id string) bool { return yields[id].Share == 0 && yields[id].LentTo == from })[team] {
+		for id, y := range r.claim(claimTimeout, []string{team}, from, func(id string) bool { return yields[id].Share == 0 && yields[id].LentTo == from })[team] {
 			yields[id] = y
 		}
 	}
@@ -540,7 +543,7 @@
 
 // claim asks the other candidates, or those that the filter accepts, for their parts of the rates of the teams, and returns the
 // answers that come in time by team and candidate.
-func (r *Router) claim(teams []string, released string, accept func(id string) bool) map[string]map[string]sharedrate.Yield {
+func (r *Router) claim(timeout time.Duration, teams []string, released string, accept func(id string) bool) map[string]map[string]sharedrate.Yield {
 	q := r.quotas
 	links, total := r.peers.QuotaCandidates(time.Now())
 	var claims []sharedrate.Claim
@@ -554,7 +557,7 @@
 	for _, team := range teams {
 		all[team] = map[string]sharedrate.Yield{}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -634,7 +637,7 @@
 	if len(teams) == 0 {
 		return
 	}
-	yields := r.claim(teams, "", nil)
+	yields := r.claim(renewTimeout, teams, "", nil)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, team := range teams {
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -304,6 +304,31 @@
 		Expect(f.vms[0].router.QuotaCounts().Returned).To(BeZero())
 	})
 
+	It("counts a search once, whatever the number of its shards, and refuses it before any upstream gets a part", func() {
+		f := startQuotaFleet(2, &route.Team{Name: "slow", PerSecond: 0.1, Burst: 2})
+		shards := []*fakeUpstream{startFakeUpstream("x", "s1", "a", 5), startFakeUpstream("y", "s2", "a", 5), startFakeUpstream("z", "s3", "a", 5)}
+		vm := f.vms[0]
+		var changed []registry.Instance
+		for _, u := range shards {
+			changed = append(changed, u.instance)
+		}
+		vm.router.adopt(controlrpc.WatchReply{Revision: 2, Watchers: 2, Instances: registry.Delta{Changed: changed}})
+		search := func() error {
+			rt := searchRoute("s1", "s2", "s3")
+			_, err := vm.router.Search(context.Background(), rt, &Request{
+				Request:  upstreamconn.Request{ID: "1", Method: "GET", Target: "/x", Host: "x"},
+				Received: time.Now(), Limit: rt.Timeout, Team: f.team, TableVersion: quotaTable,
+			})
+			return err
+		}
+		Expect(search()).To(Succeed())
+		Expect(search()).To(Succeed())
+		Expect(fault.CodeOf(search())).To(Equal(fault.OverQuota))
+		for _, u := range shards {
+			Expect(u.requests.Load()).To(Equal(int64(2)))
+		}
+	})
+
 	It("has the rate of the newest table of the VM", func() {
 		f := startQuotaFleet(1, team)
 		f.vms[0].router.adopt(controlrpc.WatchReply{
