Fix two data races in calls for credits

A late answer was still written to a reply that the caller copied after its time-out, and the list of candidates was changed while a goroutine read it. go test -race ./internal/router reported both; the specs of quotas and cold upstreams now pass with it.

--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -43,19 +43,24 @@
 // Credits asks the peer for credits. A peer that does not answer in time counts as silent.
 func (l *Link) Credits(ctx context.Context, args CreditsArgs) (CreditsReply, error) {
 	var reply CreditsReply
-	err := l.ask(ctx, "Credits", args, &reply, true)
-	return reply, err
+	if err := l.ask(ctx, "Credits", args, &reply, true); err != nil {
+		// A late answer may still be written to the reply.
+		return CreditsReply{}, err
+	}
+	return reply, nil
 }
 
 // TakeOver asks the peer for its parts of rates. A peer that does not answer before the context ends is not taken out of use:
 // it may only be short of processor time, and loans outlast lost renewals.
 func (l *Link) TakeOver(ctx context.Context, args TakeOverArgs) (TakeOverReply, error) {
 	var reply TakeOverReply
-	err := l.ask(ctx, "TakeOver", args, &reply, false)
-	if err == nil && len(reply.Yields) != len(args.Claims) {
-		err = fault.New(fault.BadRequest, "relay.takeover", "%s answers %d of %d claims", l.peer.ID, len(reply.Yields), len(args.Claims))
+	if err := l.ask(ctx, "TakeOver", args, &reply, false); err != nil {
+		return TakeOverReply{}, err
+	}
+	if len(reply.Yields) != len(args.Claims) {
+		return TakeOverReply{}, fault.New(fault.BadRequest, "relay.takeover", "%s answers %d of %d claims", l.peer.ID, len(reply.Yields), len(args.Claims))
 	}
-	return reply, err
+	return reply, nil
 }
 
 // ask makes a short call on the open connection. An error with code Unsupported means that the peer does not know the method.
--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -361,7 +361,7 @@
 		return sharedrate.Answer{}, false
 	}
 	answers := make(chan quotaAnswer, len(holders))
-	pending := 1
+	pending, rest := 1, holders[1:]
 	go func() { answers <- r.askCandidate(holders[0], ask) }()
 	hedge := time.NewTimer(holderHedge)
 	defer hedge.Stop()
@@ -377,9 +377,9 @@
 		case <-hedge.C:
 			askNext = true
 		}
-		if askNext && len(holders) > 1 {
-			next := holders[1]
-			holders = holders[:1]
+		if askNext && len(rest) > 0 {
+			next := rest[0]
+			rest = nil
 			pending++
 			go func() { answers <- r.askCandidate(next, ask) }()
 		}
