--- a/cmd/wmuxctl/quotas.go
+++ b/cmd/wmuxctl/quotas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/spf13/cobra"
 
@@ -38,7 +39,7 @@
 					all = append(all, vmQuota{address, q})
 					row := []any{q.Team, q.PerSecond, q.Burst, q.Holder, "-", "-", "-", address}
 					if q.Held {
-						row[4], row[5], row[6] = q.Tokens, q.Outstanding, q.Part
+						row[4], row[5], row[6] = fmt.Sprintf("%.1f", q.Tokens), q.Outstanding, fmt.Sprintf("%.2f", q.Part)
 					}
 					rows = append(rows, row)
 				}
