--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -108,7 +108,9 @@
 		AnswerMargin: answerMargin(loaded),
 		RelayAddress: loaded.RelayAddress, DialRelay: transport.Dialer(controlrpc.PlainDialer, security.RoleEntry),
 		MaxResponseBytes: loaded.MaxResponseKB << 10, ResponseMemoryBytes: loaded.ResponseMemoryKB << 10,
-		KeyRevoke: time.Duration(loaded.KeyRevokeMillis * float64(time.Millisecond)),
+		KeyRevoke:   time.Duration(loaded.KeyRevokeMillis * float64(time.Millisecond)),
+		QuotaWindow: time.Duration(loaded.QuotaWindowSeconds * float64(time.Second)), QuotaOverage: loaded.QuotaOverage,
+		ColdOverage: loaded.ColdOverage, ColdSlack: loaded.ColdSlack,
 	}, control, platform.Codec{}, log)
 	relayServer := relay.NewServer(r, log)
 	if loaded.RelayAddress == "" {
--- a/internal/relay/cancel_test.go
+++ b/internal/relay/cancel_test.go
@@ -20,6 +20,10 @@
 
 func (e *countingExecutor) Permit(PermitArgs) PermitReply { return PermitReply{} }
 
+func (e *countingExecutor) Credits(context.Context, CreditsArgs) CreditsReply { return CreditsReply{} }
+
+func (e *countingExecutor) TakeOver(TakeOverArgs) TakeOverReply { return TakeOverReply{} }
+
 func (e *countingExecutor) Attempt(ctx context.Context, _ Attempt, _ time.Duration, _ *upstreamconn.Request) (*upstreamconn.Response, error) {
 	e.started.Add(1)
 	e.running.Add(1)
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -48,6 +48,10 @@
 
 func (e *executor) Permit(PermitArgs) PermitReply { return PermitReply{} }
 
+func (e *executor) Credits(context.Context, CreditsArgs) CreditsReply { return CreditsReply{} }
+
+func (e *executor) TakeOver(TakeOverArgs) TakeOverReply { return TakeOverReply{} }
+
 func (e *executor) Attempt(ctx context.Context, a Attempt, _ time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error) {
 	if request.Check != nil {
 		if err := request.Check(); err != nil {
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -37,6 +37,9 @@
 	Permit(args PermitArgs) PermitReply
 	// CheckKey returns a KeyError if no request with the claim may be sent.
 	CheckKey(claim *KeyClaim) error
+	// Credits grants or denies credits of a team, and TakeOver lends the parts of the rates of teams.
+	Credits(ctx context.Context, args CreditsArgs) CreditsReply
+	TakeOver(args TakeOverArgs) TakeOverReply
 }
 
 // Server executes the batches of other entry VMs. It is safe for concurrent use.
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -88,7 +88,7 @@
 	switch {
 	case r.taken[u.location()]:
 		return true
-	case !r.limits.Empty() && r.limits.RoomAt(u.process()).After(now):
+	case r.roomAt(u).After(now):
 		return true
 	case r.notices.Empty():
 		return false
@@ -107,6 +107,8 @@
 	// noRoom is set if the upstream was at its rate limit, or the request was not sent because of its key. Such ends are counted, not logged: there may be one for each
 	// request.
 	noRoom bool
+	// unsent is set if a relay reports that no upstream received the request.
+	unsent bool
 }
 
 // run executes an attempt and records its result. Cancelling the context aborts the attempt.
@@ -131,6 +133,7 @@
 }
 
 func (r *Router) recordEnd(rt *route.Route, request *Request, a *attempt, e attemptEnd) {
+	request.quota.end(e)
 	r.mu.Lock()
 	s := r.stats(rt)
 	switch e.result {
--- a/internal/router/rank_test.go
+++ b/internal/router/rank_test.go
@@ -24,6 +24,10 @@
 	attempts, permits []int
 }
 
+func (*rankRecorder) Credits(context.Context, relay.CreditsArgs) relay.CreditsReply { return relay.CreditsReply{} }
+
+func (*rankRecorder) TakeOver(relay.TakeOverArgs) relay.TakeOverReply { return relay.TakeOverReply{} }
+
 func (r *rankRecorder) Attempt(_ context.Context, a relay.Attempt, _ time.Duration, _ *upstreamconn.Request) (*upstreamconn.Response, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -59,6 +59,13 @@
 	// run. 0 means that this is not required. BootTime reads CLOCK_BOOTTIME; the default is boottime.Now.
 	KeyRevoke time.Duration
 	BootTime  func() time.Duration
+	// QuotaWindow is the span in which the requests of a team are counted, and QuotaOverage the fraction by which they may exceed
+	// the quota.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	// ColdOverage is the factor by which the requests to a cold upstream in a second may exceed its rate, and ColdSlack the number
+	// by which they may on top.
+	ColdOverage, ColdSlack float64
 }
 
 // Router routes requests to upstreams. It is safe for concurrent use.
@@ -70,6 +77,7 @@
 	// memory is shared by all responses that this VM reads from upstreams.
 	memory *responsemem.Memory
 	keys   *keyState
+	quotas *quotas
 	// peers are the entry VMs that act as relays, nil if relaying is disabled on this VM.
 	peers *relay.Peers
 	view  atomic.Pointer[View]
@@ -97,6 +105,8 @@
 	// holds.
 	limits *ratelimit.Book
 	issuer *ratelimit.Issuer
+	// coldFull is the time until which no permit is expected for cold upstreams.
+	coldFull map[registry.Process]time.Time
 	// links observes this VM's own links to upstreams.
 	links *reach.Monitor
 	// notices holds what upstreams have said of themselves.
@@ -163,10 +173,10 @@
 	}
 	memory := responsemem.New(cmp.Or(config.ResponseMemoryBytes, responsemem.DefaultBytes))
 	r := &Router{
-		config: config, control: control, log: log, memory: memory, keys: newKeyState(config),
+		config: config, control: control, log: log, memory: memory, keys: newKeyState(config), quotas: newQuotas(config),
 		builder: newViewBuilder(config, codec, memory),
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
-		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), links: reach.New(),
+		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), coldFull: map[registry.Process]time.Time{}, links: reach.New(),
 		notices: notice.NewBook(), taken: map[location]bool{}, endChecks: map[registry.Process][]suspect.End{}, guard: suspect.NewGuard(config.ID), reportDue: make(chan struct{}, 1),
 	}
 	r.builder.dialled = r.recordDial
@@ -222,6 +232,8 @@
 	Team         *route.Team
 	Key          route.KeyDigest
 	TableVersion uint64
+	// quota is nil unless the request was counted against the quota of its team.
+	quota *quotaMeter
 	// fingerprints are empty until the router has taken the request.
 	fingerprints suspect.Fingerprints
 }
