Stop a VM that is no candidate any longer from holding quotas

Cause: after a restart of all VMs a VM that knows few others takes a bucket, and renews its loans for good once it knows all and is no candidate, since candidates claim only from each other. The first candidate then had no rate and denied requests with a time of up to 10 s. Change: such a VM drops its buckets, so that its loans end; a VM without any part of a rate says that it is not the holder.

--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -140,6 +140,10 @@
 	return links, len(ranked)
 }
 
+// IsQuotaCandidate reports whether this VM is a candidate for the buckets of teams. It may be one for a while after a start, when it
+// knows few other VMs, and later no longer.
+func (p *Peers) IsQuotaCandidate() bool { return slices.Contains(p.rankedHolders(quotaKey("")), nil) }
+
 // PrecedesSelf reports whether another VM comes before this one in the order of candidates for the bucket of a team.
 func (p *Peers) PrecedesSelf(team, id string) bool {
 	ranked := p.rankedHolders(quotaKey(team))
--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -448,7 +448,6 @@
 	if r.peers == nil {
 		return unknown
 	}
-	q := r.quotas
 	if answer, held := r.grantHeld(args.Ask); held {
 		return relay.CreditsReply{Answer: answer}
 	}
@@ -458,9 +457,7 @@
 		return unknown
 	case holders[0].Self, r.replaces(holders, args.Ask.Team):
 		r.becomeHolder(args.Ask.Team, args.Ask.Limit)
-		q.mu.Lock()
-		defer q.mu.Unlock()
-		return relay.CreditsReply{Answer: q.holder.Credits(bootNow(), args.Ask, rand.Float64())}
+		return relay.CreditsReply{Answer: r.grantBegun(args.Ask)}
 	case args.Forwarded || args.Ask.VM == r.config.ID:
 		return unknown
 	}
@@ -496,6 +493,19 @@
 	return q.holder.Credits(now, ask, rand.Float64()), true
 }
 
+// grantBegun answers from a bucket that this VM has just begun to hold. While other VMs still lend their parts to an earlier holder,
+// it has no rate, and a denial would name a time that is far too late.
+func (r *Router) grantBegun(ask sharedrate.Ask) sharedrate.Answer {
+	q, now := r.quotas, bootNow()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	answer := q.holder.Credits(now, ask, rand.Float64())
+	if answer.Granted == 0 && !q.holder.Holds(now, ask.Team) {
+		return sharedrate.Answer{NotHolder: true}
+	}
+	return answer
+}
+
 // becomeHolder makes this VM the holder of the team's bucket. Of several calls at the same time one does so, and the others wait.
 func (r *Router) becomeHolder(team string, limit sharedrate.Limit) {
 	q := r.quotas
@@ -625,8 +635,13 @@
 	if index == nil || r.peers == nil {
 		return
 	}
+	candidate := r.peers.IsQuotaCandidate()
 	q.mu.Lock()
 	limited := len(q.limitsOf(index, now)) > 0
+	if !candidate {
+		// The candidates do not claim buckets from VMs that are none, so that their loans to this one must end by themselves.
+		q.holder.Resign()
+	}
 	teams := q.holder.Teams(now)
 	q.endRefusals(now, r)
 	q.mu.Unlock()
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -368,3 +370,45 @@
 		Expect(one.router.QuotaCounts()).To(Equal(QuotaCounts{}))
 	})
 })
+
+// Guards against a VM that began to hold a bucket while it knew few others, is no candidate once it knows all, and renews its loans
+// for good, so that the holder that all VMs ask has no rate to issue.
+var _ = Describe("a team with a quota after all VMs have restarted", func() {
+	It("is not refused below it because of a holder that is no candidate any longer", func() {
+		team := &route.Team{Name: "t", PerSecond: 40, Burst: 40}
+		f := &quotaFleet{u: startFakeUpstream("u", "s", "a", 5), team: team}
+		var all []controlrpc.Peer
+		for n := range controlrpc.CommonPeersPerDomain + 1 {
+			vm := startVM(fmt.Sprintf("v%d", n), "a")
+			f.vms = append(f.vms, vm)
+			all = append(all, vm.peer())
+		}
+		_, others := controlrpc.SplitCommon(all)
+		Expect(others).To(HaveLen(1))
+		last := slices.IndexFunc(f.vms, func(vm *relayVM) bool { return vm.router.config.ID == others[0].ID })
+		f.vms[last], f.vms[len(f.vms)-1] = f.vms[len(f.vms)-1], f.vms[last]
+		stranger := f.vms[len(f.vms)-1]
+
+		table := &route.Table{Version: quotaTable, Teams: []route.Team{*team}}
+		stranger.router.adopt(controlrpc.WatchReply{Revision: 1, Watchers: 5, Table: table,
+			Instances: registry.Delta{Whole: true, Changed: []registry.Instance{f.u.instance}}})
+		var candidates []controlrpc.Peer
+		for _, vm := range f.vms[:len(f.vms)-1] {
+			candidates = append(candidates, vm.peer())
+		}
+		stranger.router.peers.Update(candidates[:1], time.Now())
+		stranger.router.confirmQuotas()
+		time.Sleep(sharedrate.LoanLife)
+		Expect(f.request(stranger)).To(Succeed())
+
+		f.connect()
+		time.Sleep(3 * sharedrate.LoanLife)
+		for range 20 {
+			for _, vm := range f.vms[:2] {
+				Expect(f.request(vm)).To(Succeed())
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		Expect(stranger.router.quotas.holder.Teams(bootNow())).To(BeEmpty())
+	})
+})
--- a/internal/router/rank_test.go
+++ b/internal/router/rank_test.go
@@ -24,7 +24,9 @@
 	attempts, permits []int
 }
 
-func (*rankRecorder) Credits(context.Context, relay.CreditsArgs) relay.CreditsReply { return relay.CreditsReply{} }
+func (*rankRecorder) Credits(context.Context, relay.CreditsArgs) relay.CreditsReply {
+	return relay.CreditsReply{}
+}
 
 func (*rankRecorder) TakeOver(relay.TakeOverArgs) relay.TakeOverReply { return relay.TakeOverReply{} }
 
--- a/internal/sharedrate/holder.go
+++ b/internal/sharedrate/holder.go
@@ -451,6 +451,9 @@
 	})
 }
 
+// Resign drops all buckets, because this VM is no candidate any longer. Its own parts stay lent as they are.
+func (h *Holder) Resign() { clear(h.held) }
+
 // Reached returns the number of candidates that answered the last claim for the team.
 func (h *Holder) Reached(team string) int {
 	if t, ok := h.held[team]; ok {
