Admit requests by rank, team and age with admission = "ranked"

Change: the admission of the router moves to admit.go. The default "fraction" keeps its decisions and its header.

--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -51,6 +51,7 @@
 		"wisteriamux.requests.quarantined": func() int64 { return r.Counts().Quarantined },
 		"wisteriamux.log.dropped":          output.Dropped,
 	}
+	addAdmissionGauges(gauges, r)
 	for name, read := range gauges {
 		if err := metrics.RegisterGauge(name, "total or state of the router", read); err != nil {
 			return nil, err
--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -101,7 +101,7 @@
 		ID: loaded.ID, FailureDomain: loaded.FailureDomain, Seeds: loaded.ControlAddresses(),
 		ExtraShare: usableExtraShare * loaded.ExtraShare, ExtraFloor: loaded.ExtraFloor,
 		ExtraWindow:  time.Duration(loaded.ExtraWindowSeconds * float64(time.Second)),
-		AnswerMargin: answerMargin(loaded),
+		AnswerMargin: answerMargin(loaded), Admission: loaded.Admission,
 		RelayAddress: loaded.RelayAddress, DialRelay: transport.Dialer(controlrpc.PlainDialer, security.RoleEntry),
 		MaxResponseBytes: loaded.MaxResponseKB << 10, ResponseMemoryBytes: loaded.ResponseMemoryKB << 10,
 	}, control, platform.Codec{}, log)
--- a/internal/router/deadlines.go
+++ b/internal/router/deadlines.go
@@ -1,11 +1,8 @@
 package router
 
 import (
-	"math/rand/v2"
 	"time"
 
-	"github.com/wisteriamux/wisteriamux/internal/fault"
-	"github.com/wisteriamux/wisteriamux/internal/overload"
 	"github.com/wisteriamux/wisteriamux/internal/route"
 )
 
@@ -18,45 +15,6 @@
 	minHedgeSamples = 20
 )
 
-// overloadController returns the controller of the route's set of shards. The caller must hold mu.
-func (r *Router) overloadController(rt *route.Route) *overload.Controller {
-	key := rt.Shards[0]
-	c, ok := r.overload[key]
-	if !ok {
-		c = &overload.Controller{}
-		r.overload[key] = c
-	}
-	return c
-}
-
-// admit sheds a share of the searches while queueing makes searches of the same shards miss their latency goals.
-func (r *Router) admit(rt *route.Route, request *Request) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	c := r.overloadController(rt)
-	isRetry := r.stats(rt).limitEstimate.waited(request.Limit) > limitTolerance
-	if c.Admit(request.Received, isRetry, rand.Float64()) {
-		return nil
-	}
-	r.counts.Refused++
-	return fault.New(fault.Overloaded, "router.admit", "queueing makes searches miss their latency objective, shedding a share of %.2f",
-		c.ShedFraction(request.Received))
-}
-
-// late records that a search missed its goal, where available is the time from its receipt to the goal.
-func (r *Router) late(rt *route.Route, now time.Time, available time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.overloadController(rt).RecordLate(now, time.Duration(r.stats(rt).expected), available)
-}
-
-// inTime records a search that met its goal, where available is the time from its receipt to the goal.
-func (r *Router) inTime(rt *route.Route, now time.Time, available time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.overloadController(rt).RecordInTime(now, time.Duration(r.stats(rt).expected), available)
-}
-
 // deadlines returns the goal, by which the response should be sent to meet the latency objective, the deadline, by which
 // it must be sent before the caller gives up, and the delay before a hedge.
 func (r *Router) deadlines(rt *route.Route, request *Request) (goal, deadline time.Time, hedge time.Duration) {
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -55,11 +55,15 @@
 	if err != nil {
 		return nil, err
 	}
+	service := r.pickService(rt)
+	if err := r.admitForward(rt, service, request); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	_, deadline, _ := r.deadlines(rt, request)
 	f := &forwardCall{
-		router: r, route: rt, service: r.pickService(rt), request: request, deadline: deadline,
+		router: r, route: rt, service: service, request: request, deadline: deadline,
 		results: make(chan attemptResult, max(1, rt.Attempts)), suspected: suspected.yes,
 	}
 	f.send(ctx, firstAttempt)
@@ -105,6 +109,7 @@
 	f.pending++
 	go func() {
 		response, err := f.router.runForward(ctx, f.route, a, f.request)
+		f.router.recordForward(f.route, f.service, directResult(response, err, ctx.Err() != nil), time.Since(a.sent))
 		f.results <- attemptResult{a.upstream, response, err}
 	}()
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,6 +55,8 @@
 	// large responses that are being read. If 0, the defaults of upstreamconn apply.
 	MaxResponseBytes    int64
 	ResponseMemoryBytes int64
+	// Admission is AdmissionFraction, which is the default, or AdmissionRanked.
+	Admission string
 }
 
 // Router routes requests to upstreams. It is safe for concurrent use.
@@ -88,6 +90,8 @@
 	routes  map[string]*routeStats
 	// overload holds the controller of each set of shards, keyed by the first shard.
 	overload map[string]*overload.Controller
+	// admissions holds the state of AdmissionRanked.
+	admissions admissions
 	// limits holds the request rates that upstreams have named, and issuer the buckets of those upstreams that this VM
 	// holds.
 	limits *ratelimit.Book
@@ -109,10 +113,17 @@
 	counts    Counts
 }
 
+// RankClasses is the number of ranks that are counted separately.
+const RankClasses = 5
+
 // Counts holds counters since the start of the process.
 type Counts struct {
-	// Refused counts searches shed under overload.
-	Refused int64
+	// Refused counts requests refused under overload, and RefusedByRank those refused by AdmissionRanked by their rank. The last
+	// element counts all less urgent ranks, too.
+	Refused       int64
+	RefusedByRank [RankClasses]int64
+	// RefusedPercent is the highest fraction that AdmissionRanked refuses of the requests to a service or to a set of shards now.
+	RefusedPercent int64
 	// Attempts counts all attempts, and Extra those charged to the budget (hedges and retries).
 	Attempts, Extra int64
 	// Relayed counts those of Attempts that were sent through another entry VM, and Executed the attempts that this VM
@@ -189,6 +200,7 @@
 	counts.Limited, counts.LimitsUnreadable = int64(len(r.limits.InForce())), r.limits.Unreadable()
 	counts.NoticesUnreadable = r.notices.Unreadable()
 	now := time.Now()
+	counts.RefusedPercent = int64(100 * r.admissions.highestFraction(now))
 	for _, n := range r.notices.InForce(now) {
 		if !n.LeavingSince.IsZero() {
 			counts.Leaving++
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -100,6 +100,9 @@
 	// AnswerMarginMillis is how long before the time by which it must arrive a response is sent, in ms. The measured
 	// round trip to the caller is added, and the time to process a response is derived from CPUShare.
 	AnswerMarginMillis int `toml:"answer_margin_ms" validate:"min=0,max=1000"`
+	// Admission selects how requests are refused under overload: the same fraction of all searches, or searches and forwarded
+	// requests by rank, team and age.
+	Admission string `toml:"admission" validate:"oneof=fraction ranked"`
 	// CPUShare is the fraction of one CPU core that the process may use; it is above 1 for several cores.
 	CPUShare float64 `toml:"cpu_share" validate:"min=0.01,max=1000"`
 	// LameDuckMillis is how long the health check fails before the listener closes, in ms.
@@ -176,7 +179,7 @@
 
 // LoadRouter reads the settings of wmux-router.
 func LoadRouter(path string) (Router, error) {
-	loaded := Router{ExtraShare: 0.1, ExtraFloor: 10, ExtraWindowSeconds: 10, AnswerMarginMillis: 1, CPUShare: 1, LameDuckMillis: 2_300, DrainMillis: 3_000,
+	loaded := Router{ExtraShare: 0.1, ExtraFloor: 10, ExtraWindowSeconds: 10, AnswerMarginMillis: 1, CPUShare: 1, Admission: "fraction", LameDuckMillis: 2_300, DrainMillis: 3_000,
 		MaxResponseKB: 8 << 10, ResponseMemoryKB: 16 << 10, LogLevel: "info"}
 	err := load(path, &loaded)
 	return loaded, err
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -106,6 +106,27 @@
 	})
 })
 
+var _ = Describe("LoadRouter", func() {
+	const required = "id = \"r\"\nfailure_domain = \"d\"\ncaller_address = \"127.0.0.1:1\"\nhealth_address = \"127.0.0.1:2\"\n" +
+		"seeds = [\"127.0.0.1:3\"]\ncontrol_port = 3\n"
+	loadRouter := func(content string) (settings.Router, error) {
+		path := filepath.Join(GinkgoT().TempDir(), "router.toml")
+		Expect(os.WriteFile(path, []byte(content), 0o600)).To(Succeed())
+		return settings.LoadRouter(path)
+	}
+
+	It("refuses a fraction under overload unless the settings ask for another admission", func() {
+		loaded, err := loadRouter(required)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(loaded.Admission).To(Equal("fraction"))
+		loaded, err = loadRouter(required + "admission = \"ranked\"\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(loaded.Admission).To(Equal("ranked"))
+		_, err = loadRouter(required + "admission = \"none\"\n")
+		Expect(err).To(MatchError(ContainSubstring("one of fraction, ranked")))
+	})
+})
+
 var _ = Describe("LoadRoutes", func() {
 	It("reads the example table and what RoutesFromTable encodes", func() {
 		table, err := settings.LoadRoutes("../../examples/routes.toml")
