Keep the estimate of the time limit while most first attempts are refused

Cause: only admitted requests were observed, and returning callers are admitted first: their shorter limits became the estimate (1.8 s instead of 2.4 s in the new spec), so that no returning caller was recognised any more. Change: with "ranked" the limits of refused first attempts are observed, too. Result: the new spec passes; it failed without the change.

--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -149,6 +149,11 @@
 	fraction := d.door.Fraction(now)
 	usual := time.Duration(r.stats(rt).expected)
 	if !verdict.Admitted {
+		if !arrival.Returning {
+			// Admitted requests are observed when their deadlines are set. Without refused ones, the limits of returning callers,
+			// which are admitted first, would replace the estimate.
+			r.stats(rt).limitEstimate.observe(request.Limit)
+		}
 		r.counts.Refused++
 		r.counts.RefusedByRank[min(max(arrival.Rank, 0), RankClasses-1)]++
 	}
--- a/internal/router/admit_test.go
+++ b/internal/router/admit_test.go
@@ -129,6 +129,28 @@
 		}
 	})
 
+	// Guards against the limits of returning callers, which are admitted first, becoming the estimate for first attempts.
+	It("keeps the estimate of the time limit while most first attempts are refused", func() {
+		r := start(AdmissionRanked, "s", "t")
+		overloadSearches(r, search)
+		for n := range 600 {
+			if n%20 == 0 {
+				r.late(search, now, objective)
+			}
+			q := request(0, timeLimit)
+			if n%3 == 0 {
+				q = request(0, timeLimit*3/4)
+			}
+			if r.admit(search, q) == nil {
+				r.deadlines(search, q)
+			}
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		Expect(r.stats(search).limitEstimate.limit).To(Equal(timeLimit))
+		Expect(r.counts.Refused).To(BeNumerically(">", 100))
+	})
+
 	// A refused caller has a low draw: with the same one it would be refused again when it comes back as told.
 	It("draws anew for a caller that waited as told", func() {
 		r := start(AdmissionRanked, "s", "t")
