--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -274,8 +274,8 @@
 	r.overloadController(rt).RecordInTime(now, latency, available)
 }
 
-// fullShare is the part of the shards of a search of which upstreams must have refused attempts for the search to show that they are
-// full, beyond the attempts at a single shard.
+// fullShare is the number of refused attempts, as a part of the number of shards, beyond which a search shows that upstreams are full.
+// The attempts at a single shard are not counted.
 const fullShare = 0.1
 
 // failedEarly records a search that failed before its goal. It is evidence of full queues if upstreams of several shards refused it.
