--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -63,6 +63,7 @@
 		"wisteriamux.quota.takenover":      func() int64 { return r.QuotaCounts().TakenOver },
 		"wisteriamux.quota.handedover":     func() int64 { return r.QuotaCounts().HandedOver },
 	}
+	addAdmissionGauges(gauges, r)
 	for name, read := range gauges {
 		if err := metrics.RegisterGauge(name, "total or state of the router", read); err != nil {
 			return nil, err
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -66,6 +66,8 @@
 	// ColdOverage is the factor by which the requests to a cold upstream in a second may exceed its rate, and ColdSlack the number
 	// by which they may on top.
 	ColdOverage, ColdSlack float64
+	// Admission is AdmissionFraction, which is the default, or AdmissionRanked.
+	Admission string
 }
 
 // Router routes requests to upstreams. It is safe for concurrent use.
@@ -101,6 +103,8 @@
 	routes  map[string]*routeStats
 	// overload holds the controller of each set of shards, keyed by the first shard.
 	overload map[string]*overload.Controller
+	// admissions holds the state of AdmissionRanked.
+	admissions admissions
 	// limits holds the request rates that upstreams have named, and issuer the buckets of those upstreams that this VM
 	// holds.
 	limits *ratelimit.Book
@@ -124,10 +128,17 @@
 	counts    Counts
 }
 
+// RankClasses is the number of ranks that are counted separately.
+const RankClasses = 5
+
 // Counts holds counters since the start of the process.
 type Counts struct {
-	// Refused counts searches shed under overload.
-	Refused int64
+	// Refused counts requests refused under overload, and RefusedByRank those refused by AdmissionRanked by their rank. The last
+	// element counts all less urgent ranks, too.
+	Refused       int64
+	RefusedByRank [RankClasses]int64
+	// RefusedPercent is the highest fraction that AdmissionRanked refuses of the requests to a service or to a set of shards now.
+	RefusedPercent int64
 	// Attempts counts all attempts, and Extra those charged to the budget (hedges and retries).
 	Attempts, Extra int64
 	// Relayed counts those of Attempts that were sent through another entry VM, and Executed the attempts that this VM
@@ -208,6 +219,7 @@
 	counts.NoticesUnreadable = r.notices.Unreadable()
 	counts.KeysUnknown, counts.KeysUnsure, counts.KeyedSendsRefused = r.keys.unknown.Load(), r.keys.unsure.Load(), r.keys.refusedSends.Load()
 	now := time.Now()
+	counts.RefusedPercent = int64(100 * r.admissions.highestFraction(now))
 	for _, n := range r.notices.InForce(now) {
 		if !n.LeavingSince.IsZero() {
 			counts.Leaving++
