--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -21,7 +21,7 @@
 mapfile -t with < <(go list -f "$uses_ginkgo"$'\n'"$external_uses_ginkgo" ./... | grep . | sort -u)
 mapfile -t without < <(go list ./... | grep -vxF "$(printf '%s\n' "${with[@]}")")
 # Packages that start many processes or VMs run one at a time after the others, so that they do not starve each other.
-mapfile -t heavy < <(printf '%s\n' "${with[@]}" | grep -E "/internal/router$|/platform$|/platform/soak$|/test/processes$")
+mapfile -t heavy < <(printf '%s\n' "${with[@]}" | grep -E "/internal/router$|/platform$|/platform/soak$|/test/processes$|/test/callers$")
 mapfile -t light < <(printf '%s\n' "${with[@]}" | grep -vxF "$(printf '%s\n' "${heavy[@]}")")
 status=0
 "${run[@]}" "${without[@]}" || status=1
