Bound what the headers of callers make wmux-router hold

net/http reads up to 1 MiB of a header before the handler sees its limit, and parses it: a line of five bytes takes over a hundred. 40 heads over the limit took 338 to 769 MiB, 250 heads without end 370 to 547 MiB, and 800 heads of legal size with short lines 260 MiB.

internal/callermem wraps the listener: it follows the framing of each connection, charges the bytes and lines of a header before net/http gets them, and holds one account for all callers, with a bound for each connection and one for all. When all is in use, the connection that holds most for longest is dropped; one whose request is complete is not. New connections beyond half of the descriptors take the place of the heaviest one, or are refused. The bounds come from memory_mb and max_fds (184 MB and 4,096 by default).

--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/wisteriamux/wisteriamux/internal/burn"
+	"github.com/wisteriamux/wisteriamux/internal/callermem"
 	"github.com/wisteriamux/wisteriamux/internal/route"
 	"github.com/wisteriamux/wisteriamux/internal/router"
 	"github.com/wisteriamux/wisteriamux/internal/settings"
@@ -22,7 +23,7 @@
 
 // serveMetrics serves the metrics of the router over HTTP if the settings contain an address for them. It returns the
 // observer that records requests, or nil if there is no address.
-func serveMetrics(loaded settings.Router, r *router.Router, output *telemetry.BoundedWriter, log *slog.Logger) (platform.RequestObserver, error) {
+func serveMetrics(loaded settings.Router, r *router.Router, callers *callermem.Memory, output *telemetry.BoundedWriter, log *slog.Logger) (platform.RequestObserver, error) {
 	if loaded.MetricsAddress == "" {
 		return nil, nil
 	}
@@ -56,6 +57,9 @@
 			return nil, err
 		}
 	}
+	if err := callers.RegisterMetrics(metrics); err != nil {
+		return nil, err
+	}
 	listener, err := listen(loaded.MetricsAddress)
 	if err != nil {
 		return nil, err
@@ -64,7 +68,7 @@
 	paths.Handle("/metrics", metrics.Handler()).Methods(http.MethodGet)
 	paths.HandleFunc("/limits", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Limits(), log) }).Methods(http.MethodGet)
 	paths.HandleFunc("/notices", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Notices(), log) }).Methods(http.MethodGet)
-	serve(listener, paths, log)
+	serve(callers.Listener(listener, systemHeadLimit), callers, paths, log)
 	return func(rt *route.Route, status int, latency time.Duration) { recordRequest(metrics, rt, status, latency) }, nil
 }
 
--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"time"
 
+	"github.com/wisteriamux/wisteriamux/internal/callermem"
 	"github.com/wisteriamux/wisteriamux/internal/cli"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
@@ -69,14 +71,16 @@
 	go r.SweepIdleConnections(watchCtx)
 
 	cli.OnReload(func() { reload(path, r, log) })
+	callers := newCallerMemory(loaded, log)
+	debug.SetMemoryLimit(loaded.RuntimeBytes())
 	var stopping platform.Stop
 	ready := func() bool { return !stopping.Begun() && r.View().Ready() }
-	serve(healthListener, platform.NewReadyHandler(ready), log)
-	observe, err := serveMetrics(loaded, r, output, log)
+	serve(callers.Listener(healthListener, systemHeadLimit), callers, platform.NewReadyHandler(ready), log)
+	observe, err := serveMetrics(loaded, r, callers, output, log)
 	if err != nil {
 		return err
 	}
-	server := serve(callerListener, platform.NewCallerHandler(r, &stopping, observe, log), log)
+	server := serve(callers.Listener(callerListener, headLimit(r)), callers, platform.NewCallerHandler(r, &stopping, observe, log), log)
 	log.Info("started", "caller_address", loaded.CallerAddress, "health_address", loaded.HealthAddress,
 		"extra_share", loaded.ExtraShare, "extra_floor", loaded.ExtraFloor, "answer_margin_ms", loaded.AnswerMarginMillis)
 	<-ctx.Done()
@@ -161,13 +165,14 @@
 	endRequests context.CancelFunc
 }
 
-func serve(listener net.Listener, handler http.Handler, log *slog.Logger) *callerServer {
+func serve(listener net.Listener, callers *callermem.Memory, handler http.Handler, log *slog.Logger) *callerServer {
 	requests, endRequests := context.WithCancel(context.Background())
 	server := &callerServer{endRequests: endRequests, Server: &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		BaseContext: func(net.Listener) context.Context { return requests },
 	}}
+	callers.Attach(server.Server)
 	go func() {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			log.Error("listener failed", "address", listener.Addr().String(), "error", err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,8 @@
 	TLS security.Files `toml:"tls"`
 	// FaultRulesFile is the path of the network faults that internal/netcut injects. Only fault tests set it.
 	FaultRulesFile string `toml:"fault_rules_file"`
+	// Callers limits what untrusted callers make the process hold.
+	Callers
 }
 
 // Control holds the settings of wmux-control.
@@ -72,6 +74,8 @@
 	MetricsAddress string `toml:"metrics_address" validate:"omitempty,ip_port"`
 	// FaultRulesFile is the path of the network faults that internal/netcut injects. Only fault tests set it.
 	FaultRulesFile string `toml:"fault_rules_file"`
+	// Callers limits what untrusted callers make the process hold.
+	Callers
 }
 
 // Router holds the settings of wmux-router.
@@ -114,6 +118,8 @@
 	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error"`
 	// TLS secures the connections to control members. If absent, TLS is off.
 	TLS security.Files `toml:"tls"`
+	// Callers limits what untrusted callers make the process hold.
+	Callers
 }
 
 // ControlAddresses returns the RPC addresses of the seeds.
@@ -162,21 +168,21 @@
 
 // LoadEntry reads the settings of wmux-entry.
 func LoadEntry(path string) (Entry, error) {
-	loaded := Entry{LameDuckMillis: 2_000, DrainMillis: 30_000, Ownership: "owner", Balance: "observed", Hedging: true, ResponseMemoryKB: 16 << 10}
+	loaded := Entry{Callers: defaultCallers(), LameDuckMillis: 2_000, DrainMillis: 30_000, Ownership: "owner", Balance: "observed", Hedging: true, ResponseMemoryKB: 16 << 10}
 	err := load(path, &loaded)
 	return loaded, err
 }
 
 // LoadControl reads the settings of wmux-control.
 func LoadControl(path string) (Control, error) {
-	loaded := Control{SnapshotEntries: 10_000, Formation: "operator", FaultTolerance: 2}
+	loaded := Control{Callers: defaultCallers(), SnapshotEntries: 10_000, Formation: "operator", FaultTolerance: 2}
 	err := load(path, &loaded)
 	return loaded, err
 }
 
 // LoadRouter reads the settings of wmux-router.
 func LoadRouter(path string) (Router, error) {
-	loaded := Router{ExtraShare: 0.1, ExtraFloor: 10, ExtraWindowSeconds: 10, AnswerMarginMillis: 1, CPUShare: 1, LameDuckMillis: 2_300, DrainMillis: 3_000,
+	loaded := Router{Callers: defaultCallers(), ExtraShare: 0.1, ExtraFloor: 10, ExtraWindowSeconds: 10, AnswerMarginMillis: 1, CPUShare: 1, LameDuckMillis: 2_300, DrainMillis: 3_000,
 		MaxResponseKB: 8 << 10, ResponseMemoryKB: 16 << 10, LogLevel: "info"}
 	err := load(path, &loaded)
 	return loaded, err
