Bound what the bodies of callers make wmux-router hold

Each body was bounded by max_body_bytes and nothing bounded all of them together, nor the time that a body may take: a caller that stopped a byte before the end kept its body for as long as it stayed. 600 bodies of 262,144 bytes took 237 to 278 MiB.

A sixteenth of the memory, at most 768 KiB, is kept for new connections, so that the sum never exceeds the bound.

--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/callermem"
@@ -72,7 +71,7 @@
 
 	cli.OnReload(func() { reload(path, r, log) })
 	callers := newCallerMemory(loaded, log)
-	debug.SetMemoryLimit(loaded.RuntimeBytes())
+	callermem.LimitRuntime(loaded.RuntimeBytes())
 	var stopping platform.Stop
 	ready := func() bool { return !stopping.Begun() && r.View().Ready() }
 	serve(callers.Listener(healthListener, systemHeadLimit), callers, platform.NewReadyHandler(ready), log)
--- a/internal/callermem/callermem.go
+++ b/internal/callermem/callermem.go
@@ -31,6 +31,8 @@
 	roomTimeout = time.Second
 	// leavingConnections is how many connections may be dropped and not closed yet, beside the bound on connections.
 	leavingConnections = 32
+	// reservedShare is the largest part of the memory that is reserved for new connections.
+	reservedShare = 16
 	// logInterval is the shortest time between two log lines for one reason.
 	logInterval = 10 * time.Second
 	// minAge keeps connections that have just begun comparable by what they hold.
@@ -177,17 +179,24 @@
 		m.noteLocked(Connections, 0)
 		return false
 	}
-	for m.inUse-m.leaving+connectionBytes > m.config.TotalBytes {
-		if !m.dropLocked(c, DroppedForMemory) {
-			m.noteLocked(Full, 0)
-			return false
-		}
+	for m.inUse-m.leaving+connectionBytes > m.requestBytes() && m.dropLocked(c, DroppedForMemory) {
+		// Connections are dropped until there is room, or none is left to drop.
+	}
+	if m.inUse+connectionBytes > m.config.TotalBytes {
+		m.noteLocked(Full, 0)
+		return false
 	}
 	m.conns[c] = struct{}{}
 	m.addLocked(c, connectionBytes)
 	return true
 }
 
+// requestBytes is the bound up to which requests are charged. The rest is for new connections, which do not wait until dropped
+// ones have released their memory.
+func (m *Memory) requestBytes() int64 {
+	return m.config.TotalBytes - min(leavingConnections*connectionBytes, m.config.TotalBytes/reservedShare)
+}
+
 func (m *Memory) addLocked(c *conn, bytes int64) {
 	c.held += bytes
 	m.inUse += bytes
@@ -207,11 +216,11 @@
 		case c.held+bytes > m.config.ConnectionBytes:
 			m.noteLocked(ConnectionBytes, c.held)
 			return errConnection
-		case m.inUse+bytes <= m.config.TotalBytes:
+		case m.inUse+bytes <= m.requestBytes():
 			m.addLocked(c, bytes)
 			return nil
 		}
-		for m.inUse-m.leaving+bytes > m.config.TotalBytes {
+		for m.inUse-m.leaving+bytes > m.requestBytes() {
 			if !m.dropLocked(c, DroppedForMemory) {
 				m.noteLocked(Full, c.held)
 				return errFull
--- a/internal/settings/callers.go
+++ b/internal/settings/callers.go
@@ -15,7 +15,7 @@
 	MaxFDs int `toml:"max_fds" validate:"min=64,max=16777216"`
 	// CallerMemoryKB limits what all callers together hold, in KB. 0 means a sixth of MemoryMB.
 	CallerMemoryKB int64 `toml:"caller_memory_kb" validate:"min=0,max=16777216"`
-	// CallerConnectionKB limits what one connection of a caller holds, in KB. 0 means a quarter of the limit for all.
+	// CallerConnectionKB limits what one connection of a caller holds, in KB. 0 means half of the limit for all.
 	CallerConnectionKB int64 `toml:"caller_connection_kb" validate:"min=0,max=16777216"`
 	// CallerConnections limits the connections of callers. 0 means half of MaxFDs.
 	CallerConnections int `toml:"caller_connections" validate:"min=0,max=16777216"`
@@ -29,9 +29,9 @@
 const (
 	// callerMemoryShare is the part of the VM's memory that callers may hold. docs/limits.md has the sum of all parts.
 	callerMemoryShare = 1.0 / 6
-	// callerConnectionShare is the part of that which one connection may hold: several times the largest legal request, and little
-	// enough that a few connections cannot keep out all others.
-	callerConnectionShare = 4
+	// callerConnectionShare is the part of that which one connection may hold. The largest legal requests are configurations of
+	// 2 MiB, which take most of it while they are decoded.
+	callerConnectionShare = 2
 	// callerDescriptorShare is the part of the descriptors that callers may use. The others are for upstreams, entry VMs, control
 	// members and files.
 	callerDescriptorShare = 2
