Bound what callers make wmux-entry hold

wmux-entry limited one header and one body, but not all of them together, and the check for duplicate keys kept each key of a body: bodies of 1 MiB took 263 to 975 MiB, and 800 headers of legal size 246 to 276 MiB.

The caller listener and jsonbody use internal/callermem. What is kept while a body is decoded is charged too: the buffer of the decoder, the keys of open objects, of which only 64-bit hashes with a random seed are kept, and strings in arrays.

--- a/cmd/wmux-entry/main.go
+++ b/cmd/wmux-entry/main.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/wisteriamux/wisteriamux/internal/balance"
+	"github.com/wisteriamux/wisteriamux/internal/callermem"
 	"github.com/wisteriamux/wisteriamux/internal/cli"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/entry"
@@ -90,7 +91,16 @@
 	if err != nil {
 		return err
 	}
+	callers := callermem.New(callermem.Config{
+		TotalBytes: loaded.CallerBytes(), ConnectionBytes: loaded.CallerConnectionBytes(),
+		Connections: loaded.AllowedConnections(), BodyTimeout: loaded.BodyTimeout(), Log: log,
+	})
+	if err := callers.RegisterMetrics(metrics); err != nil {
+		return err
+	}
+	callermem.LimitRuntime(loaded.RuntimeBytes())
 	config := entry.Config{
+		Callers:       callers,
 		Metrics:       metrics,
 		Recorder:      recorder,
 		ID:            loaded.ID,
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -17,6 +17,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/ownerlink"
 
 	"github.com/wisteriamux/wisteriamux/internal/balance"
+	"github.com/wisteriamux/wisteriamux/internal/callermem"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/membership"
@@ -69,6 +70,8 @@
 	// ResponseMemoryBytes limits the memory of all responses of upstreams above 64 KiB that are being read; 0 means the
 	// default of 16 MiB.
 	ResponseMemoryBytes int64
+	// Callers bounds what callers make the process hold; nil means no bound.
+	Callers *callermem.Memory
 	// BodyTimeout limits the time to read a request body; 0 means the default of 5 s.
 	BodyTimeout time.Duration
 	// Metrics holds the metric instruments; nil disables metrics.
@@ -147,6 +150,9 @@
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		BaseContext: func(net.Listener) context.Context { return requests },
 	}
+	if config.Callers != nil {
+		config.Callers.Attach(server.http)
+	}
 	return server
 }
 
@@ -170,6 +176,9 @@
 	}
 	defer s.closePeers(peers)
 	serveErr := make(chan error, 1)
+	if s.config.Callers != nil {
+		callers = s.config.Callers.Listener(callers, func() int64 { return maxHeaderBytes })
+	}
 	go func() { serveErr <- s.http.Serve(callers) }()
 	select {
 	case err := <-serveErr:
--- a/internal/jsonbody/jsonbody.go
+++ b/internal/jsonbody/jsonbody.go
@@ -6,14 +6,15 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"hash/maphash"
 	"io"
 	"mime"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 	"unicode/utf8"
 
+	"github.com/wisteriamux/wisteriamux/internal/callermem"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 )
 
@@ -29,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	return Unmarshal(data, target)
+	return unmarshal(data, target, func(bytes int64) error { return callermem.Reserve(r, bytes) })
 }
 
 // checkContentType accepts application/json in UTF-8, and an absent header, because simple clients send none.
@@ -48,34 +49,27 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
-	if r.ContentLength > limit {
-		return nil, fault.New(fault.TooLarge, "decode", "request body of %d bytes exceeds the limit of %d bytes", r.ContentLength, limit)
-	}
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(timeout))
 	// Clear the deadline once the body is read: it would cancel the context of a request that runs longer.
 	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return data, nil
-	case errors.As(err, &tooLarge):
-		return nil, fault.New(fault.TooLarge, "decode", "request body exceeds the limit of %d bytes", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		w.Header().Set("Connection", "close")
-		return nil, fault.New(fault.RequestTimeout, "decode", "request body was not received within %s", timeout)
-	}
-	return nil, fault.New(fault.BadRequest, "decode", "read request body: %w", err)
+	return callermem.ReadBody(w, r, limit)
 }
 
 // Unmarshal decodes a single JSON value and rejects invalid UTF-8, unknown keys and duplicate keys. With a duplicate
 // key, wisteriamux and an upstream could read different values from the same body.
-func Unmarshal(data []byte, target any) error {
+func Unmarshal(data []byte, target any) error { return unmarshal(data, target, nil) }
+
+// unmarshal is Unmarshal with a function that charges the memory for it, nil for none.
+func unmarshal(data []byte, target any, charge func(bytes int64) error) error {
 	if !utf8.Valid(data) {
 		return fault.New(fault.BadRequest, "decode", "request body is not valid UTF-8")
 	}
-	if err := checkKeys(data); err != nil {
+	c := checker{charge: charge}
+	if err := c.add(bufferFactor * int64(len(data))); err != nil {
+		return err
+	}
+	if err := c.checkKeys(data); err != nil {
 		return err
 	}
 	decoder := json.NewDecoder(bytes.NewReader(data))
@@ -89,15 +83,46 @@
 	return nil
 }
 
+const (
+	// bufferFactor is the size of the decoder's buffers for each byte of the document.
+	bufferFactor = 2
+	// keyBytes is charged for each key that is kept to find duplicates: the hash in a map that is half full.
+	keyBytes = 32
+	// elementBytes is charged for each string in an array at the top level, which are decoded into a slice that grows.
+	elementBytes = 32
+	// chargeStep is how many bytes are charged at a time.
+	chargeStep = 64 << 10
+)
+
+// keySeed makes collisions of hashes unpredictable.
+var keySeed = maphash.MakeSeed()
+
+// checker checks the tokens of a document and charges what is kept of them.
+type checker struct {
+	charge  func(bytes int64) error
+	pending int64
+}
+
+// add charges bytes, in steps.
+func (c *checker) add(bytes int64) error {
+	c.pending += bytes
+	if c.charge == nil || c.pending < chargeStep {
+		return nil
+	}
+	bytes, c.pending = c.pending, 0
+	return c.charge(bytes)
+}
+
 // scope is an object or array that the decoder has entered and not left yet. keys is nil for an array.
 type scope struct {
-	keys map[string]struct{}
+	// keys holds hashes, because a body may have more than 100,000 keys.
+	keys map[uint64]struct{}
 	// expectValue is set if the next token of an object is a value rather than a key.
 	expectValue bool
 }
 
 // checkKeys rejects duplicate keys and excessive nesting, and at the top level keys that cannot be field names.
-func checkKeys(data []byte) error {
+func (c *checker) checkKeys(data []byte) error {
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.UseNumber()
 	var scopes []*scope
@@ -112,9 +137,26 @@
 		if scopes, err = advance(scopes, token); err != nil {
 			return err
 		}
+		if err := c.add(keptBytes(scopes, token)); err != nil {
+			return err
+		}
 	}
 }
 
+// keptBytes returns how many bytes are kept of a token that has been applied to the scopes.
+func keptBytes(scopes []*scope, token json.Token) int64 {
+	if _, ok := token.(string); !ok || len(scopes) == 0 {
+		return 0
+	}
+	switch in := scopes[len(scopes)-1]; {
+	case in.keys == nil && len(scopes) == 2:
+		return elementBytes
+	case in.keys != nil && in.expectValue:
+		return keyBytes
+	}
+	return 0
+}
+
 // advance applies one token to the stack of open scopes and returns the new stack.
 func advance(scopes []*scope, token json.Token) ([]*scope, error) {
 	delim, isDelim := token.(json.Delim)
@@ -134,7 +176,7 @@
 	}
 	opened := &scope{}
 	if delim == '{' {
-		opened.keys = map[string]struct{}{}
+		opened.keys = map[uint64]struct{}{}
 	}
 	return append(scopes, opened), nil
 }
@@ -149,14 +191,15 @@
 		return nil
 	}
 	key, _ := token.(string)
-	if _, ok := s.keys[key]; ok {
+	hash := maphash.String(keySeed, key)
+	if _, ok := s.keys[hash]; ok {
 		return fault.New(fault.BadRequest, "decode", "duplicate key %q", key)
 	}
 	// encoding/json matches field names case-insensitively, so "Key" would set the same field as "key".
 	if top && !isFieldName(key) {
 		return fault.New(fault.BadRequest, "decode", "unknown key %q", key)
 	}
-	s.keys[key] = struct{}{}
+	s.keys[hash] = struct{}{}
 	s.expectValue = true
 	return nil
 }
