Bound what callers make the HTTP port of wmux-control hold

The port had net/http's header limit of 1 MiB, no bound for all bodies, and decoded configurations whose routes are empty objects: 2 MiB of them become 700,000 routes of several hundred bytes. Two such documents took 682 to 1,092 MiB, bodies just short of their end 341 MiB, headers 239 to 635 MiB.

The directory and metrics listeners use internal/callermem with a header limit of 16 KiB, like the route table's.

--- a/cmd/wmux-control/formation.go
+++ b/cmd/wmux-control/formation.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/wisteriamux/wisteriamux/internal/callermem"
 	"github.com/wisteriamux/wisteriamux/internal/control"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/directory"
@@ -60,17 +61,17 @@
 
 // serveDirectory serves the registration and routing API for upstreams and operators if the settings contain an address
 // for it.
-func serveDirectory(ctx context.Context, loaded settings.Control, machine *control.Machine, client *controlrpc.Client, log *slog.Logger) error {
+func serveDirectory(ctx context.Context, loaded settings.Control, machine *control.Machine, client *controlrpc.Client, callers *callermem.Memory, log *slog.Logger) error {
 	if loaded.DirectoryAddress == "" {
 		return nil
 	}
 	d := directory.New(machine, client, log)
 	go d.Run(ctx)
-	return serveHTTP(ctx, loaded.DirectoryAddress, platform.NewControlHandler(d, log), log)
+	return serveHTTP(ctx, loaded.DirectoryAddress, platform.NewControlHandler(d, log), callers, log)
 }
 
 // serveHTTP starts an HTTP server for the handler, which runs until the context is cancelled.
-func serveHTTP(ctx context.Context, address string, handler http.Handler, log *slog.Logger) error {
+func serveHTTP(ctx context.Context, address string, handler http.Handler, callers *callermem.Memory, log *slog.Logger) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fault.New(fault.Unavailable, "control.listen", "%w", err)
@@ -79,6 +80,8 @@
 		Handler: handler, ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 	}
+	callers.Attach(server)
+	listener = callers.Listener(listener, func() int64 { return callermem.DefaultHeadBytes })
 	go func() {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			log.Error("listener failed", "address", address, "error", err)
--- a/cmd/wmux-control/metrics.go
+++ b/cmd/wmux-control/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/wisteriamux/wisteriamux/internal/callermem"
 	"github.com/wisteriamux/wisteriamux/internal/control"
 	"github.com/wisteriamux/wisteriamux/internal/raftnode"
 	"github.com/wisteriamux/wisteriamux/internal/settings"
@@ -14,7 +15,7 @@
 )
 
 // serveMetrics serves the metrics of this member over HTTP if the settings contain an address for them.
-func serveMetrics(ctx context.Context, loaded settings.Control, node *raftnode.Node, machine *control.Machine, log *slog.Logger) error {
+func serveMetrics(ctx context.Context, loaded settings.Control, node *raftnode.Node, machine *control.Machine, callers *callermem.Memory, log *slog.Logger) error {
 	if loaded.MetricsAddress == "" {
 		return nil
 	}
@@ -41,9 +42,12 @@
 			return err
 		}
 	}
+	if err := callers.RegisterMetrics(metrics); err != nil {
+		return err
+	}
 	paths := mux.NewRouter()
 	paths.Handle("/metrics", metrics.Handler()).Methods(http.MethodGet)
-	return serveHTTP(ctx, loaded.MetricsAddress, paths, log)
+	return serveHTTP(ctx, loaded.MetricsAddress, paths, callers, log)
 }
 
 func boolToInt(value bool) int64 {
--- a/cmd/wmux-control/run.go
+++ b/cmd/wmux-control/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/wisteriamux/wisteriamux/internal/callermem"
 	"github.com/wisteriamux/wisteriamux/internal/control"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
@@ -51,9 +52,10 @@
 	if err != nil {
 		return err
 	}
+	callers := newCallerMemory(loaded, log)
 	opened := false
 	for {
-		err := runMember(ctx, loaded, faultRules, transport, log, func() { opened = true })
+		err := runMember(ctx, loaded, faultRules, transport, callers, log, func() { opened = true })
 		if ctx.Err() != nil || !opened || !fault.Is(err, fault.StorageFailed) {
 			return err
 		}
@@ -69,7 +71,7 @@
 // runMember runs the member until the context is cancelled or the Raft node fails. It calls onOpen once the data
 // directory is open.
 func runMember(ctx context.Context, loaded settings.Control, faultRules *netcut.Rules, transport *security.Transport,
-	log *slog.Logger, onOpen func(),
+	callers *callermem.Memory, log *slog.Logger, onOpen func(),
 ) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -104,11 +106,11 @@
 		OperatorManaged: loaded.Formation != formationSeeds,
 	}
 	go joiner.Run(ctx)
-	if err := serveDirectory(ctx, loaded, machine, client, log); err != nil {
+	if err := serveDirectory(ctx, loaded, machine, client, callers, log); err != nil {
 		_ = node.Close()
 		return err
 	}
-	if err := serveMetrics(ctx, loaded, node, machine, log); err != nil {
+	if err := serveMetrics(ctx, loaded, node, machine, callers, log); err != nil {
 		_ = node.Close()
 		return err
 	}
