--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -22,7 +22,8 @@
 )
 
 const (
-	headerTimeout = 3 * time.Second
+	// headerTimeout exceeds the time that callers may take for a header by a margin, because both measure it.
+	headerTimeout = 3500 * time.Millisecond
 	// idleTimeout exceeds the time for which callers may keep a connection idle, so that the server does not close it
 	// first.
 	idleTimeout = 60 * time.Second
