Bound the bytes of log lines that wait to be written

Callers choose parts of a log line, for example the path of a request without a route. 2,048 lines of 64 KiB could wait for the output, 128 MiB. Lines beyond 1 MiB in total are now dropped and counted, as those beyond 2,048 are. Of 1,000 lines of 64 KiB beside a blocked output, more than 900 are dropped in the new spec.

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -11,6 +11,8 @@
 const (
 	// maxPendingLines is the maximum number of lines that are buffered while the output is slow.
 	maxPendingLines = 2048
+	// maxPendingBytes is the maximum size of these lines. Callers choose parts of a line: a quoted path of 16 KiB takes 64 KiB.
+	maxPendingBytes = 1 << 20
 	// linesPerSecond and burstLines are the rate and the capacity of a token bucket. It limits the share of a small VM
 	// that logging takes: a line costs about 10 µs.
 	linesPerSecond = 400
@@ -30,6 +32,7 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	lines    [][]byte
+	bytes    int
 	tokens   float64
 	refilled time.Time
 }
@@ -48,11 +51,12 @@
 	now := time.Now()
 	w.tokens = min(burstLines, w.tokens+linesPerSecond*now.Sub(w.refilled).Seconds())
 	w.refilled = now
-	if w.tokens < 1 || len(w.lines) >= maxPendingLines {
+	if w.tokens < 1 || len(w.lines) >= maxPendingLines || w.bytes+len(line) > maxPendingBytes {
 		w.dropped.Add(1)
 		return len(line), nil
 	}
 	w.tokens--
+	w.bytes += len(line)
 	w.lines = append(w.lines, append([]byte(nil), line...))
 	return len(line), nil
 }
@@ -87,7 +91,7 @@
 func (w *BoundedWriter) flush() {
 	w.mu.Lock()
 	lines := w.lines
-	w.lines = nil
+	w.lines, w.bytes = nil, 0
 	w.mu.Unlock()
 	if len(lines) == 0 {
 		return
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -68,4 +68,18 @@
 		Expect(out.String()).To(ContainSubstring("log lines dropped"))
 		Expect(strings.Count(out.String(), "x\n")).To(BeNumerically("<", 5_000))
 	})
+
+	// Guards against callers that fill the memory by way of the log lines about their requests.
+	It("keeps little of lines that callers make long", func() {
+		out := &blockingWriter{release: make(chan struct{})}
+		w := telemetry.NewBoundedWriter(out)
+		line := []byte(strings.Repeat("x", 64<<10) + "\n")
+		for range 1000 {
+			_, _ = w.Write(line)
+		}
+		Expect(w.Dropped()).To(BeNumerically(">", 900))
+		close(out.release)
+		w.Close()
+		Expect(len(out.String())).To(BeNumerically("<", 3<<20))
+	})
 })
