--- a/internal/callermem/callermem.go
+++ b/internal/callermem/callermem.go
@@ -91,7 +91,7 @@
 	// WriteTimeout limits how long a write waits for a caller that does not read; 0 means DefaultWriteTimeout. Meanwhile its
 	// request counts as in progress.
 	WriteTimeout time.Duration
-	Log         *slog.Logger
+	Log          *slog.Logger
 }
 
 // Memory is what the callers of a process hold. It is safe for concurrent use.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -91,6 +91,8 @@
 
 func newProblem(file string, data []byte, loaded any, field validator.FieldError) Problem {
 	_, key, _ := strings.Cut(field.Namespace(), ".")
+	// The keys of an embedded struct are in the same TOML table.
+	key = strings.TrimPrefix(key, "Callers.")
 	value := fmt.Sprintf("%v", field.Value())
 	if text, ok := field.Value().(string); ok {
 		value = strconv.Quote(text)
