--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"github.com/wisteriamux/wisteriamux/internal/callermem"
 	"github.com/wisteriamux/wisteriamux/internal/cli"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
@@ -21,7 +22,8 @@
 )
 
 const (
-	headerTimeout = 3 * time.Second
+	// headerTimeout exceeds the time that callers may take for a header by a margin, because both measure it.
+	headerTimeout = 3500 * time.Millisecond
 	// idleTimeout exceeds the time for which callers may keep a connection idle, so that the server does not close it
 	// first.
 	idleTimeout = 60 * time.Second
@@ -69,14 +71,16 @@
 	go r.SweepIdleConnections(watchCtx)
 
 	cli.OnReload(func() { reload(path, r, log) })
+	callers := newCallerMemory(loaded, log)
+	callermem.LimitRuntime(loaded.RuntimeBytes())
 	var stopping platform.Stop
 	ready := func() bool { return !stopping.Begun() && r.View().Ready() && r.ServesKeys() }
-	serve(healthListener, platform.NewReadyHandler(ready), log)
-	observe, err := serveMetrics(loaded, r, output, log)
+	serve(callers.Listener(healthListener, systemHeadLimit), callers, platform.NewReadyHandler(ready), log)
+	observe, err := serveMetrics(loaded, r, callers, output, log)
 	if err != nil {
 		return err
 	}
-	server := serve(callerListener, platform.NewCallerHandler(r, &stopping, observe, log), log)
+	server := serve(callers.Listener(callerListener, headLimit(r)), callers, platform.NewCallerHandler(r, &stopping, observe, log), log)
 	if revoke := loaded.KeyRevokeMillis; revoke > 0 && revoke <= float64(router.MinKeyRevoke.Milliseconds()) {
 		log.Warn("key_revoke_ms is too short for an election", "key_revoke_ms", revoke, "above_ms", router.MinKeyRevoke.Milliseconds())
 	}
@@ -168,13 +172,14 @@
 	endRequests context.CancelFunc
 }
 
-func serve(listener net.Listener, handler http.Handler, log *slog.Logger) *callerServer {
+func serve(listener net.Listener, callers *callermem.Memory, handler http.Handler, log *slog.Logger) *callerServer {
 	requests, endRequests := context.WithCancel(context.Background())
 	server := &callerServer{endRequests: endRequests, Server: &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		BaseContext: func(net.Listener) context.Context { return requests },
 	}}
+	callers.Attach(server.Server)
 	go func() {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			log.Error("listener failed", "address", listener.Addr().String(), "error", err)
