Evacuate failure domains by an operator's command

There was no way to keep requests away from all upstreams of a failure domain at once. POST /evacuations/DOMAIN/begin and /finish store a command in the replicated log; entry VMs leave the upstreams of evacuated domains out of their views, and keep their connections and observations. Searches that cannot reach their coverage without them are refused before they run.

Provisional replies now name the evacuations in the member's log as well.

The test also found a data race: WatchAny returned replies of abandoned calls, which net/rpc may still write to. It returns only the error now.

--- a/cmd/wmux-control/metrics.go
+++ b/cmd/wmux-control/metrics.go
@@ -35,6 +35,7 @@
 		"wisteriamux.control.revision":  func() int64 { return int64(machine.Revision()) },
 		"wisteriamux.routes.version":    func() int64 { return int64(machine.RoutesVersion()) },
 		"wisteriamux.registry.upstream": func() int64 { return int64(machine.InstanceCount()) },
+		"wisteriamux.evacuations":       func() int64 { return int64(machine.EvacuationCount()) },
 	}
 	for name, read := range gauges {
 		if err := metrics.RegisterGauge(name, "state of the control member", read); err != nil {
--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -49,6 +49,8 @@
 		"wisteriamux.notices.unreadable":   func() int64 { return r.Counts().NoticesUnreadable },
 		"wisteriamux.upstreams.ended":      func() int64 { return r.Counts().UpstreamEnds },
 		"wisteriamux.requests.quarantined": func() int64 { return r.Counts().Quarantined },
+		"wisteriamux.domains.evacuated":    func() int64 { return r.Counts().Evacuated },
+		"wisteriamux.upstreams.withheld":   func() int64 { return r.Counts().Withheld },
 		"wisteriamux.log.dropped":          output.Dropped,
 	}
 	for name, read := range gauges {
@@ -64,6 +66,7 @@
 	paths.Handle("/metrics", metrics.Handler()).Methods(http.MethodGet)
 	paths.HandleFunc("/limits", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Limits(), log) }).Methods(http.MethodGet)
 	paths.HandleFunc("/notices", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Notices(), log) }).Methods(http.MethodGet)
+	paths.HandleFunc("/evacuations", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Evacuations(), log) }).Methods(http.MethodGet)
 	serve(listener, paths, log)
 	return func(rt *route.Route, status int, latency time.Duration) { recordRequest(metrics, rt, status, latency) }, nil
 }
--- a/internal/control/access.go
+++ b/internal/control/access.go
@@ -78,7 +78,7 @@
 // reservedForOperators reports whether only operators may propose the command.
 func reservedForOperators(command controlstate.Command) bool {
 	return command.ApplyConfig != nil || command.ClearQuarantine != nil || command.OrderPlan != nil ||
-		command.PutRoutes != nil
+		command.PutRoutes != nil || command.SetEvacuation != nil
 }
 
 // reservedForMembers reports whether the command originates from a report of an upstream, which only control members
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -22,6 +22,10 @@
 	mu      sync.RWMutex
 	state   *controlstate.State
 	changes changeTimes
+	// applied is the log index of the last command that was applied, and recovered the last command for each failure domain in the log
+	// that was recovered at the start.
+	applied   uint64
+	recovered map[string]recoveredEvacuation
 	// changed is closed and replaced whenever the revision changes.
 	changed chan struct{}
 }
@@ -31,7 +35,7 @@
 
 // NewMachineWithClock returns a machine with an empty state that uses the clock to record the times of changes.
 func NewMachineWithClock(now func() time.Time) *Machine {
-	return &Machine{now: now, state: controlstate.New(), changed: make(chan struct{})}
+	return &Machine{now: now, state: controlstate.New(), recovered: map[string]recoveredEvacuation{}, changed: make(chan struct{})}
 }
 
 // Apply implements StateMachine.
@@ -54,6 +58,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before := m.state.Revision()
+	m.applied = index
 	result := m.state.Apply(index, command)
 	if m.state.Revision() != before {
 		m.notifyChange()
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -72,6 +72,7 @@
 		return notLeader
 	}
 	s.machine.fillDelta(args.Known, s.now(), reply)
+	reply.MaybeEvacuated = s.machine.recoveredEvacuations()
 	reply.Provisional = true
 	return nil
 }
@@ -111,6 +112,7 @@
 	}
 	reply.Instances = m.state.Instances().Since(known)
 	reply.Quarantined, reply.QuarantinesWhole = m.state.QuarantinesSince(known, now)
+	reply.Evacuated, reply.EvacuationsWhole = m.state.EvacuatedSince(known)
 }
 
 // Preview returns the effect that a report about an upstream would have on the state of this member, which may lag
--- a/internal/controlrpc/routes.go
+++ b/internal/controlrpc/routes.go
@@ -91,6 +91,12 @@
 	// the request.
 	SuspectsDigest uint64
 	Suspects       []suspect.Candidate
+	// Evacuated lists the evacuated failure domains if EvacuationsWhole is set, which it is if they changed after Known. gob does not
+	// tell an empty list from an absent one.
+	Evacuated        []string
+	EvacuationsWhole bool
+	// MaybeEvacuated lists, in a provisional reply, failure domains whose evacuation the member has stored, whether or not a quorum has.
+	MaybeEvacuated []string
 }
 
 // ReportSuspectsArgs carries what an entry VM knows about requests under which upstreams ended.
@@ -195,12 +201,13 @@
 	results := make(chan result, len(addresses))
 	for _, address := range addresses {
 		go func() {
-			var r result
-			r.err = c.callOnce(ctx, attemptTimeout, address, "Watch", args, &r.reply)
-			if r.err == nil {
-				r.err = r.reply.Fault.AsError()
+			var reply WatchReply
+			if err := c.callOnce(ctx, attemptTimeout, address, "Watch", args, &reply); err != nil {
+				// An abandoned call may still write to its reply.
+				results <- result{err: err}
+				return
 			}
-			results <- r
+			results <- result{reply: reply, err: reply.Fault.AsError()}
 		}()
 	}
 	var last result
--- a/internal/controlstate/commands.go
+++ b/internal/controlstate/commands.go
@@ -34,6 +34,7 @@
 	RetireMember     *RetireMember     `cbor:"15,keyasint,omitempty"`
 	PutRoutes        *PutRoutes        `cbor:"16,keyasint,omitempty"`
 	ReportInstance   *ReportInstance   `cbor:"17,keyasint,omitempty"`
+	SetEvacuation    *SetEvacuation    `cbor:"18,keyasint,omitempty"`
 }
 
 // ApplyConfig replaces the configuration if BaseVersion is the current version. ChangeID makes resends idempotent.
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -34,6 +34,9 @@
 	Instances   registry.Contents    `cbor:"12,keyasint,omitempty"`
 	// QuarantinesCleared is the revision at which quarantines were ended early the last time.
 	QuarantinesCleared uint64 `cbor:"13,keyasint,omitempty"`
+	// Evacuated is empty in snapshots of versions that cannot evacuate failure domains.
+	Evacuated          []string `cbor:"14,keyasint,omitempty"`
+	EvacuationsChanged uint64   `cbor:"15,keyasint,omitempty"`
 }
 
 type snapshotUpstream struct {
@@ -67,6 +70,8 @@
 		Instances: s.instances.Contents(),
 
 		QuarantinesCleared: s.quarantinesCleared,
+		Evacuated:          s.Evacuated(),
+		EvacuationsChanged: s.evacuationsChanged,
 	}
 	for _, id := range s.changes.order {
 		content.Changes = append(content.Changes, s.changes.byID[id])
@@ -132,6 +137,10 @@
 		s.bookings.put(&record)
 	}
 	s.quarantinesCleared = c.QuarantinesCleared
+	s.evacuationsChanged = c.EvacuationsChanged
+	for _, domain := range c.Evacuated {
+		s.evacuated[domain] = true
+	}
 	for _, entry := range c.Quarantines {
 		s.quarantines[entry.Fingerprint] = quarantine{
 			untilMillis: entry.UntilMillis, sinceMillis: entry.SinceMillis, revision: cmp.Or(entry.Revision, c.Revision), evidence: entry.Evidence,
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -29,6 +29,9 @@
 	quarantines  map[string]quarantine
 	// quarantinesCleared is the revision at which quarantines were ended early the last time.
 	quarantinesCleared uint64
+	// evacuated holds the evacuated failure domains, and evacuationsChanged is the revision at which they changed the last time.
+	evacuated          map[string]bool
+	evacuationsChanged uint64
 	// execution is the newest drain execution, or nil.
 	execution *planner.Execution
 
@@ -77,6 +80,7 @@
 		drainOrdered: map[string]string{},
 		bookings:     newBookingTable(),
 		quarantines:  map[string]quarantine{},
+		evacuated:    map[string]bool{},
 		instances:    registry.New(),
 	}
 }
@@ -129,6 +133,8 @@
 		return s.putRoutes(index, *command.PutRoutes)
 	case command.ReportInstance != nil:
 		return s.reportInstance(index, *command.ReportInstance)
+	case command.SetEvacuation != nil:
+		return s.setEvacuation(index, *command.SetEvacuation)
 	case command.Tick != nil:
 		return s.currentResult()
 	}
--- a/internal/raftnode/config.go
+++ b/internal/raftnode/config.go
@@ -33,6 +33,13 @@
 	Restore(data []byte) error
 }
 
+// RecoveryObserver is implemented by state machines that want to know the commands in the recovered log before Open returns. Commands
+// at the end of it may not be known to be committed until a leader is elected, and may never be committed.
+type RecoveryObserver interface {
+	// Recovered is called for each command in the recovered log, in order.
+	Recovered(index uint64, data []byte)
+}
+
 // Dialer opens a connection to an address.
 type Dialer func(address string) (net.Conn, error)
 
--- a/internal/raftnode/node.go
+++ b/internal/raftnode/node.go
@@ -137,6 +137,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if observer, ok := config.Machine.(RecoveryObserver); ok {
+		for _, entry := range disk.recovered.Entries {
+			if entry.Kind == raft.EntryCommand {
+				observer.Recovered(entry.Index, entry.Data)
+			}
+		}
+	}
 	n := newNode(config, disk)
 	l, err := n.newLoop(disk)
 	if err == nil {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -180,6 +180,8 @@
 		return replica.Unknown
 	case err != nil && abandoned:
 		return replica.Abandoned
+	case isWithheld(err):
+		return replica.Unknown
 	case errors.As(err, &requestErr) && requestErr.Unreachable:
 		return replica.Unreachable
 	case err != nil:
--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -46,7 +46,7 @@
 		if n.PausedUntil.After(now) {
 			entry.PausedUntil = n.PausedUntil
 		}
-		if u, ok := view.byID[n.Process.Instance]; ok {
+		if u, ok := view.registered(n.Process.Instance); ok {
 			entry.Service = u.instance.Service
 		}
 		all = append(all, entry)
--- a/internal/router/partition.go
+++ b/internal/router/partition.go
@@ -162,7 +162,11 @@
 // dropConnections ends all exchanges with upstreams and closes the idle connections, which hang.
 func (r *Router) dropConnections() {
 	r.epoch.Swap(newLinkEpoch()).cancel()
-	for _, u := range r.View().byID {
+	view := r.View()
+	for _, u := range view.withheld {
+		u.pool.CloseIdleConnections()
+	}
+	for _, u := range view.byID {
 		u.pool.CloseIdleConnections()
 	}
 }
--- a/internal/router/ratelimit.go
+++ b/internal/router/ratelimit.go
@@ -25,6 +25,9 @@
 	if err := r.permit(ctx, u, rank); err != nil {
 		return nil, err
 	}
+	if err := r.checkWithheld(u); err != nil {
+		return nil, err
+	}
 	response, err := r.exchange(ctx, u, expected, request)
 	if err == nil && !response.Misdirected {
 		r.observeLimit(u, response.RateLimit)
@@ -210,7 +213,7 @@
 	all := []LimitInForce{}
 	for _, l := range inForce {
 		limit := LimitInForce{Upstream: l.Process.Instance, PerSecond: l.PerSecond}
-		if u, ok := view.byID[l.Process.Instance]; ok {
+		if u, ok := view.registered(l.Process.Instance); ok {
 			limit.Service = u.instance.Service
 		}
 		if r.peers != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -135,6 +135,8 @@
 	// Leaving and Paused are the numbers of upstreams that have said that they leave or want no requests now, and
 	// NoticesUnreadable counts the responses that named a pause that could not be read.
 	Leaving, Paused, NoticesUnreadable int64
+	// Evacuated is the number of evacuated failure domains, and Withheld the number of their upstreams.
+	Evacuated, Withheld int64
 	// Quarantined counts the requests that were refused because they are quarantined.
 	Quarantined int64
 }
@@ -188,6 +190,8 @@
 	}
 	counts.Limited, counts.LimitsUnreadable = int64(len(r.limits.InForce())), r.limits.Unreadable()
 	counts.NoticesUnreadable = r.notices.Unreadable()
+	view := r.View()
+	counts.Evacuated, counts.Withheld = int64(len(view.evacuated)), int64(len(view.withheld))
 	now := time.Now()
 	for _, n := range r.notices.InForce(now) {
 		if !n.LeavingSince.IsZero() {
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -86,6 +86,9 @@
 	if err := r.refuseLimited(rt, request.Received); err != nil {
 		return nil, err
 	}
+	if err := r.refuseEvacuated(rt); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	goal, deadline, hedge := r.deadlines(rt, request)
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
@@ -43,14 +44,19 @@
 	// connectionLimited holds the services whose upstreams accept fewer connections than there are entry VMs, so that some
 	// entry VMs must send requests through others.
 	connectionLimited map[string]bool
+	// withheld holds the upstreams of evacuated failure domains by instance ID. They get no requests, and are in none of the other
+	// maps. evacuated lists the evacuated failure domains.
+	withheld  map[string]*upstream
+	evacuated []string
 	// candidates holds the candidates of byService in the same order.
 	candidates map[string][]replica.Candidate
 	// watchers is the number of entry VMs, or 0 while it is not known.
 	watchers int
 }
 
-// Ready reports whether the view has a routing table and at least one upstream.
-func (v *View) Ready() bool { return v.Routes != nil && len(v.byService) > 0 }
+// Ready reports whether the view has a routing table and at least one upstream. While all upstreams are evacuated, the VM stays
+// ready, so that callers are told when to try again.
+func (v *View) Ready() bool { return v.Routes != nil && len(v.byService)+len(v.withheld) > 0 }
 
 // UpstreamCount returns the number of upstreams that accept requests.
 func (v *View) UpstreamCount() int {
@@ -79,7 +85,11 @@
 	memory    *responsemem.Memory
 	upstreams map[string]*upstream
 	routes    *route.Index
-	watchers  int
+	// evacuated lists the evacuated failure domains.
+	evacuated []string
+	// maybeEvacuated lists those of the last provisional reply that a quorum may not have confirmed.
+	maybeEvacuated []string
+	watchers       int
 	// watchersAt is when at least this number of watchers was last reported.
 	watchersAt time.Time
 }
@@ -95,7 +105,8 @@
 
 // unchanged reports whether the reply leaves the view as it is, as most replies do.
 func (b *viewBuilder) unchanged(reply controlrpc.WatchReply, view *View, now time.Time) bool {
-	if reply.Revision != view.Revision || reply.Table != nil || reply.Instances.Whole ||
+	if reply.Revision != view.Revision || reply.Table != nil || reply.Instances.Whole || reply.EvacuationsWhole ||
+		len(reply.MaybeEvacuated)+len(b.maybeEvacuated) > 0 ||
 		len(reply.Instances.Changed)+len(reply.Instances.Removed) > 0 {
 		return false
 	}
@@ -108,6 +119,10 @@
 	if reply.Table != nil && (b.routes == nil || reply.Table.Version > b.routes.Table.Version) {
 		b.routes = route.NewIndex(*reply.Table)
 	}
+	if reply.EvacuationsWhole {
+		b.evacuated = reply.Evacuated
+	}
+	b.maybeEvacuated = reply.MaybeEvacuated
 	b.updateWatchers(reply.Watchers, now)
 	keep := map[string]bool{}
 	for _, instance := range reply.Instances.Changed {
@@ -175,14 +190,19 @@
 }
 
 func (b *viewBuilder) build(reply controlrpc.WatchReply) *View {
+	evacuated := b.evacuatedDomains()
 	view := &View{
 		Revision: reply.Revision, Routes: b.routes, byService: map[string][]*upstream{}, byID: map[string]*upstream{}, connectionLimited: map[string]bool{},
-		candidates: map[string][]replica.Candidate{}, watchers: b.watchers,
+		candidates: map[string][]replica.Candidate{}, watchers: b.watchers, withheld: map[string]*upstream{}, evacuated: evacuated,
 	}
 	for _, u := range b.upstreams {
 		if u.instance.State != registry.Ready {
 			continue
 		}
+		if slices.Contains(evacuated, u.instance.FailureDomain) {
+			view.withheld[u.instance.ID] = u
+			continue
+		}
 		service := u.instance.Service
 		connectionQuota := b.connectionQuota(service)
 		u.candidate.MaxInFlight = int(connectionQuota)
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -114,6 +114,7 @@
 	}
 	view, obsolete := r.builder.apply(reply, time.Now())
 	r.view.Store(view)
+	r.logEvacuation(before, view)
 	for _, pool := range obsolete {
 		pool.Close()
 	}
@@ -136,21 +137,22 @@
 // over any number of configurations.
 func (r *Router) pruneStats(view *View) {
 	live := map[string]bool{}
-	for _, members := range view.byService {
-		for _, member := range members {
-			live[member.instance.ID] = true
-		}
+	for id := range view.byID {
+		live[id] = true
+	}
+	for id := range view.withheld {
+		live[id] = true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tracker.Retain(func(id string) bool { return live[id] })
 	registered := func(key registry.Process) bool {
-		u, ok := view.byID[key.Instance]
+		u, ok := view.registered(key.Instance)
 		return ok && u.process() == key
 	}
 	r.links.Retain(func(id string) bool { return live[id] })
 	maps.DeleteFunc(r.taken, func(l location, _ bool) bool {
-		u, ok := view.byID[l.process.Instance]
+		u, ok := view.registered(l.process.Instance)
 		return !ok || u.location() != l
 	})
 	r.limits.Retain(registered)
@@ -184,10 +186,12 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			for _, members := range r.View().byService {
-				for _, member := range members {
-					member.pool.SweepIdleConnections(now)
-				}
+			view := r.View()
+			for _, u := range view.byID {
+				u.pool.SweepIdleConnections(now)
+			}
+			for _, u := range view.withheld {
+				u.pool.SweepIdleConnections(now)
 			}
 		}
 	}
