Start upstreams slowly after a start or recovery

All VMs returned at once to an upstream that answered again, and each had to lose a request to learn that it was still slow. Each VM now holds a share for upstreams that have registered or recovered (internal/pace), lowers it with failures, refusals and slow responses, and raises it with good responses and time. Relays report shares below 1 and decline optional attempts beyond them. The tracker of latencies forgets faster while a share is in force. With no upstream below its full share, messages and choices are unchanged. The setting pace (default true) turns it off.

--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -51,6 +51,7 @@
 		"wisteriamux.requests.quarantined": func() int64 { return r.Counts().Quarantined },
 		"wisteriamux.domains.evacuated":    func() int64 { return r.Counts().Evacuated },
 		"wisteriamux.upstreams.withheld":   func() int64 { return r.Counts().Withheld },
+		"wisteriamux.upstreams.paced":      func() int64 { return r.Counts().BelowShare },
 		"wisteriamux.log.dropped":          output.Dropped,
 	}
 	for name, read := range gauges {
@@ -66,6 +67,7 @@
 	paths.Handle("/metrics", metrics.Handler()).Methods(http.MethodGet)
 	paths.HandleFunc("/limits", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Limits(), log) }).Methods(http.MethodGet)
 	paths.HandleFunc("/notices", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Notices(), log) }).Methods(http.MethodGet)
+	paths.HandleFunc("/pace", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.SlowStarts(), log) }).Methods(http.MethodGet)
 	paths.HandleFunc("/evacuations", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Evacuations(), log) }).Methods(http.MethodGet)
 	serve(listener, paths, log)
 	return func(rt *route.Route, status int, latency time.Duration) { recordRequest(metrics, rt, status, latency) }, nil
--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -103,7 +103,7 @@
 		ExtraWindow:  time.Duration(loaded.ExtraWindowSeconds * float64(time.Second)),
 		AnswerMargin: answerMargin(loaded),
 		RelayAddress: loaded.RelayAddress, DialRelay: transport.Dialer(controlrpc.PlainDialer, security.RoleEntry),
-		MaxResponseBytes: loaded.MaxResponseKB << 10, ResponseMemoryBytes: loaded.ResponseMemoryKB << 10,
+		MaxResponseBytes: loaded.MaxResponseKB << 10, ResponseMemoryBytes: loaded.ResponseMemoryKB << 10, Pace: loaded.Pace,
 	}, control, platform.Codec{}, log)
 	relayServer := relay.NewServer(r, log)
 	if loaded.RelayAddress == "" {
--- a/cmd/wmuxctl/main.go
+++ b/cmd/wmuxctl/main.go
@@ -56,7 +56,7 @@
 		certificateCommand(), burnCommand(opts), shrinkCommand(opts), applyCommand(opts), configCommand(opts),
 		statusCommand(opts), servicesCommand(opts), membersCommand(opts),
 		upstreamsCommand(opts), drainCommand(opts), undrainCommand(opts),
-		routesCommand(opts), limitsCommand(opts), noticesCommand(opts), evacuateCommand(opts), trailCommand(opts), bookingsCommand(opts), quarantineCommand(opts), controlCommand(opts),
+		routesCommand(opts), limitsCommand(opts), noticesCommand(opts), paceCommand(opts), evacuateCommand(opts), trailCommand(opts), bookingsCommand(opts), quarantineCommand(opts), controlCommand(opts),
 	)
 	return root
 }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -43,6 +43,7 @@
 	})
 	reply.Ended = endOf(response, err)
 	reply.Took = time.Since(received)
+	reply.Reduction = p.server.reduction(args.Attempt.Instance)
 	reply.Sent = response != nil || sent(err)
 	if response != nil {
 		reply.Response = &ForwardedResponse{
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -28,6 +28,9 @@
 	Optional bool
 	// Rank is the priority of the request, where 0 is the most urgent.
 	Rank int
+	// Reduction is by how much the requesting VM reduces the share of requests that the upstream gets, 0 for not. The relay does not reduce
+	// it by that much again.
+	Reduction float64
 }
 
 // RunArgs are the arguments of Run, which starts a batch of attempts with the same request and returns the first report.
@@ -153,6 +156,9 @@
 	Pause   time.Duration
 	// Closed is set for Failed if the upstream closed the connection.
 	Closed bool
+	// Reduction is by how much the relay reduces the share of requests that the upstream gets after a start or recovery: 1 - share, 0 for
+	// not, so that the field is not sent then.
+	Reduction float64
 }
 
 // PermitArgs ask the VM that holds the bucket of an upstream for a permit to send one request.
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -197,6 +197,7 @@
 			response, err := s.executor.Attempt(ctx, attempt, args.Expected, request)
 			ended := endOf(response, err)
 			ended.Number, ended.Took = attempt.Number, time.Since(received)
+			ended.Reduction = s.reduction(attempt.Instance)
 			r.end(ended, response)
 		}()
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -60,6 +60,9 @@
 	// latencyDecay is the time constant with which the latency ratio of an upstream without observations returns to 1, so
 	// that an upstream that was slow for a moment is chosen and observed again.
 	latencyDecay = 2 * time.Second
+	// pacedLatencyDecay replaces latencyDecay for upstreams whose share is limited, which takes the same observations into account. With
+	// latencyDecay an upstream would carry 0.9 of its share only 6 s after it has its usual speed back.
+	pacedLatencyDecay = 700 * time.Millisecond
 	// crossDomainPenalty is the share of the usual latency by which an upstream in another failure domain must be faster
 	// to be chosen: traffic between failure domains costs money and about a millisecond.
 	crossDomainPenalty = 0.5
@@ -108,6 +111,8 @@
 	MaxInFlight int
 	// ColdUntil is the time until which the upstream reports itself as cold.
 	ColdUntil time.Time
+	// Paced is set if the share of requests that the upstream gets is limited by what it was observed to do.
+	Paced bool
 }
 
 // request is a request in flight.
@@ -233,10 +238,14 @@
 	}
 }
 
+// Overdue reports whether a request that has taken so long shows that its upstream has probably stalled.
+func Overdue(age, expected time.Duration) bool {
+	return age > stallFloor && float64(age) > stallFactor*float64(expected)
+}
+
 // overdue reports whether the request has taken so long that its upstream has probably stalled.
 func (r request) overdue(now time.Time) bool {
-	age := now.Sub(r.sentAt)
-	return age > stallFloor && float64(age) > stallFactor*float64(r.expected)
+	return Overdue(now.Sub(r.sentAt), r.expected)
 }
 
 func (s *stats) recordLatency(now time.Time, latency, expected time.Duration) {
@@ -249,8 +258,10 @@
 }
 
 // latencyRatio returns the latency relative to the usual one of the route. It decays to 1 without observations.
-func (s *stats) latencyRatio(now time.Time) float64 {
-	decay := math.Exp(-float64(now.Sub(s.ratioAt)) / float64(latencyDecay))
+func (s *stats) latencyRatio(now time.Time) float64 { return s.latencyRatioAfter(now, latencyDecay) }
+
+func (s *stats) latencyRatioAfter(now time.Time, constant time.Duration) float64 {
+	decay := math.Exp(-float64(now.Sub(s.ratioAt)) / float64(constant))
 	return 1 + (s.ratio-1)*decay
 }
 
@@ -304,12 +315,21 @@
 	return cost
 }
 
+// InFlight returns the number of requests in flight at the upstream.
+func (t *Tracker) InFlight(id string) int { return len(t.stats(id).inFlight) }
+
+// Cost estimates the latency of one more request, in multiples of the usual latency of the route.
+func (t *Tracker) Cost(now time.Time, c Candidate) float64 { return t.cost(now, c) }
+
 // cost estimates the latency of one more request, in multiples of the usual latency of the route.
 func (t *Tracker) cost(now time.Time, c Candidate) float64 {
 	s := t.stats(c.ID)
 	slots := math.Max(1, float64(c.Slots))
 	waiting := math.Max(0, float64(len(s.inFlight))+1-slots) / slots
 	cost := t.healthCost(now, c.ID) + s.latencyRatio(now)*waiting + refusalPenalty*s.refusalRate(now)
+	if c.Paced {
+		cost += (s.latencyRatioAfter(now, pacedLatencyDecay) - s.latencyRatio(now)) * (1 + waiting)
+	}
 	if c.MaxInFlight > 0 && len(s.inFlight) >= c.MaxInFlight {
 		cost += maxInFlightPenalty
 	}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -29,6 +29,8 @@
 	sent     time.Time
 	// expected is the usual response time of the route.
 	expected time.Duration
+	// reduction is by how much this VM reduces the share of the upstream.
+	reduction float64
 }
 
 // attemptKind determines how an attempt is charged to the shared retry budget.
@@ -54,9 +56,9 @@
 	defer r.mu.Unlock()
 	view := r.View()
 	candidates := view.candidates[service]
-	index := r.tracker.Choose(now, candidates, func(id string) bool { return wasTried(tried, id) || r.unavailable(view.byID[id], now, false) })
+	index := r.choose(now, candidates, func(id string) bool { return wasTried(tried, id) || r.unavailable(view.byID[id], now, false) })
 	if index < 0 && !r.notices.Empty() {
-		index = r.tracker.Choose(now, candidates, func(id string) bool { return wasTried(tried, id) || r.unavailable(view.byID[id], now, true) })
+		index = r.choose(now, candidates, func(id string) bool { return wasTried(tried, id) || r.unavailable(view.byID[id], now, true) })
 	}
 	if index < 0 {
 		return nil
@@ -74,7 +76,7 @@
 	r.counts.Attempts++
 	chosen := view.byService[service][index]
 	expected := time.Duration(r.stats(rt).expected)
-	return &attempt{upstream: chosen, sent: now, expected: expected, ticket: r.tracker.Sent(now, chosen.instance.ID, expected)}
+	return &attempt{upstream: chosen, sent: now, expected: expected, reduction: r.reduction(chosen.instance.ID), ticket: r.tracker.Sent(now, chosen.instance.ID, expected)}
 }
 
 func wasTried(tried []*upstream, id string) bool {
@@ -156,6 +158,7 @@
 	id := a.upstream.instance.ID
 	r.mu.Lock()
 	r.tracker.Done(a.sent.Add(took), id, a.ticket, result)
+	r.observePace(a, result, took)
 	if result == replica.Misdirected {
 		r.taken[a.upstream.location()] = true
 	}
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -248,5 +248,6 @@
 	r.recordEnd(rt, request, a, attemptEnd{
 		result: directResult(response, err, ctx.Err() != nil), took: time.Since(a.sent), relay: link.PeerID(), cause: err, noRoom: isNoRoom(err),
 	})
+	r.adoptPace(a, reply.Reduction, reply.Took)
 	return response, err
 }
--- a/internal/router/partition.go
+++ b/internal/router/partition.go
@@ -124,6 +124,7 @@
 	if changed {
 		// What was observed of upstreams over lost links says nothing about them.
 		r.tracker.Forgive()
+		r.pace.Forgive()
 	}
 	r.mu.Unlock()
 	if partitioned && silent {
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -36,8 +36,13 @@
 		r.mu.Unlock()
 		return nil, &relay.DeclinedError{Cost: cost}
 	}
+	if r.declinesForPace(now, requested) {
+		cost, _ := r.tracker.Degraded(now, requested.Instance)
+		r.mu.Unlock()
+		return nil, &relay.DeclinedError{Cost: cost}
+	}
 	r.counts.Executed++
-	a := &attempt{upstream: u, sent: now, ticket: r.tracker.Sent(now, requested.Instance, expected)}
+	a := &attempt{upstream: u, sent: now, expected: expected, ticket: r.tracker.Sent(now, requested.Instance, expected)}
 	r.mu.Unlock()
 	response, err := r.send(ctx, u, requested.Rank, expected, request)
 	r.updateTracker(a, directResult(response, err, ctx.Err() != nil), time.Since(now))
@@ -183,7 +188,8 @@
 		args.Remaining = remaining(s.route, r, a)
 		args.Attempts = append(args.Attempts, relay.Attempt{
 			Number: shard, Instance: a.upstream.instance.ID, Rank: s.route.Rank,
-			Optional: len(s.router.View().byService[s.route.Shards[shard]])-len(s.tried[shard]) >= minAlternatives,
+			Reduction: a.reduction,
+			Optional:  len(s.router.View().byService[s.route.Shards[shard]])-len(s.tried[shard]) >= minAlternatives,
 		})
 	}
 	s.router.mu.Lock()
@@ -255,6 +261,7 @@
 			s.router.observeLimit(a.upstream, ratelimit.Statement{PerSecond: *ended.RateLimit})
 		}
 		s.finishRelayed(r.from, shard, a, attemptEnd{result: relayedResult(ended), took: ended.Took, cause: reasonOf(ended), noRoom: ended.Outcome == relay.Limited})
+		s.router.adoptPace(a, ended.Reduction, ended.Took)
 		if !s.state.Ended(shard, outcome) {
 			released = append(released, s.caution.GaveUp(shard)...)
 			continue
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/notice"
 	"github.com/wisteriamux/wisteriamux/internal/overload"
+	"github.com/wisteriamux/wisteriamux/internal/pace"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 	"github.com/wisteriamux/wisteriamux/internal/reach"
 	"github.com/wisteriamux/wisteriamux/internal/registry"
@@ -55,6 +56,8 @@
 	// large responses that are being read. If 0, the defaults of upstreamconn apply.
 	MaxResponseBytes    int64
 	ResponseMemoryBytes int64
+	// Pace makes upstreams get a smaller share of requests after they have started or recovered.
+	Pace bool
 }
 
 // Router routes requests to upstreams. It is safe for concurrent use.
@@ -75,7 +78,9 @@
 	// WatchControl uses them.
 	suspectsDigest uint64
 	controlLeader  string
-	started        time.Time
+	// paceSettled is set once a leader has sent a view. Only WatchControl uses it.
+	paceSettled bool
+	started     time.Time
 
 	seeds atomic.Pointer[[]string]
 	// epoch ends when this VM loses its links to upstreams.
@@ -96,6 +101,8 @@
 	links *reach.Monitor
 	// notices holds what upstreams have said of themselves.
 	notices *notice.Book
+	// pace holds the shares of upstreams that have started or recovered.
+	pace *pace.Controller
 	// taken holds the upstreams whose address another process has taken.
 	taken map[location]bool
 	// endChecks holds the requests that ran at upstreams whose connections were closed, while it is being checked whether
@@ -137,6 +144,8 @@
 	Leaving, Paused, NoticesUnreadable int64
 	// Evacuated is the number of evacuated failure domains, and Withheld the number of their upstreams.
 	Evacuated, Withheld int64
+	// BelowShare is the number of upstreams that get less than their full share.
+	BelowShare int64
 	// Quarantined counts the requests that were refused because they are quarantined.
 	Quarantined int64
 }
@@ -161,7 +170,7 @@
 		builder: &viewBuilder{domain: config.FailureDomain, dialer: config.DialUpstream, codec: codec, memory: memory, upstreams: map[string]*upstream{}},
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
 		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), links: reach.New(),
-		notices: notice.NewBook(), taken: map[location]bool{}, endChecks: map[registry.Process][]suspect.End{}, guard: suspect.NewGuard(config.ID), reportDue: make(chan struct{}, 1),
+		notices: notice.NewBook(), pace: pace.New(), taken: map[location]bool{}, endChecks: map[registry.Process][]suspect.End{}, guard: suspect.NewGuard(config.ID), reportDue: make(chan struct{}, 1),
 	}
 	r.builder.dialled = r.recordDial
 	if config.RelayAddress != "" {
@@ -193,6 +202,7 @@
 	view := r.View()
 	counts.Evacuated, counts.Withheld = int64(len(view.evacuated)), int64(len(view.withheld))
 	now := time.Now()
+	counts.BelowShare = int64(len(r.pace.Below(now)))
 	for _, n := range r.notices.InForce(now) {
 		if !n.LeavingSince.IsZero() {
 			counts.Leaving++
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -108,6 +108,8 @@
 }
 
 func (r *Router) adopt(reply controlrpc.WatchReply) {
+	// The first reply of a leader may correct a provisional one, and does not show which upstreams are new either.
+	defer func() { r.paceSettled = r.paceSettled || !reply.Provisional }()
 	before := r.View()
 	if reply.Revision < before.Revision || r.builder.unchanged(reply, before, time.Now()) {
 		return
@@ -115,6 +117,7 @@
 	view, obsolete := r.builder.apply(reply, time.Now())
 	r.view.Store(view)
 	r.logEvacuation(before, view)
+	r.paceStarts(before, view)
 	for _, pool := range obsolete {
 		pool.Close()
 	}
@@ -146,6 +149,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tracker.Retain(func(id string) bool { return live[id] })
+	r.pace.Retain(func(id string) bool { return live[id] })
 	registered := func(key registry.Process) bool {
 		u, ok := view.registered(key.Instance)
 		return ok && u.process() == key
@@ -186,6 +190,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			r.logPace(now)
 			view := r.View()
 			for _, u := range view.byID {
 				u.pool.SweepIdleConnections(now)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -112,6 +112,8 @@
 	ResponseMemoryKB int64 `toml:"response_memory_kb" validate:"min=1,max=16777216"`
 	// LogLevel is the minimum level of log events.
 	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error"`
+	// Pace makes upstreams get a smaller share of requests after they have started or recovered.
+	Pace bool `toml:"pace"`
 	// TLS secures the connections to control members. If absent, TLS is off.
 	TLS security.Files `toml:"tls"`
 }
@@ -177,7 +179,7 @@
 // LoadRouter reads the settings of wmux-router.
 func LoadRouter(path string) (Router, error) {
 	loaded := Router{ExtraShare: 0.1, ExtraFloor: 10, ExtraWindowSeconds: 10, AnswerMarginMillis: 1, CPUShare: 1, LameDuckMillis: 2_300, DrainMillis: 3_000,
-		MaxResponseKB: 8 << 10, ResponseMemoryKB: 16 << 10, LogLevel: "info"}
+		MaxResponseKB: 8 << 10, ResponseMemoryKB: 16 << 10, LogLevel: "info", Pace: true}
 	err := load(path, &loaded)
 	return loaded, err
 }
