--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -54,6 +54,9 @@
 		"wisteriamux.keys.unsure":          func() int64 { return r.Counts().KeysUnsure },
 		"wisteriamux.keys.sends.refused":   func() int64 { return r.Counts().KeyedSendsRefused },
 		"wisteriamux.view.age.ms":          r.ViewAgeMillis,
+		"wisteriamux.domains.evacuated":    func() int64 { return r.Counts().Evacuated },
+		"wisteriamux.upstreams.withheld":   func() int64 { return r.Counts().Withheld },
+		"wisteriamux.upstreams.paced":      func() int64 { return r.Counts().BelowShare },
 		"wisteriamux.log.dropped":          output.Dropped,
 		"wisteriamux.quota.granted":        func() int64 { return r.QuotaCounts().Granted },
 		"wisteriamux.quota.denied":         func() int64 { return r.QuotaCounts().Denied },
@@ -82,6 +85,8 @@
 	paths.HandleFunc("/limits", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Limits(), log) }).Methods(http.MethodGet)
 	paths.HandleFunc("/quotas", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Quotas(), log) }).Methods(http.MethodGet)
 	paths.HandleFunc("/notices", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Notices(), log) }).Methods(http.MethodGet)
+	paths.HandleFunc("/pace", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.SlowStarts(), log) }).Methods(http.MethodGet)
+	paths.HandleFunc("/evacuations", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Evacuations(), log) }).Methods(http.MethodGet)
 	serve(callers.Listener(listener, systemHeadLimit), callers, paths, log)
 	return func(rt *route.Route, status int, latency time.Duration) { recordRequest(metrics, rt, status, latency) }, nil
 }
--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -114,7 +114,7 @@
 		MaxResponseBytes: loaded.MaxResponseKB << 10, ResponseMemoryBytes: loaded.ResponseMemoryKB << 10,
 		KeyRevoke:   time.Duration(loaded.KeyRevokeMillis * float64(time.Millisecond)),
 		QuotaWindow: time.Duration(loaded.QuotaWindowSeconds * float64(time.Second)), QuotaOverage: loaded.QuotaOverage,
-		ColdOverage: loaded.ColdOverage, ColdSlack: loaded.ColdSlack,
+		ColdOverage: loaded.ColdOverage, ColdSlack: loaded.ColdSlack, Pace: loaded.Pace,
 	}, control, platform.Codec{}, log)
 	relayServer := relay.NewServer(r, log)
 	if loaded.RelayAddress == "" {
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -268,5 +268,6 @@
 		result: directResult(response, err, ctx.Err() != nil), took: time.Since(a.sent), relay: link.PeerID(), cause: err,
 		noRoom: isNoRoom(err) || keyRefusal(err) != nil,
 	})
+	r.adoptPace(a, reply.Reduction, reply.Took)
 	return response, err
 }
--- a/internal/router/partition.go
+++ b/internal/router/partition.go
@@ -124,6 +124,7 @@
 	if changed {
 		// What was observed of upstreams over lost links says nothing about them.
 		r.tracker.Forgive()
+		r.pace.Forgive()
 	}
 	r.mu.Unlock()
 	if partitioned && silent {
@@ -162,7 +163,11 @@
 // dropConnections ends all exchanges with upstreams and closes the idle connections, which hang.
 func (r *Router) dropConnections() {
 	r.epoch.Swap(newLinkEpoch()).cancel()
-	for _, u := range r.View().byID {
+	view := r.View()
+	for _, u := range view.withheld {
+		u.pool.CloseIdleConnections()
+	}
+	for _, u := range view.byID {
 		u.pool.CloseIdleConnections()
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/notice"
 	"github.com/wisteriamux/wisteriamux/internal/overload"
+	"github.com/wisteriamux/wisteriamux/internal/pace"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 	"github.com/wisteriamux/wisteriamux/internal/reach"
 	"github.com/wisteriamux/wisteriamux/internal/registry"
@@ -68,6 +69,8 @@
 	ColdOverage, ColdSlack float64
 	// Admission is AdmissionFraction, which is the default, or AdmissionRanked.
 	Admission string
+	// Pace makes upstreams get a smaller share of requests after they have started or recovered.
+	Pace bool
 }
 
 // Router routes requests to upstreams. It is safe for concurrent use.
@@ -90,7 +93,9 @@
 	// WatchControl uses them.
 	suspectsDigest uint64
 	controlLeader  string
-	started        time.Time
+	// paceSettled is set once a leader has sent a view. Only WatchControl uses it.
+	paceSettled bool
+	started     time.Time
 
 	seeds atomic.Pointer[[]string]
 	// epoch ends when this VM loses its links to upstreams.
@@ -115,6 +120,8 @@
 	links *reach.Monitor
 	// notices holds what upstreams have said of themselves.
 	notices *notice.Book
+	// pace holds the shares of upstreams that have started or recovered.
+	pace *pace.Controller
 	// taken holds the upstreams whose address another process has taken.
 	taken map[location]bool
 	// endChecks holds the requests that ran at upstreams whose connections were closed, while it is being checked whether
@@ -161,6 +168,10 @@
 	// Leaving and Paused are the numbers of upstreams that have said that they leave or want no requests now, and
 	// NoticesUnreadable counts the responses that named a pause that could not be read.
 	Leaving, Paused, NoticesUnreadable int64
+	// Evacuated is the number of evacuated failure domains, and Withheld the number of their upstreams.
+	Evacuated, Withheld int64
+	// BelowShare is the number of upstreams that get less than their full share.
+	BelowShare int64
 	// Quarantined counts the requests that were refused because they are quarantined.
 	Quarantined int64
 	// KeysUnknown and KeysUnsure count the requests that were refused because no configuration contains their key, and because
@@ -188,7 +199,7 @@
 		builder: newViewBuilder(config, codec, memory),
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
 		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), coldFull: map[registry.Process]time.Time{}, links: reach.New(),
-		notices: notice.NewBook(), taken: map[location]bool{}, endChecks: map[registry.Process][]suspect.End{}, guard: suspect.NewGuard(config.ID), reportDue: make(chan struct{}, 1),
+		notices: notice.NewBook(), pace: pace.New(), taken: map[location]bool{}, endChecks: map[registry.Process][]suspect.End{}, guard: suspect.NewGuard(config.ID), reportDue: make(chan struct{}, 1),
 	}
 	r.builder.dialled = r.recordDial
 	if config.RelayAddress != "" {
@@ -220,6 +231,9 @@
 	counts.KeysUnknown, counts.KeysUnsure, counts.KeyedSendsRefused = r.keys.unknown.Load(), r.keys.unsure.Load(), r.keys.refusedSends.Load()
 	now := time.Now()
 	counts.RefusedPercent = int64(100 * r.admissions.highestFraction(now))
+	view := r.View()
+	counts.Evacuated, counts.Withheld = int64(len(view.evacuated)), int64(len(view.withheld))
+	counts.BelowShare = int64(len(r.pace.Below(now)))
 	for _, n := range r.notices.InForce(now) {
 		if !n.LeavingSince.IsZero() {
 			counts.Leaving++
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -91,6 +91,9 @@
 	if err := r.refuseLimited(rt, request.Received); err != nil {
 		return nil, err
 	}
+	if err := r.refuseEvacuated(rt); err != nil {
+		return nil, err
+	}
 	if err := r.takeQuota(ctx, rt, request); err != nil {
 		return nil, err
 	}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -45,14 +45,19 @@
 	// connectionLimited holds the services whose upstreams accept fewer connections than there are entry VMs, so that some
 	// entry VMs must send requests through others.
 	connectionLimited map[string]bool
+	// withheld holds the upstreams of evacuated failure domains by instance ID. They get no requests, and are in none of the other
+	// maps. evacuated lists the evacuated failure domains.
+	withheld  map[string]*upstream
+	evacuated []string
 	// candidates holds the candidates of byService in the same order.
 	candidates map[string][]replica.Candidate
 	// watchers is the number of entry VMs, or 0 while it is not known.
 	watchers int
 }
 
-// Ready reports whether the view has a routing table and at least one upstream.
-func (v *View) Ready() bool { return v.Routes != nil && len(v.byService) > 0 }
+// Ready reports whether the view has a routing table and at least one upstream. While all upstreams are evacuated, the VM stays
+// ready, so that callers are told when to try again.
+func (v *View) Ready() bool { return v.Routes != nil && len(v.byService)+len(v.withheld) > 0 }
 
 // UpstreamCount returns the number of upstreams that accept requests.
 func (v *View) UpstreamCount() int {
@@ -83,7 +88,11 @@
 	upstreams map[string]*upstream
 	byService map[string]map[string]*upstream
 	routes    *route.Index
-	watchers  int
+	// evacuated lists the evacuated failure domains.
+	evacuated []string
+	// maybeEvacuated lists those of the last provisional reply that a quorum may not have confirmed.
+	maybeEvacuated []string
+	watchers       int
 	// watchersAt is when at least this number of watchers was last reported.
 	watchersAt time.Time
 	// last is the last view, nil before the first.
@@ -108,7 +117,8 @@
 
 // unchanged reports whether the reply leaves the view as it is, as most replies do.
 func (b *viewBuilder) unchanged(reply controlrpc.WatchReply, view *View, now time.Time) bool {
-	if reply.Revision != view.Revision || reply.Table != nil || reply.Instances.Whole ||
+	if reply.Revision != view.Revision || reply.Table != nil || reply.Instances.Whole || reply.EvacuationsWhole ||
+		len(reply.MaybeEvacuated)+len(b.maybeEvacuated) > 0 ||
 		len(reply.Instances.Changed)+len(reply.Instances.Removed) > 0 {
 		return false
 	}
@@ -136,6 +146,12 @@
 		b.routes = route.NewIndex(*reply.Table)
 		change.dropped, everything = true, true
 	}
+	evacuatedBefore := b.evacuatedDomains()
+	if reply.EvacuationsWhole {
+		b.evacuated = reply.Evacuated
+	}
+	b.maybeEvacuated = reply.MaybeEvacuated
+	everything = everything || !slices.Equal(evacuatedBefore, b.evacuatedDomains())
 	dirty := map[string]bool{}
 	keep := map[string]bool{}
 	for _, instance := range reply.Instances.Changed {
@@ -224,7 +240,7 @@
 
 // build returns a view in which the dirty services are built anew. It shares everything else with the last one.
 func (b *viewBuilder) build(revision uint64, dirty map[string]bool) *View {
-	view := &View{Revision: revision, Routes: b.routes, watchers: b.watchers}
+	view := &View{Revision: revision, Routes: b.routes, watchers: b.watchers, evacuated: b.evacuatedDomains(), withheld: b.withheldUpstreams()}
 	if b.last == nil {
 		b.last = &View{byService: map[string][]*upstream{}, byID: map[string]*upstream{}, connectionLimited: map[string]bool{}, candidates: map[string][]replica.Candidate{}}
 	}
@@ -249,6 +265,20 @@
 	return view
 }
 
+// withheldUpstreams returns the ready upstreams of evacuated failure domains by ID.
+func (b *viewBuilder) withheldUpstreams() map[string]*upstream {
+	evacuated, withheld := b.evacuatedDomains(), map[string]*upstream{}
+	if len(evacuated) == 0 {
+		return withheld
+	}
+	for id, u := range b.upstreams {
+		if u.instance.State == registry.Ready && slices.Contains(evacuated, u.instance.FailureDomain) {
+			withheld[id] = u
+		}
+	}
+	return withheld
+}
+
 // buildService adds the upstreams of a service to a view, ordered by ID.
 func (b *viewBuilder) buildService(view *View, service string) {
 	members := b.byService[service]
@@ -262,6 +292,9 @@
 		if u.instance.State != registry.Ready {
 			continue
 		}
+		if slices.Contains(view.evacuated, u.instance.FailureDomain) {
+			continue
+		}
 		// Views share upstreams and must not change them.
 		limited := *u
 		limited.candidate.MaxInFlight = int(connectionQuota)
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -118,6 +118,8 @@
 }
 
 func (r *Router) adopt(reply controlrpc.WatchReply) {
+	// The first reply of a leader may correct a provisional one, and does not show which upstreams are new either.
+	defer func() { r.paceSettled = r.paceSettled || !reply.Provisional }()
 	before := r.View()
 	if reply.Revision < before.Revision || r.builder.unchanged(reply, before, time.Now()) {
 		return
@@ -125,6 +127,8 @@
 	change := r.builder.apply(reply, time.Now())
 	view := change.view
 	r.view.Store(view)
+	r.logEvacuation(before, view)
+	r.paceStarts(before, view, reply.Instances.Changed)
 	for _, pool := range change.obsolete {
 		pool.Close()
 	}
@@ -149,21 +153,23 @@
 // over any number of configurations.
 func (r *Router) pruneStats(view *View) {
 	live := map[string]bool{}
-	for _, members := range view.byService {
-		for _, member := range members {
-			live[member.instance.ID] = true
-		}
+	for id := range view.byID {
+		live[id] = true
+	}
+	for id := range view.withheld {
+		live[id] = true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tracker.Retain(func(id string) bool { return live[id] })
+	r.pace.Retain(func(id string) bool { return live[id] })
 	registered := func(key registry.Process) bool {
-		u, ok := view.byID[key.Instance]
+		u, ok := view.registered(key.Instance)
 		return ok && u.process() == key
 	}
 	r.links.Retain(func(id string) bool { return live[id] })
 	maps.DeleteFunc(r.taken, func(l location, _ bool) bool {
-		u, ok := view.byID[l.process.Instance]
+		u, ok := view.registered(l.process.Instance)
 		return !ok || u.location() != l
 	})
 	r.limits.Retain(registered)
@@ -198,10 +204,13 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			for _, members := range r.View().byService {
-				for _, member := range members {
-					member.pool.SweepIdleConnections(now)
-				}
+			r.logPace(now)
+			view := r.View()
+			for _, u := range view.byID {
+				u.pool.SweepIdleConnections(now)
+			}
+			for _, u := range view.withheld {
+				u.pool.SweepIdleConnections(now)
 			}
 		}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -132,6 +132,8 @@
 	ColdSlack   float64 `toml:"cold_slack" validate:"min=0,max=100000"`
 	// LogLevel is the minimum level of log events.
 	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error"`
+	// Pace makes upstreams get a smaller share of requests after they have started or recovered.
+	Pace bool `toml:"pace"`
 	// TLS secures the connections to control members. If absent, TLS is off.
 	TLS security.Files `toml:"tls"`
 	// Callers limits what untrusted callers make the process hold.
@@ -200,7 +202,7 @@
 func LoadRouter(path string) (Router, error) {
 	loaded := Router{Callers: defaultCallers(), ExtraShare: 0.1, ExtraFloor: 10, ExtraWindowSeconds: 10, AnswerMarginMillis: 1, CPUShare: 1, Admission: "fraction",
 		LameDuckMillis: 2_300, DrainMillis: 3_000, MaxResponseKB: 8 << 10, ResponseMemoryKB: 16 << 10, LogLevel: "info",
-		QuotaWindowSeconds: 5, QuotaOverage: 0.1, QuotaSlack: 20, ColdOverage: 1.5, ColdSlack: 5}
+		QuotaWindowSeconds: 5, QuotaOverage: 0.1, QuotaSlack: 20, ColdOverage: 1.5, ColdSlack: 5, Pace: true}
 	err := load(path, &loaded)
 	return loaded, err
 }
