Hold buckets of quotas in fewer VMs and in advance, and keep the credits of a team beyond its quota for timely requests

Cause: the first request of a team waited for its bucket to begin, every VM kept links to 16 candidates, and a team that exceeded its quota spent about half of its credits on callers that came back after a refusal and were answered late. Change: two candidates per failure domain, at least four; the first candidate begins the buckets of its teams by itself; while timely requests of a team are refused, late ones are refused first. Result: the new spec failed before (0 of 30 timely requests served) and passes, as all specs of quotas do.

--- a/internal/relay/holder.go
+++ b/internal/relay/holder.go
@@ -54,7 +54,7 @@
 	if ranked, ok := p.holders[upstream]; ok || !p.listed {
 		return ranked
 	}
-	ids := p.holderCandidates()
+	ids := p.holderCandidates(upstream)
 	slices.SortFunc(ids, func(a, b string) int {
 		return cmp.Or(cmp.Compare(holderScore(b, upstream), holderScore(a, upstream)), cmp.Compare(a, b))
 	})
@@ -66,8 +66,9 @@
 	return ranked
 }
 
-// holderCandidates returns the IDs of the VMs that the lists of all VMs have in common. The caller must hold mu.
-func (p *Peers) holderCandidates() []string {
+// holderCandidates returns the IDs of the candidates for a bucket: the first VMs of each failure domain among those that the lists of
+// all VMs have in common. The caller must hold mu.
+func (p *Peers) holderCandidates(key string) []string {
 	var all []controlrpc.Peer
 	if !p.leaving {
 		all = append(all, controlrpc.Peer{ID: p.self, FailureDomain: p.domain})
@@ -76,9 +77,17 @@
 		all = append(all, link.peer)
 	}
 	common, _ := controlrpc.SplitCommon(all)
-	ids := make([]string, len(common))
-	for n, peer := range common {
-		ids[n] = peer.ID
+	domains := map[string]bool{}
+	for _, peer := range common {
+		domains[peer.FailureDomain] = true
+	}
+	perDomain := candidatesPerDomain(key, len(domains))
+	var ids []string
+	taken := map[string]int{}
+	for _, peer := range common {
+		if taken[peer.FailureDomain]++; taken[peer.FailureDomain] <= perDomain {
+			ids = append(ids, peer.ID)
+		}
 	}
 	return ids
 }
--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/sharedrate"
 )
@@ -95,8 +96,27 @@
 	return fault.New(fault.Unavailable, operation, "RPC to %s failed: %w", l.peer.ID, call.Error)
 }
 
+const (
+	// quotaCandidatesPerDomain is the number of VMs of each failure domain that may hold buckets of teams, if there are then at
+	// least minQuotaCandidates. Every VM keeps a link to each of them, and each renews loans from all others several times per
+	// second. With two in each of four failure domains, the loss of a failure domain leaves three quarters of each rate.
+	quotaCandidatesPerDomain = 2
+	minQuotaCandidates       = 4
+)
+
+// quotaPrefix begins the keys under which the order of the candidates for the buckets of teams is cached.
+const quotaPrefix = "team\x00"
+
+// candidatesPerDomain returns the number of VMs of each of the failure domains that may hold the bucket with the key.
+func candidatesPerDomain(key string, domains int) int {
+	if strings.HasPrefix(key, quotaPrefix) {
+		return max(quotaCandidatesPerDomain, minQuotaCandidates/max(1, domains))
+	}
+	return controlrpc.CommonPeersPerDomain
+}
+
 // quotaKey is the key under which the order of the candidates for a team's bucket is cached and computed. No upstream has it.
-func quotaKey(team string) string { return "team\x00" + team }
+func quotaKey(team string) string { return quotaPrefix + team }
 
 // QuotaHolder is a VM that may hold the bucket of a team.
 type QuotaHolder struct {
--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -40,6 +40,9 @@
 	// maxQuotaLines limits the log lines about quotas in quotaLinesSpan: there may be many teams.
 	maxQuotaLines  = 20
 	quotaLinesSpan = 10 * time.Second
+	// lateRefusal is how long after the refusal of a timely request late requests of its team are refused. It covers some requests of
+	// a team that exceeds its quota at one of many VMs.
+	lateRefusal = 2 * time.Second
 	// unusedQuotaAfter is how long the state of a team without requests is kept.
 	unusedQuotaAfter = time.Minute
 )
@@ -92,6 +95,8 @@
 
 // quotas is the state of team quotas at this VM.
 type quotas struct {
+	// started is when the process started.
+	started time.Time
 	// refundLife is how long after it was counted a credit is given back.
 	refundLife time.Duration
 
@@ -116,6 +121,9 @@
 	sequence uint64
 	calling  bool
 	waiting  []*quotaWaiter
+	// refusedTimely is when the last request was refused that was not late, and retryAfter the time that it was told.
+	refusedTimely time.Time
+	retryAfter    time.Duration
 	// refusedAt is when a request was refused last. refusing is set from the first refusal until they end.
 	refusedAt time.Time
 	refusing  bool
@@ -127,6 +135,8 @@
 	// done gets nil or an error. It has room for one.
 	done chan error
 	gone bool
+	// late is set if the request can no longer be answered within its objective.
+	late bool
 }
 
 // bootNow returns the time since boot as a time.Time, so that credits and loans end while a VM is suspended.
@@ -134,6 +144,7 @@
 
 func newQuotas(config Config) *quotas {
 	return &quotas{
+		started:    bootNow(),
 		refundLife: time.Duration(refundShare * config.QuotaOverage * float64(config.QuotaWindow)),
 		holder:     sharedrate.NewHolder(config.ID, bootNow(), config.QuotaOverage),
 		teams:      map[string]*teamQuota{}, claims: map[string]chan struct{}{}, limits: map[string]sharedrate.Limit{},
@@ -188,6 +199,7 @@
 	if request.Team == nil {
 		return nil
 	}
+	late := r.isLate(rt, request)
 	q, now := r.quotas, bootNow()
 	q.mu.Lock()
 	limit, limited := q.limit(r.View().Routes, request, now)
@@ -203,12 +215,17 @@
 		request.quota = &quotaMeter{counted: now}
 		return nil
 	}
+	if t.refusesLate(now) && late {
+		err := r.overQuota(request.Team.Name, t, t.retryAfter, late, now)
+		q.mu.Unlock()
+		return err
+	}
 	if retryAfter, denied := t.wallet.Denied(now, rand.Float64()); denied {
-		err := r.overQuota(request.Team.Name, t, retryAfter, now)
+		err := r.overQuota(request.Team.Name, t, retryAfter, late, now)
 		q.mu.Unlock()
 		return err
 	}
-	waiter := &quotaWaiter{done: make(chan error, 1)}
+	waiter := &quotaWaiter{done: make(chan error, 1), late: late}
 	t.waiting = append(t.waiting, waiter)
 	if !t.calling {
 		t.calling = true
@@ -218,11 +235,30 @@
 	return r.awaitCredit(ctx, rt, request, t, waiter)
 }
 
+// isLate reports whether the request can no longer be answered within its objective, because its caller has waited before, usually
+// after a refusal.
+func (r *Router) isLate(rt *route.Route, request *Request) bool {
+	if rt.Objective <= 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.stats(rt)
+	return s.limitEstimate.waited(request.Limit)+time.Duration(s.expected) > rt.Objective
+}
+
+// refusesLate reports whether late requests of the team are refused, because timely ones were refused lately. A team that exceeds its
+// quota gets the same number of answers either way, but more of them in time. The caller must hold the mutex of the quotas.
+func (t *teamQuota) refusesLate(now time.Time) bool { return now.Sub(t.refusedTimely) < lateRefusal }
+
 // overQuota counts and returns a refusal. The caller must hold the mutex of the quotas.
-func (r *Router) overQuota(team string, t *teamQuota, retryAfter time.Duration, now time.Time) error {
+func (r *Router) overQuota(team string, t *teamQuota, retryAfter time.Duration, late bool, now time.Time) error {
 	r.quotas.counts.Denied++
 	t.refusedAt = now
 	t.refused++
+	if !late {
+		t.refusedTimely, t.retryAfter = now, retryAfter
+	}
 	if !t.refusing {
 		t.refusing = true
 		r.quotas.logBounded(now, func() { r.log.Info("team over quota", "team", team, "retry_after_ms", retryAfter.Milliseconds()) })
@@ -344,7 +380,7 @@
 			q.counts.Granted++
 			w.done <- nil
 		case !w.gone:
-			w.done <- r.overQuota(team, t, answer.RetryAfter+time.Duration(n-granted)*answer.Step, now)
+			w.done <- r.overQuota(team, t, answer.RetryAfter+time.Duration(n-granted)*answer.Step, w.late, now)
 		}
 	}
 	t.waiting = append([]*quotaWaiter(nil), t.waiting[asked:]...)
@@ -649,6 +685,7 @@
 		return
 	}
 	r.peers.QuotaCandidates(time.Now())
+	r.beginQuotas(index)
 	if len(teams) == 0 {
 		return
 	}
@@ -660,6 +697,27 @@
 	}
 }
 
+// beginQuotas begins to hold the buckets of the teams for which this VM is the first candidate, so that the first request of a team
+// does not wait for it.
+func (r *Router) beginQuotas(index *route.Index) {
+	for i := range index.Table.Teams {
+		team := &index.Table.Teams[i]
+		if team.PerSecond <= 0 {
+			continue
+		}
+		q := r.quotas
+		q.mu.Lock()
+		ready := bootNow().Sub(q.started) > sharedrate.LoanLife && !q.holder.Has(team.Name)
+		q.mu.Unlock()
+		if !ready {
+			continue
+		}
+		if holders := r.peers.QuotaHolders(team.Name, time.Now()); len(holders) > 0 && holders[0].Self {
+			r.becomeHolder(team.Name, sharedrate.Limit{PerSecond: team.PerSecond, Burst: team.Burst, Version: index.Table.Version})
+		}
+	}
+}
+
 // endRefusals logs the end of refusals and drops the state of teams without requests. The caller must hold mu.
 func (q *quotas) endRefusals(now time.Time, r *Router) {
 	for name, t := range q.teams {
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -412,3 +412,44 @@
 		Expect(stranger.router.quotas.holder.Teams(bootNow())).To(BeEmpty())
 	})
 })
+
+// Guards against a team beyond its quota whose credits go to callers that come back after a refusal and are answered late, so that few of
+// its answers are in time.
+var _ = Describe("a team that exceeds its quota", func() {
+	It("gets its credits for requests that can still be answered in time", func() {
+		f := startQuotaFleet(2, &route.Team{Name: "t", PerSecond: 20, Burst: 2})
+		rt := searchRoute()
+		rt.Service, rt.Objective = "s", 400*time.Millisecond
+		vm := f.vms[0]
+		send := func(waited time.Duration) error {
+			request := &Request{
+				Request: upstreamconn.Request{ID: "1", Method: "GET", Target: "/x", Host: "x"}, Received: time.Now(), Limit: rt.Timeout - waited,
+				Team: f.team, TableVersion: quotaTable,
+			}
+			_, err := vm.router.Forward(context.Background(), rt, request)
+			return err
+		}
+		Expect(send(0)).To(Succeed())
+		timely, late := 0, 0
+		for begin := time.Now(); time.Since(begin) < 2*time.Second; time.Sleep(5 * time.Millisecond) {
+			if send(600*time.Millisecond) == nil {
+				late++
+			}
+			if send(0) == nil {
+				timely++
+			}
+		}
+		Expect(timely).To(BeNumerically(">=", 30))
+		Expect(late).To(BeNumerically("<=", 4))
+	})
+
+	It("gets late requests through again once its timely ones are not refused", func() {
+		f := startQuotaFleet(2, &route.Team{Name: "t", PerSecond: 20, Burst: 2})
+		vm := f.vms[0]
+		t := vm.router.quotas.team(f.team.Name)
+		t.refusedTimely = bootNow().Add(-lateRefusal)
+		Expect(t.refusesLate(bootNow())).To(BeFalse())
+		t.refusedTimely = bootNow()
+		Expect(t.refusesLate(bootNow())).To(BeTrue())
+	})
+})
