Send entry VMs what has changed in the route table instead of the whole table

Cause: each new version of the route table was sent whole to every entry VM, over links between failure domains that are paid for. Change: a watch names the version of the VM's table. A VM whose table does not fit ignores the whole reply and requests the whole table.

--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -22,6 +22,7 @@
 	mu      sync.RWMutex
 	state   *controlstate.State
 	changes changeTimes
+	tables  tableHistory
 	// applied is the log index of the last command that was applied, and recovered the last command for each failure domain in the log
 	// that was recovered at the start.
 	applied   uint64
@@ -57,9 +58,12 @@
 func (m *Machine) apply(index uint64, command controlstate.Command) controlstate.Result {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	before := m.state.Revision()
+	before, table := m.state.Revision(), m.state.Routes().Table.Version
 	m.applied = index
 	result := m.state.Apply(index, command)
+	if next := m.state.Routes().Table; next.Version != table {
+		m.tables.add(next)
+	}
 	if m.state.Revision() != before {
 		m.notifyChange()
 	}
@@ -90,6 +94,7 @@
 	defer m.mu.Unlock()
 	m.state = state
 	m.changes = changeTimes{}
+	m.tables.reset(state.Routes().Table)
 	m.notifyChange()
 	return nil
 }
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -58,7 +58,7 @@
 	if err := s.checkNotBehind(args.Known); err != nil {
 		return err
 	}
-	s.machine.fillDelta(args.Known, s.now(), reply)
+	s.machine.fillDelta(args.Known, args.TableVersion, s.now(), reply)
 	reply.Held = held
 	reply.Members, reply.Leader = s.knownMembers()
 	reply.Watchers = s.watchers.settledCount(watcherTimeout, watcherSettleTime, s.now())
@@ -74,7 +74,7 @@
 	if args.Known != 0 || s.machine.routes().Table.Version == 0 {
 		return notLeader
 	}
-	s.machine.fillDelta(args.Known, s.now(), reply)
+	s.machine.fillDelta(args.Known, 0, s.now(), reply)
 	reply.MaybeEvacuated = s.machine.recoveredEvacuations()
 	reply.Provisional = true
 	return nil
@@ -104,14 +104,17 @@
 	}
 }
 
-// fillDelta adds the changes after the known revision to the reply.
-func (m *Machine) fillDelta(known uint64, now time.Time, reply *controlrpc.WatchReply) {
+// fillDelta adds the changes after the known revision to the reply. The route table is sent as a change if the watcher holds one of
+// the kept versions; tableVersion 0 requests the whole table.
+func (m *Machine) fillDelta(known, tableVersion uint64, now time.Time, reply *controlrpc.WatchReply) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	reply.Revision = m.state.Revision()
 	routes := m.state.Routes()
 	if routes.Table.Version > 0 && routes.Since > known {
-		reply.Table = &routes.Table
+		if reply.TableChange = m.tables.changeTo(tableVersion, routes.Table.Version); reply.TableChange == nil {
+			reply.Table = &routes.Table
+		}
 	}
 	reply.Instances = m.state.Instances().Since(known)
 	reply.Quarantined, reply.QuarantinesWhole = m.state.QuarantinesSince(known, now)
--- a/internal/controlrpc/routes.go
+++ b/internal/controlrpc/routes.go
@@ -38,6 +38,8 @@
 	// the digest from the last reply.
 	FollowsSuspects bool
 	SuspectsDigest  uint64
+	// TableVersion is the version of the route table that the entry VM holds. 0 requests whole tables.
+	TableVersion uint64
 	// onSend is called before each call of a member, see OnSend. The leader does not get it.
 	onSend func()
 }
@@ -96,6 +98,9 @@
 	// Table is the route table if it was replaced after Known, or nil.
 	Table     *route.Table
 	Instances registry.Delta
+	// TableChange replaces Table if the leader still has the table of the version in the request. It is never part of a provisional
+	// reply.
+	TableChange *route.TableChange
 	// Members are the addresses of the control members. Leader is the address of the leader, or empty if it is unknown.
 	// Members other than the leader set them, too, so that a client that knows only some members finds the others.
 	Members []string
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -89,6 +89,8 @@
 	// relayList and peersDigest are the last list of relays and its digest. Only WatchControl uses them.
 	relayList   []controlrpc.Peer
 	peersDigest uint64
+	// needsWholeTable is set after a change of the route table could not be applied. Only WatchControl uses it.
+	needsWholeTable bool
 	// suspectsDigest is the digest of the last list of candidates for a quarantine, and controlLeader the last leader. Only
 	// WatchControl uses them.
 	suspectsDigest uint64
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -9,6 +9,7 @@
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/overload"
 	"github.com/wisteriamux/wisteriamux/internal/registry"
+	"github.com/wisteriamux/wisteriamux/internal/route"
 )
 
 const (
@@ -50,7 +51,9 @@
 			connected = true
 		}
 		r.control.SetAddresses(r.appendSeeds(reply.Members))
-		r.adopt(reply)
+		if !r.adopt(reply) {
+			continue
+		}
 		r.confirmView(reply, began)
 		r.adoptPeers(reply)
 		r.adoptSuspects(reply)
@@ -82,7 +85,7 @@
 	defer cancel()
 	args := controlrpc.WatchArgs{Known: r.View().Revision, WaitMillis: r.pollWait().Milliseconds(), Watcher: r.config.ID,
 		RelayAddress: r.config.RelayAddress, FailureDomain: r.config.FailureDomain, PeersDigest: r.peersDigest,
-		FollowsSuspects: true, SuspectsDigest: r.suspectsDigest}
+		FollowsSuspects: true, SuspectsDigest: r.suspectsDigest, TableVersion: r.heldTableVersion()}
 	began = r.keys.now()
 	if args.Known > 0 {
 		if r.needsConfirmation() {
@@ -117,7 +120,54 @@
 	return members
 }
 
-func (r *Router) adopt(reply controlrpc.WatchReply) {
+// heldTableVersion returns the version of the table in the view, or 0 if there is none or the whole table is needed.
+func (r *Router) heldTableVersion() uint64 {
+	if view := r.View(); view.Routes != nil && !r.needsWholeTable {
+		return view.Routes.Table.Version
+	}
+	return 0
+}
+
+// resolveTable replaces the change of the route table in a reply by the table that results from it. It returns an error if the change
+// does not begin with the table in the view.
+func resolveTable(reply controlrpc.WatchReply, view *View) (controlrpc.WatchReply, error) {
+	change := reply.TableChange
+	if change == nil {
+		return reply, nil
+	}
+	reply.TableChange = nil
+	var held route.Table
+	if view.Routes != nil {
+		held = view.Routes.Table
+	}
+	if reply.Provisional {
+		return reply, fault.New(fault.Corrupt, "router.adopt", "a provisional reply contains a change of the route table")
+	}
+	if held.Version >= change.To {
+		return reply, nil
+	}
+	table, err := change.Apply(held)
+	reply.Table = &table
+	return reply, err
+}
+
+// adopt applies a reply to the view. It returns false if it ignored the whole reply, because the reply changes another route table than
+// the one in the view. The revision of the view stays below the change, so that the leader sends everything again, with the whole table.
+func (r *Router) adopt(reply controlrpc.WatchReply) bool {
+	if reply.Revision >= r.View().Revision {
+		resolved, err := resolveTable(reply, r.View())
+		r.needsWholeTable = err != nil
+		if err != nil {
+			r.log.Warn("route table change not applied", "revision", reply.Revision, "code", fault.CodeOf(err), "error", err)
+			return false
+		}
+		reply = resolved
+	}
+	r.adoptResolved(reply)
+	return true
+}
+
+func (r *Router) adoptResolved(reply controlrpc.WatchReply) {
 	// The first reply of a leader may correct a provisional one, and does not show which upstreams are new either.
 	defer func() { r.paceSettled = r.paceSettled || !reply.Provisional }()
 	before := r.View()
