Test changes of the route table between a control member and VMs

Cause: sender and receiver of changes were tested apart from each other only. Result: it passes with -race, and so do the other specs of table changes in internal/router.

--- a/internal/router/tablechange_test.go
+++ b/internal/router/tablechange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -9,7 +10,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/wisteriamux/wisteriamux/internal/control"
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
+	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/registry"
 	"github.com/wisteriamux/wisteriamux/internal/route"
 )
@@ -109,3 +112,58 @@
 		Expect(known).To(Equal([]uint64{1, 1, 3}))
 	})
 })
+
+// Guards against a difference between what the control group sends and what a VM can apply.
+var _ = Describe("VMs and a control member", func() {
+	It("agree on the table when VMs miss changes and the member restarts from a snapshot", func() {
+		start := func(snapshot []byte) (*control.Machine, *inProcessControl) {
+			machine := control.NewMachine()
+			if snapshot != nil {
+				Expect(machine.Restore(snapshot)).To(Succeed())
+			}
+			return machine, &inProcessControl{service: control.NewService("one", machine, control.NewMemoryReplicator("one", machine), time.Now)}
+		}
+		apply := func(machine *control.Machine, version uint64) {
+			command := controlstate.Command{PutRoutes: &controlstate.PutRoutes{Table: rankedTable(version)}}
+			// Services that do not change make the change smaller than the table.
+			for n := range 100 {
+				command.PutRoutes.Table.Services = append(command.PutRoutes.Table.Services, route.Service{Name: fmt.Sprintf("unchanged-service-%d", n)})
+			}
+			data, err := command.Encode()
+			Expect(err).NotTo(HaveOccurred())
+			machine.Apply(version, data)
+		}
+		machine, member := start(nil)
+		near := New(Config{ID: "near", FailureDomain: "a"}, nil, nil, slog.New(slog.DiscardHandler))
+		far := New(Config{ID: "far", FailureDomain: "b"}, nil, nil, slog.New(slog.DiscardHandler))
+		// follow does one watch, and returns whether the reply had a change in place of the table.
+		follow := func(r *Router) bool {
+			reply, err := member.Watch(context.Background(), controlrpc.WatchArgs{Known: r.View().Revision, TableVersion: r.heldTableVersion()})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.adopt(reply)).To(BeTrue())
+			Expect(r.View().Revision).To(Equal(machine.Revision()))
+			Expect(r.heldTableVersion()).To(Equal(machine.RoutesVersion()))
+			Expect(r.View().Routes.Match("h", "/").Rank).To(BeEquivalentTo(machine.RoutesVersion()))
+			Expect(r.View().Routes.Table.Services).To(HaveLen(101))
+			return reply.TableChange != nil
+		}
+		apply(machine, 1)
+		Expect(follow(near)).To(BeFalse())
+		Expect(follow(far)).To(BeFalse())
+		apply(machine, 2)
+		Expect(follow(near)).To(BeTrue())
+		apply(machine, 3)
+		Expect(follow(near)).To(BeTrue())
+		Expect(follow(far)).To(BeTrue(), "it missed version 2")
+
+		apply(machine, 4)
+		Expect(follow(near)).To(BeTrue())
+		snapshot, err := machine.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		machine, member = start(snapshot)
+		Expect(follow(far)).To(BeFalse(), "the restarted member has version 4 only")
+		apply(machine, 5)
+		Expect(follow(near)).To(BeTrue())
+		Expect(follow(far)).To(BeTrue())
+	})
+})
