--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -409,7 +409,10 @@
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
-		Expect(stranger.router.quotas.holder.Teams(bootNow())).To(BeEmpty())
+		q := stranger.router.quotas
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		Expect(q.holder.Teams(bootNow())).To(BeEmpty())
 	})
 })
 
@@ -445,8 +448,10 @@
 
 	It("gets late requests through again once its timely ones are not refused", func() {
 		f := startQuotaFleet(2, &route.Team{Name: "t", PerSecond: 20, Burst: 2})
-		vm := f.vms[0]
-		t := vm.router.quotas.team(f.team.Name)
+		q := f.vms[0].router.quotas
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		t := q.team(f.team.Name)
 		t.refusedTimely = bootNow().Add(-lateRefusal)
 		Expect(t.refusesLate(bootNow())).To(BeFalse())
 		t.refusedTimely = bootNow()
