Explain what a VM would do with a request: Router.Explain, /explain and wmuxctl explain

An operator could not see why a request is refused, slow or sent to an unexpected upstream. The choice of an upstream, the probability of a refusal, the choice of a relay and the delay of a second attempt are now functions that record nothing, used both by requests and by Router.Explain. wmux-router serves it at /explain on its metrics address, and wmuxctl explain prints it; no route, no configuration, an unknown team and a VM out of reach have the exit codes 7 to 10.

--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -84,6 +84,7 @@
 	paths.Handle("/metrics", metrics.Handler()).Methods(http.MethodGet)
 	paths.HandleFunc("/limits", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Limits(), log) }).Methods(http.MethodGet)
 	paths.HandleFunc("/quotas", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Quotas(), log) }).Methods(http.MethodGet)
+	paths.HandleFunc("/explain", explainHandler(r, log)).Methods(http.MethodGet)
 	paths.HandleFunc("/notices", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Notices(), log) }).Methods(http.MethodGet)
 	paths.HandleFunc("/pace", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.SlowStarts(), log) }).Methods(http.MethodGet)
 	paths.HandleFunc("/evacuations", func(w http.ResponseWriter, _ *http.Request) { writeList(w, r.Evacuations(), log) }).Methods(http.MethodGet)
--- a/cmd/wmuxctl/main.go
+++ b/cmd/wmuxctl/main.go
@@ -42,7 +42,11 @@
   3  conflict: the base version is not current, or the state does not allow the change
   4  not found
   5  unavailable: no leader of the control group responded; repeat the command
-  6  accepted, but not in force before the timeout; it will be in force later`,
+  6  accepted, but not in force before the timeout; it will be in force later
+  7  explain: no route for the host and the path
+  8  explain: the entry VM has no configuration yet
+  9  explain: unknown team
+  10 explain: an entry VM cannot be reached, or none of them is in the failure domain`,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
@@ -56,7 +60,7 @@
 		certificateCommand(), burnCommand(opts), shrinkCommand(opts), applyCommand(opts), configCommand(opts),
 		statusCommand(opts), servicesCommand(opts), membersCommand(opts),
 		upstreamsCommand(opts), drainCommand(opts), undrainCommand(opts),
-		routesCommand(opts), limitsCommand(opts), quotasCommand(opts), noticesCommand(opts), paceCommand(opts), evacuateCommand(opts), trailCommand(opts), bookingsCommand(opts), quarantineCommand(opts), controlCommand(opts),
+		routesCommand(opts), limitsCommand(opts), quotasCommand(opts), explainCommand(opts), noticesCommand(opts), paceCommand(opts), evacuateCommand(opts), trailCommand(opts), bookingsCommand(opts), quarantineCommand(opts), controlCommand(opts),
 	)
 	return root
 }
--- a/cmd/wmuxctl/output.go
+++ b/cmd/wmuxctl/output.go
@@ -30,6 +30,10 @@
 	exitNotFound    = 4
 	exitUnavailable = 5
 	exitNotInForce  = 6
+	exitNoRoute     = 7
+	exitNoConfig    = 8
+	exitUnknownTeam = 9
+	exitUnreachable = 10
 )
 
 // notInForceError reports that a change was accepted but was not in force before the timeout.
@@ -47,6 +51,10 @@
 	if errors.As(err, &notInForce) {
 		return exitNotInForce
 	}
+	var explain *explainError
+	if errors.As(err, &explain) {
+		return explain.exitCode
+	}
 	var faultErr *fault.Error
 	if !errors.As(err, &faultErr) {
 		return exitBadRequest
--- a/internal/overload/demand.go
+++ b/internal/overload/demand.go
@@ -27,6 +27,16 @@
 	return t.arrivals * decayed(now.Sub(t.at), demandWindow)
 }
 
+// clone returns a copy that shares nothing.
+func (d *demand) clone() demand {
+	teams := make(map[team]*teamDemand, len(d.teams))
+	for key, t := range d.teams {
+		copied := *t
+		teams[key] = &copied
+	}
+	return demand{teams: teams}
+}
+
 // add counts an arrival and returns the demand of its team.
 func (d *demand) add(now time.Time, rank int, name string) float64 {
 	key := team{rank: rank, name: name}
--- a/internal/overload/door.go
+++ b/internal/overload/door.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -170,20 +171,36 @@
 // Admit counts an arrival towards the demand of its team and decides on it. The draw is a number from [0, 1). Callers that repeat
 // a request at once gain nothing if all its tries have the same draw.
 func (d *Door) Admit(now time.Time, a Arrival, draw float64) Verdict {
+	refused := d.arrive(now, a)
+	if draw >= refused {
+		return Verdict{Admitted: true}
+	}
+	// Among refused arrivals, draw/refused is uniform in [0, 1).
+	return Verdict{RetryAfter: retryAfter(a.Patience, draw/refused)}
+}
+
+// Preview returns the probability with which an arrival would be refused now, without counting it.
+func (d *Door) Preview(now time.Time, a Arrival) float64 {
+	preview := *d
+	preview.history = slices.Clone(d.history)
+	preview.demand = d.demand.clone()
+	return preview.arrive(now, a)
+}
+
+// EvidenceAt returns the time of the last evidence, zero if there was none.
+func (d *Door) EvidenceAt() time.Time { return d.sampledAt }
+
+// arrive counts an arrival and returns the probability with which it is refused.
+func (d *Door) arrive(now time.Time, a Arrival) float64 {
 	record := arrivalRecord{at: now, rank: a.Rank, demand: d.demand.add(now, a.Rank, a.Team), seniority: a.seniority()}
 	d.remember(record)
 	if a.Returning && now.Sub(d.lateAt) < lateMemory {
 		d.recordReturn(now)
 	}
 	if !d.Refusing(now) {
-		return Verdict{Admitted: true}
-	}
-	refused := d.refusedPart(now, record)
-	if draw >= refused {
-		return Verdict{Admitted: true}
+		return 0
 	}
-	// Among refused arrivals, draw/refused is uniform in [0, 1).
-	return Verdict{RetryAfter: retryAfter(a.Patience, draw/refused)}
+	return d.refusedPart(now, record)
 }
 
 // seniority returns the order in which requests of one team are served: the highest first.
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -69,14 +69,22 @@
 	return c.fraction * math.Exp(-float64(now.Sub(c.updatedAt))/float64(decayTime))
 }
 
-// Admit reports whether to serve a search. The draw is a random number from [0, 1).
-func (c *Controller) Admit(now time.Time, retry bool, draw float64) bool {
+// Preview returns the probability with which a search would be refused now.
+func (c *Controller) Preview(now time.Time, retry bool) float64 {
 	fraction := c.ShedFraction(now)
 	if fraction < minFraction {
-		return true
+		return 0
 	}
 	if retry {
 		fraction *= retryFactor
 	}
-	return draw >= fraction
+	return fraction
+}
+
+// EvidenceAt returns the time of the last evidence, zero if there was none.
+func (c *Controller) EvidenceAt() time.Time { return c.updatedAt }
+
+// Admit reports whether to serve a search. The draw is a random number from [0, 1).
+func (c *Controller) Admit(now time.Time, retry bool, draw float64) bool {
+	return draw >= c.Preview(now, retry)
 }
--- a/internal/pace/choose.go
+++ b/internal/pace/choose.go
@@ -18,10 +18,7 @@
 	if shares.Empty() || !slices.ContainsFunc(candidates, func(c replica.Candidate) bool { return shares.limits(now, c.ID) }) {
 		return tracker.Choose(now, candidates, excluded)
 	}
-	candidates = slices.Clone(candidates)
-	for n := range candidates {
-		candidates[n].Paced = shares.replacesMemory(now, candidates[n].ID)
-	}
+	candidates = Mark(now, shares, candidates)
 	best := tracker.Choose(now, candidates, excluded)
 	if best < 0 || shares.Share(now, candidates[best].ID) >= 1 {
 		return best
@@ -42,6 +39,15 @@
 	return best
 }
 
+// Mark returns the candidates with Paced set as Choose compares them.
+func Mark(now time.Time, shares *Controller, candidates []replica.Candidate) []replica.Candidate {
+	candidates = slices.Clone(candidates)
+	for n := range candidates {
+		candidates[n].Paced = shares.replacesMemory(now, candidates[n].ID)
+	}
+	return candidates
+}
+
 // Declines reports whether a relay with a share for the upstream does not send a request of a VM that has already applied its own
 // share, so that both together let the lower of the two shares pass.
 func Declines(share, applied, draw float64) bool {
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -46,6 +46,13 @@
 	return l.health.usable()
 }
 
+// usableNow is usable without connecting.
+func (l *Link) usableNow() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.health.usable()
+}
+
 // overdue reports whether the relay is connected and its report overdue.
 func (l *Link) overdue() bool {
 	l.mu.Lock()
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -110,10 +110,14 @@
 // other failure domains, then to relays whose reports are overdue. Such a relay may only be short of processor time, while
 // this VM's own links are known to be lost.
 func (p *Peers) PickOther(domain string, group int, avoid *Link, now time.Time) *Link {
+	return p.pickOther(domain, group, avoid, now, 0)
+}
+
+func (p *Peers) pickOther(domain string, group int, avoid *Link, now time.Time, extra pickRule) *Link {
 	domains := append([]string{domain}, slices.DeleteFunc(p.domainNames(), func(other string) bool { return other == domain })...)
 	for _, rule := range []pickRule{usableOther, overdueOther} {
 		for _, domain := range domains {
-			if link := pick(p.rankedLinks(groupKey{domain, group}), avoid, now, rule); link != nil {
+			if link := pick(p.rankedLinks(groupKey{domain, group}), avoid, now, rule|extra); link != nil {
 				return link
 			}
 		}
@@ -121,20 +125,43 @@
 	return nil
 }
 
-// pickRule determines which links may be picked.
+// Preview returns the ID of the VM that Pick, or PickOther if other is set, would return without a link to avoid, or "" for none. It
+// connects to no VM.
+func (p *Peers) Preview(domain string, group int, other bool, now time.Time) string {
+	var link *Link
+	if other {
+		link = p.pickOther(domain, group, nil, now, readOnly)
+	} else {
+		link = pick(p.rankedLinks(groupKey{domain, group}), nil, now, usableOrSelf|readOnly)
+	}
+	if link == nil {
+		return ""
+	}
+	return link.PeerID()
+}
+
+// pickRule determines which links may be picked besides usable links to other VMs, as a set of bits.
 type pickRule int
 
 const (
-	// usableOrSelf accepts usable links. A nil link stands for this VM, which is accepted when it is reached.
-	usableOrSelf pickRule = iota
-	// usableOther accepts usable links to other VMs.
-	usableOther
-	// overdueOther also accepts connected links to other VMs whose reports are overdue.
-	overdueOther
+	// usableOther accepts nothing else.
+	usableOther pickRule = 0
+	// usableOrSelf accepts this VM, for which a nil link stands, when it is reached.
+	usableOrSelf pickRule = 1
+	// overdueOther accepts connected links to other VMs whose reports are overdue.
+	overdueOther pickRule = 2
+	// readOnly starts no connection.
+	readOnly pickRule = 4
 )
 
 func (r pickRule) accepts(link *Link, now time.Time) bool {
-	return link.usable(now) || (r == overdueOther && link.overdue())
+	usable := false
+	if r&readOnly != 0 {
+		usable = link.usableNow()
+	} else {
+		usable = link.usable(now)
+	}
+	return usable || (r&overdueOther != 0 && link.overdue())
 }
 
 // pick returns the least loaded of the first links that the rule accepts. Relays without links to upstreams do not count as
@@ -144,7 +171,7 @@
 	candidates, compared := 0, 0
 	for _, link := range ranked {
 		switch {
-		case link == nil && rule != usableOrSelf, link != nil && link.isPartitioned(now):
+		case link == nil && rule&usableOrSelf == 0, link != nil && link.isPartitioned(now):
 			continue
 		case link == nil:
 			return nil
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -162,6 +162,20 @@
 	return s
 }
 
+// peek returns the observations of the upstream without recording that it exists.
+func (t *Tracker) peek(id string) *stats {
+	if s, ok := t.upstreams[id]; ok {
+		return s
+	}
+	return &stats{ratio: 1}
+}
+
+// Reader returns a tracker with the same observations and random choices of its own. Choices and costs that are read from it
+// change neither the observations nor later choices.
+func (t *Tracker) Reader() *Tracker {
+	return &Tracker{random: rand.New(rand.NewPCG(0, 0)), upstreams: t.upstreams}
+}
+
 // Retain drops every upstream for which keep returns false and that has no request in flight.
 func (t *Tracker) Retain(keep func(id string) bool) {
 	for id, s := range t.upstreams {
@@ -304,7 +318,7 @@
 
 // healthCost returns the part of the cost that is the same for every entry VM that sends to the upstream.
 func (t *Tracker) healthCost(now time.Time, id string) float64 {
-	s := t.stats(id)
+	s := t.peek(id)
 	cost := s.latencyRatio(now) + errorPenalty*s.errorRate(now)
 	if s.stalled(now) {
 		cost += stallPenalty
@@ -316,14 +330,14 @@
 }
 
 // InFlight returns the number of requests in flight at the upstream.
-func (t *Tracker) InFlight(id string) int { return len(t.stats(id).inFlight) }
+func (t *Tracker) InFlight(id string) int { return len(t.peek(id).inFlight) }
 
 // Cost estimates the latency of one more request, in multiples of the usual latency of the route.
 func (t *Tracker) Cost(now time.Time, c Candidate) float64 { return t.cost(now, c) }
 
 // cost estimates the latency of one more request, in multiples of the usual latency of the route.
 func (t *Tracker) cost(now time.Time, c Candidate) float64 {
-	s := t.stats(c.ID)
+	s := t.peek(c.ID)
 	slots := math.Max(1, float64(c.Slots))
 	waiting := math.Max(0, float64(len(s.inFlight))+1-slots) / slots
 	cost := t.healthCost(now, c.ID) + s.latencyRatio(now)*waiting + refusalPenalty*s.refusalRate(now)
@@ -364,6 +378,6 @@
 
 // Stalled reports whether the upstream has stalled or is in backoff.
 func (t *Tracker) Stalled(now time.Time, id string) bool {
-	s := t.stats(id)
+	s := t.peek(id)
 	return s.stalled(now) || now.Before(s.backoffUntil)
 }
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -200,7 +200,7 @@
 
 // arrival describes the request to its door. The caller must hold mu.
 func (r *Router) arrival(rt *route.Route, request *Request) overload.Arrival {
-	estimate := &r.stats(rt).limitEstimate
+	estimate := &r.peekStats(rt).limitEstimate
 	waited := estimate.waited(request.Limit)
 	a := overload.Arrival{
 		Rank: request.Team.RankOn(rt), Waited: waited, Objective: rt.Objective,
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -55,11 +55,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	view := r.View()
-	candidates := view.candidates[service]
-	index := r.choose(now, candidates, func(id string) bool { return wasTried(tried, id) || r.unavailable(view.byID[id], now, false) })
-	if index < 0 && !r.notices.Empty() {
-		index = r.choose(now, candidates, func(id string) bool { return wasTried(tried, id) || r.unavailable(view.byID[id], now, true) })
-	}
+	index := r.selectUpstream(now, view, service, tried, r.tracker, rand.Float64)
 	if index < 0 {
 		return nil
 	}
@@ -87,15 +83,24 @@
 // its rate limit, it wants no requests for a while, or it leaves. As a last resort one that leaves is accepted for a moment.
 // The caller must hold mu.
 func (r *Router) unavailable(u *upstream, now time.Time, lastResort bool) bool {
+	return r.unavailableFor(u, now, lastResort) != ""
+}
+
+// unavailableFor returns why no request may be sent to the upstream, or "". The caller must hold mu.
+func (r *Router) unavailableFor(u *upstream, now time.Time, lastResort bool) string {
 	switch {
 	case r.taken[u.location()]:
-		return true
+		return "address taken"
 	case r.roomAt(u).After(now):
-		return true
+		return "rate limit"
 	case r.notices.Empty():
-		return false
+		return ""
+	case r.notices.PausedUntil(u.process()).After(now):
+		return "paused"
+	case r.notices.Leaving(now, u.process(), lastResort):
+		return "leaving"
 	}
-	return r.notices.PausedUntil(u.process()).After(now) || r.notices.Leaving(now, u.process(), lastResort)
+	return ""
 }
 
 // attemptEnd describes how an attempt ended.
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/ratelimit"
 	"github.com/wisteriamux/wisteriamux/internal/relay"
@@ -90,17 +88,21 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.stats(rt)
+	return nextService(rt, r.stats(rt).splitCredit)
+}
+
+// nextService returns the service for the next request of a route with weighted services, and updates their credit.
+func nextService(rt *route.Route, credit map[string]float64) string {
 	total := 0.0
 	best := ""
 	for _, share := range rt.Split {
-		s.splitCredit[share.Service] += share.Weight
+		credit[share.Service] += share.Weight
 		total += share.Weight
-		if share.Weight > 0 && (best == "" || s.splitCredit[share.Service] > s.splitCredit[best]) {
+		if share.Weight > 0 && (best == "" || credit[share.Service] > credit[best]) {
 			best = share.Service
 		}
 	}
-	s.splitCredit[best] -= total
+	credit[best] -= total
 	return best
 }
 
@@ -159,10 +161,15 @@
 }
 
 func (f *forwardCall) hedgeDelay() time.Duration {
-	if !f.route.Idempotent || f.route.Objective <= 0 {
-		return time.Until(f.deadline) + time.Hour
+	if delay, hedged := forwardHedgeDelay(f.route); hedged {
+		return delay
 	}
-	return time.Duration(forwardHedgeShare * float64(f.route.Objective))
+	return time.Until(f.deadline) + time.Hour
+}
+
+// forwardHedgeDelay returns the delay before a forwarded request of the route is hedged, or false if it is not.
+func forwardHedgeDelay(rt *route.Route) (delay time.Duration, hedged bool) {
+	return time.Duration(forwardHedgeShare * float64(rt.Objective)), rt.Idempotent && rt.Objective > 0
 }
 
 // handleResult returns the response if it is final, and otherwise sends another attempt if that is allowed.
@@ -206,11 +213,12 @@
 	return response.Stamp != "" && response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
 }
 
-// noRoomFor returns how long all upstreams of the service stay at their rate limits, or 0 if one has room.
-func (f *forwardCall) noRoomFor() time.Duration {
-	f.router.mu.Lock()
-	defer f.router.mu.Unlock()
-	return f.router.waitForRoom(f.service, time.Now())
+// forwardNotRun returns the error for a forwarded request that no upstream ran. The caller must hold mu.
+func (r *Router) forwardNotRun(service string, tried int, now time.Time) error {
+	if wait := r.waitForRoom(service, now); wait > 0 {
+		return fault.New(fault.RateLimited, "router.forward", "no upstream of %q has room: %w", service, noRoomError(wait))
+	}
+	return fault.New(fault.NotRun, "router.forward", "none of %d upstreams accepted the request", tried)
 }
 
 func (f *forwardCall) outcome() (*upstreamconn.Response, error) {
@@ -219,11 +227,10 @@
 		return f.lastResponse, nil
 	case !f.mayHaveRun && f.keyRefused != nil:
 		return nil, f.keyRefused
-	case !f.mayHaveRun && f.noRoomFor() > 0:
-		return nil, fault.New(fault.RateLimited, "router.forward", "no upstream of %q has room: %w", f.service,
-			noRoomError(f.noRoomFor()))
 	case !f.mayHaveRun:
-		return nil, fault.New(fault.NotRun, "router.forward", "none of %d upstreams accepted the request", len(f.tried))
+		f.router.mu.Lock()
+		defer f.router.mu.Unlock()
+		return nil, f.router.forwardNotRun(f.service, len(f.tried), time.Now())
 	}
 	return nil, fault.New(fault.UpstreamFailed, "router.forward", "request failed at all %d upstreams tried", len(f.tried))
 }
@@ -237,7 +244,7 @@
 	if r.peers == nil || !r.avoidsOwnLink(a.upstream) {
 		return r.run(ctx, rt, a, request)
 	}
-	group := int(xxhash.Sum64String(a.upstream.instance.ID) % forwardGroups)
+	group := forwardGroup(a.upstream)
 	link := r.peers.PickOther(a.upstream.instance.FailureDomain, group, nil, a.sent)
 	if link == nil {
 		return r.run(ctx, rt, a, request)
--- a/internal/router/pace.go
+++ b/internal/router/pace.go
@@ -15,9 +15,20 @@
 // maxPaceLines bounds the log lines about slow starts in one sweepInterval: after a change of many upstreams only their number matters.
 const maxPaceLines = 20
 
-// choose returns the index of the candidate for a request, or -1 if there is none. The caller must hold mu.
-func (r *Router) choose(now time.Time, candidates []replica.Candidate, excluded func(id string) bool) int {
-	return pace.Choose(now, r.tracker, r.pace, candidates, excluded, rand.Float64)
+// selectUpstream returns the index of the upstream of the service for a request, or -1 if there is none. It records nothing. The
+// tracker is r.tracker or a reader of it. The caller must hold mu.
+func (r *Router) selectUpstream(now time.Time, view *View, service string, tried []*upstream, tracker *replica.Tracker, draw func() float64) int {
+	candidates := view.candidates[service]
+	choose := func(lastResort bool) int {
+		return pace.Choose(now, tracker, r.pace, candidates, func(id string) bool {
+			return wasTried(tried, id) || r.unavailable(view.byID[id], now, lastResort)
+		}, draw)
+	}
+	index := choose(false)
+	if index < 0 && !r.notices.Empty() {
+		index = choose(true)
+	}
+	return index
 }
 
 // observePace records the end of an attempt at an upstream. The caller must hold mu.
--- a/internal/router/partition.go
+++ b/internal/router/partition.go
@@ -176,13 +176,19 @@
 // to upstreams, or has just regained them. An open connection that still works is used.
 func (r *Router) avoidsOwnLink(u *upstream) bool {
 	r.mu.Lock()
-	direct := r.links.Direct(time.Now(), rand.Float64())
+	avoided := r.ownLinkAvoided(u, time.Now(), rand.Float64())
 	partitioned := r.links.Partitioned()
 	r.mu.Unlock()
 	if partitioned {
 		r.checkLinks()
 	}
-	return !direct && u.pool.IdleCount() == 0
+	return avoided
+}
+
+// ownLinkAvoided reports whether requests to the upstream go through another VM because this VM has lost its own links, or has had them
+// back for a short time. The caller must hold mu.
+func (r *Router) ownLinkAvoided(u *upstream, now time.Time, draw float64) bool {
+	return !r.links.Direct(now, draw) && u.pool.IdleCount() == 0
 }
 
 // partitionedFrom reports whether this VM has lost its links to upstreams and has no open connection to this one.
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -95,6 +95,12 @@
 	byLink  map[*relay.Link]*relayed
 }
 
+// isNear reports whether searches reach the upstream directly: it is in the failure domain of this VM and accepts a connection from
+// every entry VM.
+func (r *Router) isNear(u *upstream) bool {
+	return u.candidate.Local && !r.View().connectionLimited[u.instance.Service]
+}
+
 type relayKey struct {
 	domain string
 	group  int
@@ -120,8 +126,7 @@
 		return false
 	}
 	elsewhere := r.avoidsOwnLink(a.upstream)
-	direct := a.upstream.candidate.Local && !b.search.router.View().connectionLimited[a.upstream.instance.Service]
-	if !elsewhere && (direct || len(b.search.request.Body) > 0) {
+	if !elsewhere && (r.isNear(a.upstream) || len(b.search.request.Body) > 0) {
 		return false
 	}
 	domain := a.upstream.instance.FailureDomain
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -277,15 +277,27 @@
 func (r *Router) UsualResponseTime(rt *route.Route) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Duration(r.stats(rt).expected)
+	return time.Duration(r.peekStats(rt).expected)
 }
 
 // stats returns the statistics of the route, creating them if needed. The caller must hold mu.
 func (r *Router) stats(rt *route.Route) *routeStats {
 	s, ok := r.routes[rt.Name]
 	if !ok {
-		s = &routeStats{expected: float64(defaultExpected), slowQuantile: replica.Quantile{Rank: hedgeQuantile}, splitCredit: map[string]float64{}}
+		s = newRouteStats()
 		r.routes[rt.Name] = s
 	}
 	return s
 }
+
+// peekStats returns the statistics of the route without recording that it exists. The caller must hold mu.
+func (r *Router) peekStats(rt *route.Route) *routeStats {
+	if s, ok := r.routes[rt.Name]; ok {
+		return s
+	}
+	return newRouteStats()
+}
+
+func newRouteStats() *routeStats {
+	return &routeStats{expected: float64(defaultExpected), slowQuantile: replica.Quantile{Rank: hedgeQuantile}, splitCredit: map[string]float64{}}
+}
