Use further relays only while the preferred ones are short of processor time

Cause: batches spread over 12 relays at all times make each relay see an upstream less often, so that upstreams that turn slow are known later. Change: the two preferred relays of a group are the same for all VMs again.

--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -23,10 +23,11 @@
 	inFlight atomic.Int64
 
 	// mu guards the fields below.
-	mu     sync.Mutex
-	health health
-	conn   *rpc.Client
-	closed bool
+	mu       sync.Mutex
+	health   health
+	overhead overhead
+	conn     *rpc.Client
+	closed   bool
 }
 
 func newLink(peer controlrpc.Peer, dial controlrpc.Dialer, log *slog.Logger) *Link {
@@ -190,6 +191,7 @@
 	method, message := "Run", any(args)
 	for remaining > 0 {
 		var report BatchReport
+		begun := time.Now()
 		err := b.call(ctx, method, message, &report)
 		if ctx.Err() != nil {
 			b.Cancel(nil)
@@ -202,6 +204,9 @@
 			deliver(BatchReport{}, err)
 			return
 		}
+		if method == "Run" {
+			b.link.recordOverhead(time.Now(), report.overhead(time.Since(begun), args.Quiet))
+		}
 		remaining -= len(report.Ended)
 		deliver(report, nil)
 		method, message = "Next", NextArgs{Batch: b.id}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"log/slog"
 	"maps"
 	"slices"
@@ -164,10 +165,10 @@
 	return usable || (r&overdueOther != 0 && link.overdue())
 }
 
-// pick returns the least loaded of the first links that the rule accepts. Relays without links to upstreams do not count as
-// candidates, since most VMs may be among them.
+// pick returns the least loaded of the first links that the rule accepts and that are not busy, or of those that are if there are no
+// others. Relays without links to upstreams do not count as candidates, since most VMs may be among them.
 func pick(ranked []*Link, avoid *Link, now time.Time, rule pickRule) *Link {
-	var best *Link
+	var best, busy *Link
 	candidates, compared := 0, 0
 	for _, link := range ranked {
 		switch {
@@ -176,18 +177,28 @@
 		case link == nil:
 			return nil
 		case candidates == maxCandidates || compared == relaysPerGroup:
-			return best
+			return cmp.Or(best, busy)
 		}
 		candidates++
 		if link == avoid || !rule.accepts(link, now) {
 			continue
 		}
-		compared++
-		if best == nil || link.inFlight.Load() < best.inFlight.Load() {
-			best = link
+		if link.isBusy(now) {
+			busy = lessLoaded(busy, link)
+			continue
 		}
+		compared++
+		best = lessLoaded(best, link)
+	}
+	return cmp.Or(best, busy)
+}
+
+// lessLoaded returns the link with fewer batches in progress. The first may be nil.
+func lessLoaded(a, b *Link) *Link {
+	if a == nil || b.inFlight.Load() < a.inFlight.Load() {
+		return b
 	}
-	return best
+	return a
 }
 
 // Connect starts to connect to the preferred relays of all groups of a search over the number of shards, so that the
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -13,21 +13,22 @@
 	// relaysPerGroup is the number of relays that serve a group of shards. With two, the less loaded one can be chosen, and
 	// the connections of each relay to its upstreams still stay in use.
 	relaysPerGroup = 2
-	// sharedRelays is the number of relays over which the requesting VMs spread the batches of a group. With fewer, a handful of VMs
-	// carry the work of all searches and run out of processor time during a load spike. With 12, each may still hold four
-	// connections to an upstream that accepts 64, and sees the upstreams of its groups often enough to know slow ones.
+	// sharedRelays is the number of relays that serve a group while the preferred ones are short of processor time. With 12, each
+	// may still hold four connections to an upstream that accepts 64.
 	sharedRelays = 12
 )
 
-// preferFor returns the relays in the order of preference of one requesting VM: it starts at a place of its own among the first
-// sharedRelays, so that requesting VMs prefer different relays and each keeps to its own.
+// preferFor returns the relays in the order of preference of one requesting VM. The first relaysPerGroup are the same for all VMs: they
+// see the upstreams of the group often, and know slow ones early. The next ones, which are used while those are busy, begin at a
+// place of the VM's own, so that a load spike is spread over all of them.
 func preferFor(requester string, ranked []string) []string {
 	shared := min(sharedRelays, len(ranked))
-	if shared <= relaysPerGroup {
+	if shared <= relaysPerGroup+1 {
 		return ranked
 	}
-	first := int(score(requester, 0) % uint64(shared))
-	return slices.Concat(ranked[first:shared], ranked[:first], ranked[shared:])
+	others := ranked[relaysPerGroup:shared]
+	first := int(score(requester, 0) % uint64(len(others)))
+	return slices.Concat(ranked[:relaysPerGroup], others[first:], others[:first], ranked[shared:])
 }
 
 // GroupOf returns the group of a shard. The shards of a search are divided into groups; the shards of a group whose
