--- a/review/second/cluster.go
+++ b/review/second/cluster.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -15,6 +16,9 @@
 // restartDelay is how long the platform waits before it starts a process again that has ended.
 const restartDelay = 300 * time.Millisecond
 
+// errStopped is returned for a process that is not started again, because the case has ended.
+var errStopped = errors.New("the process was stopped")
+
 // maxFDs is the number of descriptors of a process.
 const maxFDs = 4100
 
@@ -49,6 +53,9 @@
 func (p *process) spawn() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.stopped {
+		return errStopped
+	}
 	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -25,7 +25,7 @@
 	"newline":  newline,
 	"attempts": attempts,
 	"foreign":  foreign,
-	"options":  options,
+	"crowd":    crowd,
 	"late":     late,
 }
 
