--- a/review/second/main.go
+++ b/review/second/main.go
@@ -25,7 +25,6 @@
 	"newline":  newline,
 	"attempts": attempts,
 	"foreign":  foreign,
-	"crowd":    crowd,
 	"late":     late,
 }
 
