Let a report change only the record of the process that sent it

The upstreams' own heartbeats were answered 200.

Cause: the table gave an address to the report with the latest start time, whatever its service and ID, and left a final tombstone for the upstream that held it before. Ruled out: requests that go to the other writer's records and get 421; the views of the entry VMs held no upstream at all.

Change: several upstreams may be registered at one address, since the process there refuses requests for others itself. A registered process keeps its service and address while it is heard. Services that the route table does not name take nothing and fill at most half of the table. Final tombstones of earlier versions end if the process goes on to report. Members of the version before are waited for (docs/versions.md). Ignored reports are counted and logged.

--- a/cmd/wmux-control/formation.go
+++ b/cmd/wmux-control/formation.go
@@ -59,15 +59,15 @@
 	return []string{loaded.RPCAddress}
 }
 
-// serveDirectory serves the registration and routing API for upstreams and operators if the settings contain an address
-// for it.
-func serveDirectory(ctx context.Context, loaded settings.Control, machine *control.Machine, client *controlrpc.Client, callers *callermem.Memory, log *slog.Logger) error {
+// serveDirectory returns the directory of this member, and serves the registration and routing API for upstreams and operators if
+// the settings contain an address for it.
+func serveDirectory(ctx context.Context, loaded settings.Control, machine *control.Machine, client *controlrpc.Client, callers *callermem.Memory, log *slog.Logger) (*directory.Directory, error) {
+	d := directory.New(machine, client, log)
 	if loaded.DirectoryAddress == "" {
-		return nil
+		return d, nil
 	}
-	d := directory.New(machine, client, log)
 	go d.Run(ctx)
-	return serveHTTP(ctx, loaded.DirectoryAddress, platform.NewControlHandler(d, log), callers, log)
+	return d, serveHTTP(ctx, loaded.DirectoryAddress, platform.NewControlHandler(d, log), callers, log)
 }
 
 // serveHTTP starts an HTTP server for the handler, which runs until the context is cancelled.
--- a/cmd/wmux-control/metrics.go
+++ b/cmd/wmux-control/metrics.go
@@ -9,13 +9,15 @@
 
 	"github.com/wisteriamux/wisteriamux/internal/callermem"
 	"github.com/wisteriamux/wisteriamux/internal/control"
+	"github.com/wisteriamux/wisteriamux/internal/directory"
 	"github.com/wisteriamux/wisteriamux/internal/raftnode"
+	"github.com/wisteriamux/wisteriamux/internal/registry"
 	"github.com/wisteriamux/wisteriamux/internal/settings"
 	"github.com/wisteriamux/wisteriamux/internal/telemetry"
 )
 
 // serveMetrics serves the metrics of this member over HTTP if the settings contain an address for them.
-func serveMetrics(ctx context.Context, loaded settings.Control, node *raftnode.Node, machine *control.Machine, callers *callermem.Memory, log *slog.Logger) error {
+func serveMetrics(ctx context.Context, loaded settings.Control, node *raftnode.Node, machine *control.Machine, served *directory.Directory, callers *callermem.Memory, log *slog.Logger) error {
 	if loaded.MetricsAddress == "" {
 		return nil
 	}
@@ -36,8 +38,12 @@
 		"wisteriamux.control.revision":  func() int64 { return int64(machine.Revision()) },
 		"wisteriamux.routes.version":    func() int64 { return int64(machine.RoutesVersion()) },
 		"wisteriamux.registry.upstream": func() int64 { return int64(machine.InstanceCount()) },
+		"wisteriamux.registry.unused":   func() int64 { return int64(machine.UnusedCount()) },
 		"wisteriamux.evacuations":       func() int64 { return int64(machine.EvacuationCount()) },
 	}
+	for _, reason := range []registry.Effect{registry.Stale, registry.Departed, registry.Conflict} {
+		gauges["wisteriamux.reports.ignored."+reason.String()] = func() int64 { return served.IgnoredCount(reason) }
+	}
 	for name, read := range gauges {
 		if err := metrics.RegisterGauge(name, "state of the control member", read); err != nil {
 			return err
--- a/cmd/wmux-control/run.go
+++ b/cmd/wmux-control/run.go
@@ -106,11 +106,12 @@
 		OperatorManaged: loaded.Formation != formationSeeds,
 	}
 	go joiner.Run(ctx)
-	if err := serveDirectory(ctx, loaded, machine, client, callers, log); err != nil {
+	served, err := serveDirectory(ctx, loaded, machine, client, callers, log)
+	if err != nil {
 		_ = node.Close()
 		return err
 	}
-	if err := serveMetrics(ctx, loaded, node, machine, callers, log); err != nil {
+	if err := serveMetrics(ctx, loaded, node, machine, served, callers, log); err != nil {
 		_ = node.Close()
 		return err
 	}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -36,30 +36,33 @@
 	leases     *leaseTable
 	loads      *loadTable
 	// instances and watchers track when upstreams and entry VMs were last seen.
-	instances  *presence
-	watchers   *presence
-	relayTable *relayTable
-	suspects   *suspectTable
-	now        func() time.Time
-	log        *slog.Logger
+	instances *presence
+	watchers  *presence
+	// earlierMembers tracks control members that cannot apply reports by the newest rules.
+	earlierMembers *presence
+	relayTable     *relayTable
+	suspects       *suspectTable
+	now            func() time.Time
+	log            *slog.Logger
 }
 
 // NewService returns the control service of the member.
 func NewService(id string, machine *Machine, replicator Replicator, now func() time.Time) *Service {
 	return &Service{
-		id:         id,
-		machine:    machine,
-		replicator: replicator,
-		group:      noGroup{},
-		barriers:   &barrierGroup{barrier: replicator.ReadBarrier},
-		leases:     newLeaseTable(),
-		loads:      newLoadTable(),
-		instances:  newPresence(),
-		watchers:   newPresence(),
-		relayTable: newRelayTable(),
-		suspects:   newSuspectTable(),
-		now:        now,
-		log:        slog.New(slog.DiscardHandler),
+		id:             id,
+		machine:        machine,
+		replicator:     replicator,
+		group:          noGroup{},
+		barriers:       &barrierGroup{barrier: replicator.ReadBarrier},
+		leases:         newLeaseTable(),
+		loads:          newLoadTable(),
+		instances:      newPresence(),
+		watchers:       newPresence(),
+		earlierMembers: newPresence(),
+		relayTable:     newRelayTable(),
+		suspects:       newSuspectTable(),
+		now:            now,
+		log:            slog.New(slog.DiscardHandler),
 	}
 }
 
--- a/internal/controlrpc/routes.go
+++ b/internal/controlrpc/routes.go
@@ -173,6 +173,8 @@
 // HeardArgs lists the upstreams that have sent a heartbeat to another member since its last call.
 type HeardArgs struct {
 	IDs []string
+	// Rules are the newest rules for reports that the member knows. Earlier versions do not set it.
+	Rules registry.Rules
 }
 
 // AdmitArgs asks for membership in the control group.
@@ -202,6 +204,8 @@
 	// Members and Leader are as in WatchReply. Only Admit and ReportSuspects set them.
 	Members []string
 	Leader  string
+	// Ignored is the effect for which the leader ignored a report, empty if it did not. Only Report sets it.
+	Ignored string
 }
 
 func (r WatchReply) failure() *fault.WireError      { return r.Fault }
@@ -274,15 +278,15 @@
 	return reply, err
 }
 
-// Report applies a report about an upstream and returns once it is durable on a quorum.
-func (c *Client) Report(ctx context.Context, report registry.Report) error {
-	_, err := call[Ack](ctx, c, "Report", ReportArgs{Report: report})
-	return err
+// Report applies a report about an upstream and returns once it is durable on a quorum, or ignored for the returned reason.
+func (c *Client) Report(ctx context.Context, report registry.Report) (ignored string, err error) {
+	reply, err := call[Ack](ctx, c, "Report", ReportArgs{Report: report})
+	return reply.Ignored, err
 }
 
 // ReportAlive calls Heard to report to the leader which upstreams have sent a heartbeat.
 func (c *Client) ReportAlive(ctx context.Context, ids []string) error {
-	_, err := call[Ack](ctx, c, "Heard", HeardArgs{IDs: ids})
+	_, err := call[Ack](ctx, c, "Heard", HeardArgs{IDs: ids, Rules: registry.IndependentProcesses})
 	return err
 }
 
--- a/internal/controlstate/routes.go
+++ b/internal/controlstate/routes.go
@@ -24,6 +24,7 @@
 		return result
 	}
 	s.routes = Routes{Table: put.Table, Source: put.Source, Since: index}
+	s.instances.SetServices(put.Table.ServiceNames())
 	result := s.advanceRevision(index)
 	result.Version = put.Table.Version
 	return result
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -121,6 +121,9 @@
 	s.execution = c.Execution
 	s.routes = c.Routes
 	s.instances = registry.Restore(c.Instances)
+	if c.Routes.Table.Version > 0 {
+		s.instances.SetServices(c.Routes.Table.ServiceNames())
+	}
 	for _, change := range c.Changes {
 		s.changes.add(change, s.limits.changes)
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -45,6 +45,7 @@
 	localState Preview
 	client     *controlrpc.Client
 	log        *slog.Logger
+	ignored    *ignoredReports
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -56,7 +57,7 @@
 
 // New returns a directory that reads the state of this member and calls the leader through the client.
 func New(localState Preview, client *controlrpc.Client, log *slog.Logger) *Directory {
-	return &Directory{localState: localState, client: client, log: log, pendingRenewals: map[string]bool{}, leaderReached: time.Now()}
+	return &Directory{localState: localState, client: client, log: log, ignored: newIgnoredReports(), pendingRenewals: map[string]bool{}, leaderReached: time.Now()}
 }
 
 // Run forwards renewals to the leader until the context ends.
@@ -98,13 +99,16 @@
 	d.log.Warn("renewals not forwarded to the control leader", "renewals", len(ids), "code", fault.CodeOf(err), "error", err)
 }
 
-// Report processes a report about an upstream. A change is acknowledged once it is durable on a quorum.
+// Report processes a report about an upstream. A change is acknowledged once it is durable on a quorum. A report that is ignored is
+// acknowledged, too: its sender could do nothing else than repeat it.
 func (d *Directory) Report(ctx context.Context, report registry.Report) error {
+	report.Rules = registry.IndependentProcesses
 	// A departure always goes to the leader, because this member may lag behind and not know the upstream yet.
 	if !report.Left {
 		report = d.localState.WithColdEnd(report, time.Now())
-		switch d.localState.Preview(report) {
-		case registry.Stale:
+		switch effect := d.localState.Preview(report); effect {
+		case registry.Stale, registry.Departed:
+			d.ignored.record(report.Instance, effect.String(), d.log, time.Now())
 			return nil
 		case registry.Renewal:
 			return d.recordRenewal(report.Instance.ID)
@@ -112,7 +116,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	return d.client.Report(ctx, report)
+	ignored, err := d.client.Report(ctx, report)
+	if err == nil && ignored != "" {
+		d.ignored.record(report.Instance, ignored, d.log, time.Now())
+	}
+	return err
+}
+
+// IgnoredCount returns the number of reports that were acknowledged and ignored for the reason.
+func (d *Directory) IgnoredCount(reason registry.Effect) int64 {
+	return d.ignored.count(reason.String())
 }
 
 func (d *Directory) recordRenewal(id string) error {
--- a/internal/registry/plausible.go
+++ b/internal/registry/plausible.go
@@ -10,6 +10,9 @@
 const (
 	// MaxInstances is the number of upstreams that can be registered: twice the size that is planned for.
 	MaxInstances = 32_768
+	// MaxUnusedInstances is the number of upstreams of services without a configuration among them. Those of services that a
+	// configuration is about to name begin to report before it does.
+	MaxUnusedInstances = MaxInstances / 2
 
 	maxNameBytes = 256
 	maxSlots     = 10_000
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -25,7 +25,7 @@
 	Slots         int    `cbor:"5,keyasint"`
 	State         State  `cbor:"6,keyasint"`
 	// Born is the start time of the process in Unix milliseconds, or 0 if it is not reported. Born and Sequence order the
-	// reports of one ID. Of two instances that report the same address, the one with the later Born keeps it.
+	// reports of one ID.
 	Born     int64  `cbor:"7,keyasint,omitempty"`
 	Sequence uint64 `cbor:"8,keyasint,omitempty"`
 	// ColdMillis is how long the upstream expects its cold start to last, in milliseconds from the report.
@@ -35,6 +35,8 @@
 	// ColdUntil is when the reported cold start ends, in Unix milliseconds, or 0. It is set only for services that limit the
 	// requests to cold upstreams: ColdMillis does not tell a VM that starts later when the report was made.
 	ColdUntil int64 `cbor:"11,keyasint,omitempty"`
+	// LeftBorn is the latest start time of a process of this ID that has deregistered, or 0.
+	LeftBorn int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Process identifies an upstream process. A process that starts again under the same ID has a later Born.
@@ -57,93 +59,26 @@
 	// ColdChanged is set when the end of the cold start differs from the registered one by more than reports do that count down.
 	// Such a report changes the table. It is set only for services that limit the requests to cold upstreams.
 	ColdChanged bool `cbor:"4,keyasint,omitempty"`
+	// Rules selects how the report is applied. It is set by the leader of the control group.
+	Rules Rules `cbor:"5,keyasint,omitempty"`
 }
 
-// Departure is the tombstone of a removed upstream, which keeps late reports from registering it again.
-type Departure struct {
-	ID       string `cbor:"1,keyasint"`
-	Born     int64  `cbor:"2,keyasint,omitempty"`
-	Sequence uint64 `cbor:"3,keyasint,omitempty"`
-	// Final is set if only a newer process may register again. Otherwise any newer report of the same process may, too.
-	Final bool `cbor:"4,keyasint,omitempty"`
-	// At is the log index of the removal.
-	At uint64 `cbor:"5,keyasint"`
-}
-
-// maxDepartures bounds the memory of the table. A departure is dropped only after thousands of later ones, so only a
-// report that is delayed for that long could register the upstream again.
-const maxDepartures = 8192
-
 // Table holds the upstreams and the departures. It is not safe for concurrent use.
 type Table struct {
-	instances  map[string]Instance
-	byAddress  map[string]string
+	instances map[string]Instance
+	// byAddress holds the IDs of the upstreams that report an address. More than one may do so: which process listens there is
+	// known only to the process itself.
+	byAddress  map[string][]string
 	departures map[string]Departure
+	// services are the services of the route table in force, nil if there is none yet.
+	services map[string]bool
 	// compactedIndex is the highest log index of a dropped departure. Deltas from an earlier index are not available.
 	compactedIndex uint64
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{instances: map[string]Instance{}, byAddress: map[string]string{}, departures: map[string]Departure{}}
-}
-
-// Effect is the effect that a report has on the table.
-type Effect int
-
-// The effects of a report.
-const (
-	// Stale is the effect of a report that is older than the table, which is ignored.
-	Stale Effect = iota
-	// Renewal is the effect of a report that only confirms the registered record.
-	Renewal
-	// Change is the effect of a report that changes the table when it is applied.
-	Change
-)
-
-// Preview returns the effect that the report would have, without applying it.
-func (t *Table) Preview(r Report) Effect {
-	current, known := t.instances[r.Instance.ID]
-	if r.Left || r.Silent {
-		return t.previewRemoval(r, current, known)
-	}
-	if known {
-		switch {
-		case r.Instance.Born < current.Born:
-			return Stale
-		case r.Instance.Born > current.Born:
-		case r.Instance.Sequence < current.Sequence:
-			return Stale
-		case sameRegistration(r.Instance, current) && (!r.ColdChanged || r.Instance.Sequence == current.Sequence):
-			return Renewal
-		case r.Instance.Sequence == current.Sequence:
-			return Stale
-		}
-	} else if gone, ok := t.departures[r.Instance.ID]; ok && !gone.allowsReturnOf(r.Instance) {
-		return Stale
-	}
-	if addressHolder, ok := t.addressHolder(r.Instance); ok && addressHolder.Born > r.Instance.Born {
-		return Stale
-	}
-	return Change
-}
-
-func (t *Table) previewRemoval(r Report, current Instance, known bool) Effect {
-	if !known || (r.Instance.Born != 0 && r.Instance.Born != current.Born) {
-		return Stale
-	}
-	if r.Silent && r.Instance.Since != current.Since {
-		return Stale
-	}
-	return Change
-}
-
-// allowsReturnOf reports whether a report is new enough to register the upstream again.
-func (d Departure) allowsReturnOf(i Instance) bool {
-	if i.Born != d.Born {
-		return i.Born > d.Born
-	}
-	return !d.Final && i.Sequence > d.Sequence
+	return &Table{instances: map[string]Instance{}, byAddress: map[string][]string{}, departures: map[string]Departure{}}
 }
 
 func sameRegistration(a, b Instance) bool {
@@ -151,13 +86,12 @@
 		a.Slots == b.Slots && a.State == b.State
 }
 
-// addressHolder returns the other upstream that is registered at the address of the instance, if any.
-func (t *Table) addressHolder(i Instance) (Instance, bool) {
-	id, ok := t.byAddress[i.Address]
-	if !ok || id == i.ID {
-		return Instance{}, false
+// SetServices sets the services of the route table in force. Only their upstreams are used.
+func (t *Table) SetServices(names []string) {
+	t.services = make(map[string]bool, len(names))
+	for _, name := range names {
+		t.services[name] = true
 	}
-	return t.instances[id], true
 }
 
 // Apply applies a report at the log index and reports whether the table changed.
@@ -165,44 +99,50 @@
 	if t.Preview(r) != Change {
 		return false
 	}
-	if r.Left || r.Silent {
-		t.remove(r.Instance.ID, index, r.Left)
-		return true
+	switch {
+	case r.Left:
+		t.remove(r.Instance.ID, index, deregistered)
+	case r.Silent:
+		t.remove(r.Instance.ID, index, silent)
+	case r.Rules == DisplaceByAddress:
+		t.displace(r.Instance, index)
+	default:
+		t.put(r.Instance, index)
 	}
-	if addressHolder, ok := t.addressHolder(r.Instance); ok {
-		t.remove(addressHolder.ID, index, true)
-	}
-	if current, ok := t.instances[r.Instance.ID]; ok {
-		delete(t.byAddress, current.Address)
-	}
-	t.put(r.Instance, index)
 	return true
 }
 
 func (t *Table) put(i Instance, index uint64) {
+	if current, ok := t.instances[i.ID]; ok {
+		t.dropAddress(current)
+		i.LeftBorn = max(i.LeftBorn, current.LeftBorn)
+	}
+	if gone, ok := t.departures[i.ID]; ok {
+		i.LeftBorn = max(i.LeftBorn, gone.leftBorn())
+	}
 	i.Since = index
 	t.instances[i.ID] = i
-	t.byAddress[i.Address] = i.ID
+	t.byAddress[i.Address] = append(t.byAddress[i.Address], i.ID)
 	delete(t.departures, i.ID)
 }
 
-func (t *Table) remove(id string, index uint64, final bool) {
-	i := t.instances[id]
-	delete(t.instances, id)
-	delete(t.byAddress, i.Address)
-	t.departures[id] = Departure{ID: id, Born: i.Born, Sequence: i.Sequence, Final: final, At: index}
-	if len(t.departures) > maxDepartures {
-		t.compactDepartures()
+func (t *Table) dropAddress(i Instance) {
+	ids := slices.DeleteFunc(t.byAddress[i.Address], func(id string) bool { return id == i.ID })
+	if len(ids) == 0 {
+		delete(t.byAddress, i.Address)
+		return
 	}
+	t.byAddress[i.Address] = ids
 }
 
-// compactDepartures drops the oldest quarter of the departures.
-func (t *Table) compactDepartures() {
-	all := t.Departures()
-	for _, d := range all[:len(all)-maxDepartures*3/4] {
-		delete(t.departures, d.ID)
-		t.compactedIndex = max(t.compactedIndex, d.At)
-	}
+// remove removes a registered upstream and records its departure.
+func (t *Table) remove(id string, index uint64, why removal) {
+	i := t.instances[id]
+	delete(t.instances, id)
+	t.dropAddress(i)
+	t.recordDeparture(Departure{
+		ID: id, Born: i.Born, Sequence: i.Sequence, Final: why != silent, Deregistered: why == deregistered, LeftBorn: i.LeftBorn, At: index,
+	})
 }
 
 // Instance returns the upstream with the ID.
@@ -214,6 +154,17 @@
 // Len returns the number of registered upstreams.
 func (t *Table) Len() int { return len(t.instances) }
 
+// UnusedLen returns the number of registered upstreams of services that the route table in force does not name.
+func (t *Table) UnusedLen() int {
+	unused := 0
+	for _, i := range t.instances {
+		if !t.Uses(i) {
+			unused++
+		}
+	}
+	return unused
+}
+
 // Instances returns all registered upstreams, ordered by ID.
 func (t *Table) Instances() []Instance {
 	all := make([]Instance, 0, len(t.instances))
@@ -224,18 +175,6 @@
 	return all
 }
 
-// Departures returns the recorded departures, oldest first.
-func (t *Table) Departures() []Departure {
-	all := make([]Departure, 0, len(t.departures))
-	for _, d := range t.departures {
-		all = append(all, d)
-	}
-	slices.SortFunc(all, func(a, b Departure) int {
-		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.ID, b.ID))
-	})
-	return all
-}
-
 // Delta lists the upstreams that were changed or removed after a log index. Whole is set if Changed lists every
 // registered upstream, in which case it replaces the receiver's list.
 type Delta struct {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -86,6 +86,15 @@
 	return targets
 }
 
+// ServiceNames returns the names of all services of the table.
+func (t Table) ServiceNames() []string {
+	names := make([]string, 0, len(t.Services))
+	for _, service := range t.Services {
+		names = append(names, service.Name)
+	}
+	return names
+}
+
 // Validate returns an error for the first problem because of which the table cannot be put in force.
 func (t Table) Validate() error {
 	if t.Version == 0 {
