Encode the head of a request whole or not at all

Cause: the ID is decoded from the path and was checked for its length only; the codec wrote it as it was into Wisteriamux-Expect-Instance. Ruled out: bodies lost when a request moves to another upstream; they arrive behind a head that has ended too early.

Change: IDs of upstreams have 1 to 256 visible ASCII characters, in deregistrations, too; services and failure domains are printable. AppendHead returns an error for any field that an upstream would read as something else, before a connection is taken; the request fails as not sent. This covers IDs that are stored already and what other VMs relay.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -5,9 +5,11 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 	"github.com/wisteriamux/wisteriamux/internal/jsonbody"
@@ -136,6 +138,10 @@
 	if request.Key == "" || len(request.Key) > MaxKeyBytes {
 		return fault.New(fault.BadRequest, "book", "key must have 1 to %d bytes", MaxKeyBytes)
 	}
+	// The key is sent to upstreams in a header, where other bytes would make the outcome of the booking unknown.
+	if !httpguts.ValidHeaderFieldValue(request.Key) || strings.TrimSpace(request.Key) != request.Key {
+		return fault.New(fault.BadRequest, "book", "key %q contains characters that cannot be sent in a header", request.Key)
+	}
 	if len(request.Payload) == 0 {
 		return fault.New(fault.BadRequest, "book", "payload is missing")
 	}
--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -133,6 +133,17 @@
 		Expect(answer.Close).To(BeTrue())
 	})
 
+	// Guards against a booking that cannot be sent to any upstream and is still reported as one of unknown outcome.
+	It("refuses a booking whose key cannot stand in a header", func() {
+		control := newFakeControl()
+		startUpstream(control, "u1", "settlement", 2)
+		v := startVM(control, "entry-1", nil)
+		for _, key := range []string{"k\n", "k\r\nOther: 1", "k\x00", " k", "k\t"} {
+			Expect(v.book(key, 1000).status).To(Equal(http.StatusBadRequest))
+		}
+		Expect(v.book("k ü", 1000).status).To(Equal(http.StatusOK))
+	})
+
 	It("records a trace whose replay makes the same decisions", func() {
 		file := &logBuffer{}
 		recorder, err := trace.NewRecorder(file, "entry-1", 1<<20)
--- a/internal/registry/plausible.go
+++ b/internal/registry/plausible.go
@@ -2,7 +2,10 @@
 
 import (
 	"net/netip"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/wisteriamux/wisteriamux/internal/fault"
 )
@@ -29,9 +32,12 @@
 // CheckPlausible returns an error if no upstream of the platform can be as described. Such a description was left by another
 // writer: it could take all requests of a service, or make the true reports of the upstream count as old.
 func (i Instance) CheckPlausible(now time.Time) error {
-	for _, name := range []string{i.ID, i.Service, i.FailureDomain} {
-		if len(name) > maxNameBytes {
-			return implausible("a name of %d bytes exceeds the limit of %d", len(name), maxNameBytes)
+	if err := i.Process().CheckPlausible(now); err != nil {
+		return err
+	}
+	for _, name := range []string{i.Service, i.FailureDomain} {
+		if err := checkName(name, unicode.IsPrint); err != nil {
+			return err
 		}
 	}
 	address, err := netip.ParseAddrPort(i.Address)
@@ -44,8 +50,6 @@
 		return implausible("%d slots, accepted: 1 to %d", i.Slots, maxSlots)
 	case i.ColdMillis < 0 || i.ColdMillis > maxColdStart.Milliseconds():
 		return implausible("a cold start of %d ms, accepted: up to %s", i.ColdMillis, maxColdStart)
-	case i.Born < 0 || i.Born > now.Add(maxClockAhead).UnixMilli():
-		return implausible("a start at %d ms, accepted: up to %s from now", i.Born, maxClockAhead)
 	}
 	if highest := i.highestSequence(now); i.Sequence > highest {
 		return implausible("sequence %d, accepted: up to %d", i.Sequence, highest)
@@ -53,6 +57,31 @@
 	return nil
 }
 
+// CheckPlausible returns an error if no process of the platform can have the identity. The ID becomes part of paths and headers.
+func (p Process) CheckPlausible(now time.Time) error {
+	if p.Instance == "" {
+		return implausible("the ID is empty")
+	}
+	if err := checkName(p.Instance, func(r rune) bool { return r > ' ' && r < unicode.MaxASCII }); err != nil {
+		return err
+	}
+	if p.Born < 0 || p.Born > now.Add(maxClockAhead).UnixMilli() {
+		return implausible("a start at %d ms, accepted: up to %s from now", p.Born, maxClockAhead)
+	}
+	return nil
+}
+
+// checkName returns an error if the name is too long or has other characters than the accepted ones.
+func checkName(name string, accepted func(rune) bool) error {
+	if len(name) > maxNameBytes {
+		return implausible("a name of %d bytes exceeds the limit of %d", len(name), maxNameBytes)
+	}
+	if !utf8.ValidString(name) || strings.ContainsFunc(name, func(r rune) bool { return !accepted(r) }) {
+		return implausible("the name %.64q contains characters that no name may have", name)
+	}
+	return nil
+}
+
 // Clamped returns the upstream with its slots and its cold start within the accepted bounds. State that an earlier version has
 // stored may hold others.
 func (i Instance) Clamped() Instance {
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -20,8 +20,8 @@
 // benchCodec is a minimal HTTP codec that sends only the request ID.
 type benchCodec struct{}
 
-func (benchCodec) AppendHead(b []byte, r *upstreamconn.Request) []byte {
-	return fmt.Appendf(b, "GET %s HTTP/1.1\r\nHost: x\r\nId: %s\r\n", r.Target, r.ID)
+func (benchCodec) AppendHead(b []byte, r *upstreamconn.Request) ([]byte, error) {
+	return fmt.Appendf(b, "GET %s HTTP/1.1\r\nHost: x\r\nId: %s\r\n", r.Target, r.ID), nil
 }
 
 func (benchCodec) DecodeHeader(a *upstreamconn.Response) { a.Stamp = a.Header.Get("Stamp") }
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -123,12 +123,12 @@
 // fakeCodec is a minimal upstream protocol.
 type fakeCodec struct{}
 
-func (fakeCodec) AppendHead(b []byte, r *upstreamconn.Request) []byte {
+func (fakeCodec) AppendHead(b []byte, r *upstreamconn.Request) ([]byte, error) {
 	b = fmt.Appendf(b, "GET %s HTTP/1.1\r\nHost: x\r\n", r.Target)
 	for name := range r.Header {
 		b = fmt.Appendf(b, "%s: %s\r\n", name, r.Header.Get(name))
 	}
-	return b
+	return b, nil
 }
 
 func (fakeCodec) DecodeHeader(a *upstreamconn.Response) {
--- a/internal/upstreamconn/upstreamconn.go
+++ b/internal/upstreamconn/upstreamconn.go
@@ -44,8 +44,9 @@
 
 // Codec encodes the request header and decodes the response header of the upstream's protocol.
 type Codec interface {
-	// AppendHead appends the request line and the header of a request, without the empty line that ends the header.
-	AppendHead(buffer []byte, request *Request) []byte
+	// AppendHead appends the request line and the header of a request, without the empty line that ends the header. It returns an
+	// error if a field has bytes that would end it or the header early.
+	AppendHead(buffer []byte, request *Request) ([]byte, error)
 	// DecodeHeader sets the fields of a response that are derived from its status and header.
 	DecodeHeader(response *Response)
 }
@@ -211,6 +212,11 @@
 	if ctx.Err() != nil {
 		return nil, newRequestError(false, false, "send", "cancelled before the request was sent: %w", ctx.Err())
 	}
+	head, err := p.codec.AppendHead(make([]byte, 0, 512), request)
+	if err != nil {
+		return nil, newRequestError(false, false, "encode", "request header: %w", err)
+	}
+	head = append(head, "\r\n"...)
 	c, err := p.acquire(ctx)
 	if err != nil {
 		return nil, err
@@ -222,7 +228,7 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	response, reusable, err := p.roundTrip(c, request)
+	response, reusable, err := p.roundTrip(c, head, request)
 	if !stop() || err != nil || !reusable {
 		_ = c.Close()
 		return response, err
@@ -324,9 +330,7 @@
 	p.idle = append(p.idle, c)
 }
 
-func (p *Pool) roundTrip(c *conn, request *Request) (response *Response, reusable bool, err error) {
-	head := p.codec.AppendHead(make([]byte, 0, 512), request)
-	head = append(head, "\r\n"...)
+func (p *Pool) roundTrip(c *conn, head []byte, request *Request) (response *Response, reusable bool, err error) {
 	written := make(chan error, 1)
 	if len(request.Body) == 0 {
 		if _, err := c.Write(head); err != nil {
--- a/internal/upstreamconn/upstreamconn_test.go
+++ b/internal/upstreamconn/upstreamconn_test.go
@@ -28,8 +28,11 @@
 // codec is a minimal protocol that sends the request ID in the header Id.
 type codec struct{}
 
-func (codec) AppendHead(b []byte, r *upstreamconn.Request) []byte {
-	return fmt.Appendf(b, "%s %s HTTP/1.1\r\nHost: x\r\nId: %s\r\nContent-Length: %d\r\n", r.Method, r.Target, r.ID, len(r.Body))
+func (codec) AppendHead(b []byte, r *upstreamconn.Request) ([]byte, error) {
+	if strings.ContainsAny(r.Instance, "\r\n") {
+		return nil, errors.New("unsendable")
+	}
+	return fmt.Appendf(b, "%s %s HTTP/1.1\r\nHost: x\r\nId: %s\r\nContent-Length: %d\r\n", r.Method, r.Target, r.ID, len(r.Body)), nil
 }
 
 func (codec) DecodeHeader(a *upstreamconn.Response) {
@@ -84,6 +87,22 @@
 	return pool.Do(ctx, &upstreamconn.Request{ID: id, Method: http.MethodGet, Target: "/"})
 }
 
+// Guards against review/6: a request whose header cannot be encoded must not reach an upstream.
+var _ = Describe("a request that cannot be encoded", func() {
+	It("fails as not sent, without a connection", func() {
+		dialled := 0
+		pool := upstreamconn.NewPool("127.0.0.1:1", func(context.Context, string) (net.Conn, error) {
+			dialled++
+			return nil, io.EOF
+		}, codec{}, responsemem.New(1<<20))
+		_, err := pool.Do(context.Background(), &upstreamconn.Request{Method: http.MethodGet, Target: "/", Instance: "i\n"})
+		var failed *upstreamconn.RequestError
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.Sent).To(BeFalse())
+		Expect(dialled).To(BeZero())
+	})
+})
+
 var _ = Describe("a pool", func() {
 	It("reuses a connection", func() {
 		u := serve(func(conn net.Conn, r *http.Request) { writeResponse(conn, r.Header.Get("Id"), "x") })
