Size the work of a request by what can happen, not by what is configured

Cause: channels for results were allocated with room for shards x max_attempts or max_attempts results. Ruled out: attempts without end; an upstream is tried once, and the process ends before the first attempt.

Change: the channels have a fixed size, and results of requests that have ended are dropped. The same cause on related paths: durations that overflow, limits of parts, headers and bodies that turn negative, a relay that drops records for a large top_k, weights with an infinite sum. The TOML form takes the numbers that the platform's form takes.

--- a/internal/callermem/callermem_test.go
+++ b/internal/callermem/callermem_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -36,7 +37,9 @@
 	slow   chan struct{}
 }
 
-func start(config callermem.Config) *server {
+func start(config callermem.Config) *server { return startWith(config, headLimit, bodyLimit) }
+
+func startWith(config callermem.Config, headLimit, bodyLimit int64) *server {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	s := &server{memory: callermem.New(config), addr: listener.Addr().String(), slow: make(chan struct{})}
@@ -313,3 +316,14 @@
 		next.expect(http.StatusOK, "29 0")
 	})
 })
+
+// Guards against limits near the largest number, with which every header was refused and chunked bodies were never read.
+var _ = Describe("limits of 2^63-1 bytes", func() {
+	It("bound nothing", func() {
+		s := startWith(ample(), math.MaxInt64, math.MaxInt64)
+		c := s.dial()
+		c.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(strings.Repeat("b", 5000)))
+		status, _ := c.response()
+		Expect(status).To(Equal(http.StatusOK))
+	})
+})
--- a/internal/callermem/conn.go
+++ b/internal/callermem/conn.go
@@ -186,7 +186,7 @@
 	if done {
 		size = c.framing.lastHead
 	}
-	if size > c.headBytes()+headSlackBytes {
+	if size-headSlackBytes > c.headBytes() {
 		m.noteFor(c, HeadSize)
 		return c.refuse(http.StatusRequestHeaderFieldsTooLarge, scratch)
 	}
--- a/internal/callermem/server.go
+++ b/internal/callermem/server.go
@@ -105,12 +105,12 @@
 
 func (b *bodyReader) read(length, limit int64) error {
 	// One byte more than the body lets Read return io.EOF without growing the buffer.
-	end := limit + 1
+	most := limit
 	if length >= 0 {
-		end = length + 1
+		most = length
 	}
 	for {
-		if err := b.grow(min(end, max(firstBufferBytes, 2*int64(cap(b.buffer))))); err != nil {
+		if err := b.grow(min(most, max(firstBufferBytes, 2*int64(cap(b.buffer)))-1) + 1); err != nil {
 			return err
 		}
 		for len(b.buffer) < cap(b.buffer) {
--- a/internal/gather/gather_test.go
+++ b/internal/gather/gather_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"testing"
 	"time"
 
@@ -138,3 +139,15 @@
 		Expect(gather.Merge([][]byte{record(3)}, 0)).To(BeEmpty())
 	})
 })
+
+// Guards against limits that a large number of records turns negative.
+var _ = Describe("MaxPartBytes", func() {
+	It("does not fall as the number of records grows", func() {
+		before := int64(0)
+		for _, top := range []int{0, 1, 5, 1 << 20, 1<<31 - 1, 1 << 32, 1<<53 + 1, 1<<60 + 1, math.MaxInt} {
+			Expect(gather.MaxPartBytes(top)).To(BeNumerically(">=", before))
+			before = gather.MaxPartBytes(top)
+		}
+		Expect(before).To(BeNumerically("<", math.MaxInt64))
+	})
+})
--- a/internal/gather/merge.go
+++ b/internal/gather/merge.go
@@ -14,10 +14,14 @@
 	partRecords = 64
 	// minPartBytes is the limit of a part of a search for few records.
 	minPartBytes = 64 << 10
+	// maxPartRecords is far above the records of any part that fits into memory, and keeps products of it from overflowing.
+	maxPartRecords = 1 << 32
 )
 
 // MaxPartBytes returns the limit of the size of one part of a search for the top records.
-func MaxPartBytes(top int) int64 { return max(minPartBytes, partRecords*RecordBytes*int64(top)) }
+func MaxPartBytes(top int) int64 {
+	return max(minPartBytes, partRecords*RecordBytes*min(int64(top), maxPartRecords))
+}
 
 // Merge returns the greatest records of all parts, at most top, in descending byte order. Duplicates are kept. Trailing
 // bytes of a part that do not fill a record are ignored.
--- a/internal/relay/reporter.go
+++ b/internal/relay/reporter.go
@@ -101,7 +101,7 @@
 
 // trimBelow cuts off the records that are smaller than the last of the greatest. The records are in descending order.
 func trimBelow(records, greatest []byte, top int) []byte {
-	if len(greatest) < top*gather.RecordBytes || len(greatest) == 0 {
+	if len(greatest)/gather.RecordBytes < top || len(greatest) == 0 {
 		return records
 	}
 	least := greatest[len(greatest)-gather.RecordBytes:]
--- a/internal/responsemem/responsemem.go
+++ b/internal/responsemem/responsemem.go
@@ -164,7 +164,7 @@
 		if int64(len(b.buffer)) > b.limit {
 			return nil, b.memory.TooLarge("response body exceeds the limit of %d bytes", b.limit)
 		}
-		next = min(2*int64(cap(b.buffer)), b.limit+1)
+		next = min(2*int64(cap(b.buffer))-1, b.limit) + 1
 	}
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -4,6 +4,7 @@
 package route
 
 import (
+	"math"
 	"strings"
 	"time"
 
@@ -74,6 +75,18 @@
 	IdleTimeout    time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
+// Millis returns the duration of a number of milliseconds, at most the longest one and at least the shortest.
+func Millis(ms int64) time.Duration {
+	const most = math.MaxInt64 / int64(time.Millisecond)
+	switch {
+	case ms > most:
+		return math.MaxInt64
+	case ms < -most:
+		return math.MinInt64
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // Targets returns the names of all services that the route may send a request to.
 func (r Route) Targets() []string {
 	targets := append([]string(nil), r.Shards...)
@@ -139,7 +152,8 @@
 	if err := r.validateTargets(services); err != nil {
 		return err
 	}
-	if r.Attempts < 0 || r.Top < 0 || r.Coverage < 0 || r.Coverage > 1 {
+	// A coverage that is not a number fails both comparisons.
+	if r.Attempts < 0 || r.Top < 0 || !(r.Coverage >= 0 && r.Coverage <= 1) {
 		return invalid("route %q: attempts %d, top %d or coverage %g is out of range: attempts and top must be at least 0, coverage from 0 to 1",
 			r.Name, r.Attempts, r.Top, r.Coverage)
 	}
@@ -169,14 +183,14 @@
 	if len(r.Split) == 0 {
 		return nil
 	}
-	total := 0.0
+	weightless := true
 	for _, weighted := range r.Split {
-		if weighted.Weight < 0 {
-			return invalid("route %q: weight of %q is %g, must be at least 0", r.Name, weighted.Service, weighted.Weight)
+		if !isAmount(weighted.Weight) {
+			return invalid("route %q: weight of %q is %g, must be a number of at least 0", r.Name, weighted.Service, weighted.Weight)
 		}
-		total += weighted.Weight
+		weightless = weightless && weighted.Weight == 0
 	}
-	if total <= 0 {
+	if weightless {
 		return invalid("route %q: the weights add up to 0, must be above 0", r.Name)
 	}
 	return nil
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -76,3 +77,13 @@
 		Entry("no route has the host", "other.example", "/lots/1", ""),
 	)
 })
+
+// Guards against durations that a large number of milliseconds turns negative.
+var _ = Describe("Millis", func() {
+	It("is the longest duration for numbers beyond it", func() {
+		Expect(route.Millis(1500)).To(Equal(1500 * time.Millisecond))
+		Expect(route.Millis(1<<53 + 1)).To(Equal(time.Duration(math.MaxInt64)))
+		Expect(route.Millis(math.MaxInt64)).To(Equal(time.Duration(math.MaxInt64)))
+		Expect(route.Millis(math.MinInt64)).To(Equal(time.Duration(math.MinInt64)))
+	})
+})
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -280,7 +280,7 @@
 
 // failedEarly records a search that failed before its goal. It is evidence of full queues if upstreams of several shards refused it.
 func (r *Router) failedEarly(rt *route.Route, now time.Time, refusals int) {
-	if !r.ranked() || rt.Objective <= 0 || refusals <= max(1, rt.Attempts)+int(fullShare*float64(len(rt.Shards))) {
+	if !r.ranked() || rt.Objective <= 0 || refusals-int(fullShare*float64(len(rt.Shards))) <= max(1, rt.Attempts) {
 		return
 	}
 	r.mu.Lock()
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -67,7 +68,7 @@
 	_, deadline, _ := r.deadlines(rt, request)
 	f := &forwardCall{
 		router: r, route: rt, service: service, request: request, deadline: deadline,
-		results: make(chan attemptResult, max(1, rt.Attempts)), suspected: suspected.yes,
+		results: make(chan attemptResult, 1), suspected: suspected.yes,
 	}
 	f.send(ctx, firstAttempt)
 	response, err := f.await(ctx)
@@ -93,11 +94,13 @@
 
 // nextService returns the service for the next request of a route with weighted services, and updates their credit.
 func nextService(rt *route.Route, credit map[string]float64) string {
+	scale := weightScale(rt.Split)
 	total := 0.0
 	best := ""
 	for _, share := range rt.Split {
-		credit[share.Service] += share.Weight
-		total += share.Weight
+		weight := share.Weight / scale
+		credit[share.Service] += weight
+		total += weight
 		if share.Weight > 0 && (best == "" || credit[share.Service] > credit[best]) {
 			best = share.Service
 		}
@@ -106,6 +109,19 @@
 	return best
 }
 
+// weightScale returns the number by which the weights must be divided to add up to a finite number.
+func weightScale(split []route.WeightedService) float64 {
+	total, heaviest := 0.0, 0.0
+	for _, share := range split {
+		total += share.Weight
+		heaviest = max(heaviest, share.Weight)
+	}
+	if math.IsInf(total, 1) {
+		return heaviest
+	}
+	return 1
+}
+
 func (f *forwardCall) send(ctx context.Context, kind attemptKind) {
 	if ctx.Err() != nil || f.attempts >= max(1, f.route.Attempts) || !f.mayTryAgain() || !f.keyAllowsSend() {
 		return
@@ -121,7 +137,11 @@
 	go func() {
 		response, err := f.router.runForward(ctx, f.route, a, f.request)
 		f.router.recordForward(f.route, f.service, directResult(response, err, ctx.Err() != nil), time.Since(a.sent))
-		f.results <- attemptResult{a.upstream, response, err}
+		select {
+		case f.results <- attemptResult{a.upstream, response, err}:
+		case <-ctx.Done():
+			// The request has ended.
+		}
 	}()
 }
 
@@ -164,7 +184,7 @@
 	if delay, hedged := forwardHedgeDelay(f.route); hedged {
 		return delay
 	}
-	return time.Until(f.deadline) + time.Hour
+	return math.MaxInt64
 }
 
 // forwardHedgeDelay returns the delay before a forwarded request of the route is hedged, or false if it is not.
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -101,14 +101,13 @@
 	defer cancel()
 	goal, deadline, hedge := r.deadlines(rt, request)
 	shards := len(rt.Shards)
-	attempts := max(1, rt.Attempts)
 	s := &search{
 		router: r, route: rt, request: request, goal: goal, deadline: deadline, hedgeAfter: hedge,
 		state: gather.New(gather.Config{
-			Shards: shards, MinShards: minShards(shards, rt.Coverage), Attempts: attempts,
+			Shards: shards, MinShards: minShards(shards, rt.Coverage), Attempts: max(1, rt.Attempts),
 			SoftDeadline: goal, Deadline: deadline, HedgeDelay: hedge,
 		}),
-		results:   make(chan partResult, shards*attempts),
+		results:   make(chan partResult, shards),
 		reports:   make(chan relayReport, reportBuffer),
 		tried:     make([][]*upstream, shards),
 		cancels:   make([][]context.CancelFunc, shards),
@@ -205,12 +204,16 @@
 }
 
 // runDirect runs an attempt on one of this VM's own connections.
-func (s *search) runDirect(ctx context.Context, shard int, a *attempt) {
-	ctx, cancel := context.WithCancel(ctx)
+func (s *search) runDirect(searchCtx context.Context, shard int, a *attempt) {
+	ctx, cancel := context.WithCancel(searchCtx)
 	s.cancels[shard] = append(s.cancels[shard], cancel)
 	go func() {
 		response, err := s.router.run(ctx, s.route, a, s.request)
-		s.results <- partResult{shard: shard, upstream: a.upstream, response: response, err: err}
+		select {
+		case s.results <- partResult{shard: shard, upstream: a.upstream, response: response, err: err}:
+		case <-searchCtx.Done():
+			// The search has ended.
+		}
 	}()
 }
 
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -297,7 +298,7 @@
 		}
 		// Views share upstreams and must not change them.
 		limited := *u
-		limited.candidate.MaxInFlight = int(connectionQuota)
+		limited.candidate.MaxInFlight = int(min(connectionQuota, math.MaxInt32))
 		if connectionQuota > 0 && connectionQuota < 1 {
 			limited.candidate.MaxInFlight = 1
 			view.connectionLimited[service] = true
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -1,8 +1,6 @@
 package settings
 
 import (
-	"time"
-
 	"github.com/wisteriamux/wisteriamux/internal/route"
 )
 
@@ -22,14 +20,14 @@
 	PathPrefix string `toml:"path_prefix" validate:"required"`
 	Idempotent bool   `toml:"idempotent"`
 	// TimeoutMillis and ObjectiveMillis are in ms.
-	TimeoutMillis   int64                  `toml:"timeout_ms" validate:"min=1,max=3600000"`
-	ObjectiveMillis int64                  `toml:"objective_ms" validate:"min=0,max=3600000"`
-	Rank            int                    `toml:"rank" validate:"min=0,max=1000"`
-	Attempts        int                    `toml:"attempts" validate:"min=0,max=100"`
+	TimeoutMillis   int64                  `toml:"timeout_ms" validate:"min=1"`
+	ObjectiveMillis int64                  `toml:"objective_ms" validate:"min=0"`
+	Rank            int                    `toml:"rank" validate:"min=0"`
+	Attempts        int                    `toml:"attempts" validate:"min=0"`
 	Service         string                 `toml:"service,omitempty"`
 	Split           []RouteWeightedService `toml:"split,omitempty"`
 	Shards          []string               `toml:"shards,omitempty"`
-	Top             int                    `toml:"top,omitempty" validate:"min=0,max=100000"`
+	Top             int                    `toml:"top,omitempty" validate:"min=0"`
 	// Coverage is the minimum fraction of the shards that a response must include, from 0 to 1.
 	Coverage float64 `toml:"coverage,omitempty" validate:"min=0,max=1"`
 	// Public routes need no key of a team.
@@ -46,19 +44,19 @@
 type RouteService struct {
 	Name           string `toml:"name" validate:"required,max=128"`
 	HealthPath     string `toml:"health_path,omitempty"`
-	MaxConnections int    `toml:"max_connections" validate:"min=0,max=1000000"`
+	MaxConnections int    `toml:"max_connections" validate:"min=0"`
 	// ColdStartMillis is how long an upstream is cold after its start, in ms. While it is cold, it takes ColdPerSecond requests per
 	// second from all entry VMs together; 0 means no limit.
-	ColdStartMillis int64   `toml:"cold_start_ms,omitempty" validate:"min=0,max=3600000"`
-	ColdPerSecond   float64 `toml:"cold_per_second,omitempty" validate:"min=0,max=1000000"`
+	ColdStartMillis int64   `toml:"cold_start_ms,omitempty" validate:"min=0"`
+	ColdPerSecond   float64 `toml:"cold_per_second,omitempty" validate:"min=0"`
 }
 
 // RouteLimits is the TOML form of the limits on callers' requests. 0 selects the router's default.
 type RouteLimits struct {
-	MaxHeaderBytes      int   `toml:"max_header_bytes" validate:"min=0,max=16777216"`
-	MaxBodyBytes        int64 `toml:"max_body_bytes" validate:"min=0,max=1073741824"`
-	HeaderTimeoutMillis int64 `toml:"header_timeout_ms" validate:"min=0,max=3600000"`
-	IdleTimeoutMillis   int64 `toml:"idle_timeout_ms" validate:"min=0,max=3600000"`
+	MaxHeaderBytes      int   `toml:"max_header_bytes" validate:"min=0"`
+	MaxBodyBytes        int64 `toml:"max_body_bytes" validate:"min=0"`
+	HeaderTimeoutMillis int64 `toml:"header_timeout_ms" validate:"min=0"`
+	IdleTimeoutMillis   int64 `toml:"idle_timeout_ms" validate:"min=0"`
 }
 
 // LoadRoutes reads and validates a route table.
@@ -78,12 +76,12 @@
 func (f Routes) table() (route.Table, error) {
 	table := route.Table{Version: f.Version, Limits: route.Limits{
 		MaxHeaderBytes: f.Limits.MaxHeaderBytes, MaxBodyBytes: f.Limits.MaxBodyBytes,
-		HeaderTimeout: millis(f.Limits.HeaderTimeoutMillis), IdleTimeout: millis(f.Limits.IdleTimeoutMillis),
+		HeaderTimeout: route.Millis(f.Limits.HeaderTimeoutMillis), IdleTimeout: route.Millis(f.Limits.IdleTimeoutMillis),
 	}}
 	for _, r := range f.Routes {
 		out := route.Route{
-			Name: r.Name, Host: r.Host, Prefix: r.PathPrefix, Idempotent: r.Idempotent, Timeout: millis(r.TimeoutMillis),
-			Objective: millis(r.ObjectiveMillis), Rank: r.Rank, Attempts: r.Attempts, Service: r.Service, Shards: r.Shards,
+			Name: r.Name, Host: r.Host, Prefix: r.PathPrefix, Idempotent: r.Idempotent, Timeout: route.Millis(r.TimeoutMillis),
+			Objective: route.Millis(r.ObjectiveMillis), Rank: r.Rank, Attempts: r.Attempts, Service: r.Service, Shards: r.Shards,
 			Top: r.Top, Coverage: r.Coverage, Public: r.Public,
 		}
 		for _, share := range r.Split {
@@ -94,7 +92,7 @@
 	for _, s := range f.Services {
 		table.Services = append(table.Services, route.Service{
 			Name: s.Name, HealthPath: s.HealthPath, MaxConnections: s.MaxConnections,
-			ColdStart: millis(s.ColdStartMillis), ColdPerSecond: s.ColdPerSecond,
+			ColdStart: route.Millis(s.ColdStartMillis), ColdPerSecond: s.ColdPerSecond,
 		})
 	}
 	for _, t := range f.Teams {
@@ -107,8 +105,6 @@
 	return table, nil
 }
 
-func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
-
 // RoutesFromTable returns the TOML form of a route table.
 func RoutesFromTable(table route.Table) Routes {
 	file := Routes{Version: table.Version, Limits: RouteLimits{
