Go on to accept connections after a failed accept

Cause: the loops returned on any error; those of wmux-control and wmux-entry without a log line. net/http tries again after such errors, so that the HTTP listeners are not affected.

Change: rpcconn.Accept replaces the three loops. It tries again, with a delay that doubles up to 1 s, until the listener is closed.

--- a/cmd/wmux-control/serve.go
+++ b/cmd/wmux-control/serve.go
@@ -61,15 +61,7 @@
 	}
 }
 
-func (e *endpoint) accept(listener net.Listener) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		go e.serve(conn)
-	}
-}
+func (e *endpoint) accept(listener net.Listener) { rpcconn.Accept(listener, e.log, e.serve) }
 
 func (e *endpoint) serve(conn net.Conn) {
 	if !e.track(conn) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -197,15 +197,7 @@
 	if err := server.RegisterName(ownerrpc.ServiceName, receiver); err != nil {
 		return fault.New(fault.Internal, "entry.register", "%w", err)
 	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.servePeer(server, conn)
-		}
-	}()
+	go rpcconn.Accept(listener, s.log, func(conn net.Conn) { s.servePeer(server, conn) })
 	return nil
 }
 
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -78,18 +78,7 @@
 }
 
 // Serve accepts connections until the listener closes.
-func (s *Server) Serve(listener net.Listener) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if !errors.Is(err, net.ErrClosed) {
-				s.log.Error("relay listener failed", "address", listener.Addr().String(), "error", err)
-			}
-			return
-		}
-		go s.serveConn(conn)
-	}
-}
+func (s *Server) Serve(listener net.Listener) { rpcconn.Accept(listener, s.log, s.serveConn) }
 
 // serveConn serves one peer. Its batches are cancelled when the connection ends.
 func (s *Server) serveConn(conn net.Conn) {
