Refuse OPTIONS * instead of answering it with success

Cause: net/http answers that request itself, before the handler, unless DisableGeneralOptionsHandler is set. Ruled out: a route that matches "*"; prefixes begin with a slash.

Change: the HTTP servers for callers of wmux-router and wmux-entry set it. Such a request now gets 404 like any other target without a route.

Evidence: "is refused like any target without a route" got 200 before and passes now.

--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -175,7 +175,8 @@
 func serve(listener net.Listener, callers *callermem.Memory, handler http.Handler, log *slog.Logger) *callerServer {
 	requests, endRequests := context.WithCancel(context.Background())
 	server := &callerServer{endRequests: endRequests, Server: &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		// Only upstreams answer with success.
+		Handler: handler, DisableGeneralOptionsHandler: true, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		BaseContext: func(net.Listener) context.Context { return requests },
 	}}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -146,7 +146,7 @@
 	requests, endRequests := context.WithCancel(context.Background())
 	server.endRequests = endRequests
 	server.http = &http.Server{
-		Handler: server.routes(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: keepAliveTimeout,
+		Handler: server.routes(), DisableGeneralOptionsHandler: true, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: keepAliveTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		BaseContext: func(net.Listener) context.Context { return requests },
 	}
