--- a/internal/raftnode/loop.go
+++ b/internal/raftnode/loop.go
@@ -29,6 +29,10 @@
 	// compactLogBytes is the size of applied entries after which the log is compacted even if the last snapshot is
 	// larger.
 	compactLogBytes = 64 << 20
+	// maxLogBytes is the size of applied entries after which the log is compacted however few they are, unless the last snapshot is
+	// larger. Members keep up to three times as much, on disk and in memory: since the snapshot before the last one, and while the
+	// next one is written.
+	maxLogBytes = 12 << 20
 )
 
 // outcome is the result of a proposal or read.
@@ -316,11 +320,20 @@
 	return l.learnedAddresses[id]
 }
 
-// maybeSnapshot takes a snapshot once enough entries have been applied since the last one. Waiting until their size
-// reaches that of the last snapshot keeps the cost of snapshots proportional to that of the log if the state is large.
+// snapshotDue reports whether enough has been applied since the last snapshot. Waiting until the size of the entries reaches that of
+// the last snapshot keeps the cost of snapshots proportional to that of the log if the state is large.
+func snapshotDue(entries, minEntries, entryBytes, snapshotBytes uint64) bool {
+	if entries > 0 && entryBytes >= max(maxLogBytes, min(snapshotBytes, compactLogBytes)) {
+		return true
+	}
+	return entries >= minEntries && entryBytes >= min(snapshotBytes, compactLogBytes)
+}
+
+// maybeSnapshot takes a snapshot if one is due.
 func (l *loop) maybeSnapshot() {
-	isDue := l.applying >= l.lastSnapshotIndex+l.node.config.SnapshotEntries && l.bytesSinceSnapshot >= min(l.snapshotSize, compactLogBytes)
-	if l.snapshotInProgress || !isDue {
+	// A snapshot that was received may be ahead of what is being applied.
+	entries := l.applying - min(l.applying, l.lastSnapshotIndex)
+	if l.snapshotInProgress || !snapshotDue(entries, l.node.config.SnapshotEntries, l.bytesSinceSnapshot, l.snapshotSize) {
 		return
 	}
 	term, ok := l.rawNode.TermAt(l.applying)
