Bound the memory of searches in progress

Change: overload.Room counts 32 KiB for a search and 8 KiB for each of its shards against search_memory_kb, by default a fifth of memory_mb. A search beyond it is refused at once as not run; explain names that refusal.

Ruled out so far: searches in progress alone. What takes the rest is not traced.

--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -40,6 +40,8 @@
 		"wisteriamux.attempts.carried":     func() int64 { return r.Counts().Executed },
 		"wisteriamux.attempts.denied":      func() int64 { return r.Counts().Denied },
 		"wisteriamux.responses.oversized":  func() int64 { return r.Counts().Oversized },
+		"wisteriamux.searches.memory":      func() int64 { return r.SearchMemory() },
+		"wisteriamux.searches.refused":     func() int64 { return r.RoomRefusals() },
 		"wisteriamux.responses.memory":     func() int64 { return r.Counts().ResponseMemory },
 		"wisteriamux.limits":               func() int64 { return r.Counts().Limited },
 		"wisteriamux.links.lost":           func() int64 { return r.Counts().Partitioned },
--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -112,8 +112,9 @@
 		AnswerMargin: answerMargin(loaded), Admission: loaded.Admission,
 		RelayAddress: loaded.RelayAddress, DialRelay: transport.Dialer(controlrpc.PlainDialer, security.RoleEntry),
 		MaxResponseBytes: loaded.MaxResponseKB << 10, ResponseMemoryBytes: loaded.ResponseMemoryKB << 10,
-		KeyRevoke:   time.Duration(loaded.KeyRevokeMillis * float64(time.Millisecond)),
-		QuotaWindow: time.Duration(loaded.QuotaWindowSeconds * float64(time.Second)), QuotaOverage: loaded.QuotaOverage,
+		SearchMemoryBytes: loaded.SearchBytes(),
+		KeyRevoke:         time.Duration(loaded.KeyRevokeMillis * float64(time.Millisecond)),
+		QuotaWindow:       time.Duration(loaded.QuotaWindowSeconds * float64(time.Second)), QuotaOverage: loaded.QuotaOverage,
 		ColdOverage: loaded.ColdOverage, ColdSlack: loaded.ColdSlack, Pace: loaded.Pace,
 	}, control, platform.Codec{}, log)
 	relayServer := relay.NewServer(r, log)
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -155,6 +155,7 @@
 	if len(rt.Shards) > 0 {
 		e.refuse(r.refuseLimited(rt, now))
 		e.refuse(r.refuseEvacuated(rt))
+		e.refuse(r.refuseWithoutRoom(rt))
 	}
 	if team != nil {
 		e.explainTeam(r, team)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,6 +67,8 @@
 	// ColdOverage is the factor by which the requests to a cold upstream in a second may exceed its rate, and ColdSlack the number
 	// by which they may on top.
 	ColdOverage, ColdSlack float64
+	// SearchMemoryBytes limits the memory that searches in progress may take together; 0 means no limit.
+	SearchMemoryBytes int64
 	// Admission is AdmissionFraction, which is the default, or AdmissionRanked.
 	Admission string
 	// Pace makes upstreams get a smaller share of requests after they have started or recovered.
@@ -81,8 +83,11 @@
 	builder *viewBuilder
 	// memory is shared by all responses that this VM reads from upstreams.
 	memory *responsemem.Memory
-	keys   *keyState
-	quotas *quotas
+	// room bounds the searches in progress.
+	room         *overload.Room
+	roomRefusals atomic.Int64
+	keys         *keyState
+	quotas       *quotas
 	// peers are the entry VMs that act as relays, nil if relaying is disabled on this VM.
 	peers *relay.Peers
 	view  atomic.Pointer[View]
@@ -197,7 +202,7 @@
 	}
 	memory := responsemem.New(cmp.Or(config.ResponseMemoryBytes, responsemem.DefaultBytes))
 	r := &Router{
-		config: config, control: control, log: log, memory: memory, keys: newKeyState(config), quotas: newQuotas(config),
+		config: config, control: control, log: log, memory: memory, room: overload.NewRoom(config.SearchMemoryBytes), keys: newKeyState(config), quotas: newQuotas(config),
 		builder: newViewBuilder(config, codec, memory),
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
 		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), coldFull: map[registry.Process]time.Time{}, links: reach.New(),
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -94,6 +94,11 @@
 	if err := r.refuseEvacuated(rt); err != nil {
 		return nil, err
 	}
+	release, err := r.takeRoom(rt)
+	if err != nil {
+		return nil, err
+	}
+	defer release()
 	if err := r.takeQuota(ctx, rt, request); err != nil {
 		return nil, err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -113,6 +113,8 @@
 	LameDuckMillis int `toml:"lame_duck_ms" validate:"min=0,max=60000"`
 	// DrainMillis limits how long a stop waits for requests in flight, in ms.
 	DrainMillis int `toml:"drain_ms" validate:"min=100,max=600000"`
+	// SearchMemoryKB limits the memory that searches in progress may take together, in KB. 0 means a fifth of MemoryMB.
+	SearchMemoryKB int64 `toml:"search_memory_kb" validate:"min=0,max=16777216"`
 	// MaxResponseKB limits the response to a forwarded request, and ResponseMemoryKB the memory of all responses above
 	// 64 KB that are being read at the same time, in KB.
 	MaxResponseKB    int64 `toml:"max_response_kb" validate:"min=1,max=1048576"`
@@ -250,3 +252,14 @@
 	}
 	return data, meta, nil
 }
+
+// searchMemoryShare is the part of the VM's memory that searches in progress may take. docs/limits.md has the sum of all parts.
+const searchMemoryShare = 1.0 / 5
+
+// SearchBytes returns how many bytes searches in progress may take together.
+func (r Router) SearchBytes() int64 {
+	if r.SearchMemoryKB > 0 {
+		return r.SearchMemoryKB << 10
+	}
+	return int64(r.MemoryMB * searchMemoryShare * (1 << 20))
+}
