--- a/internal/registry/departures.go
+++ b/internal/registry/departures.go
@@ -57,6 +57,8 @@
 // allowsReturnOf reports whether a report may register the upstream again.
 func (d Departure) allowsReturnOf(i Instance) bool {
 	switch {
+	case i.Born != 0 && i.Born <= d.LeftBorn:
+		return false
 	case i.Born > d.Born:
 		return true
 	case i.Born == d.Born && d.Final:
@@ -66,7 +68,7 @@
 	}
 	// The start time of the removed process is only what a report said. A process that started before it and has not deregistered
 	// may be the true one.
-	return !d.Final && i.Born > d.LeftBorn
+	return !d.Final
 }
 
 // depart applies the deregistration of a process.
--- a/internal/registry/departures_test.go
+++ b/internal/registry/departures_test.go
@@ -59,6 +59,15 @@
 		Expect(table.Apply(leave("i", 0), 4)).To(BeFalse())
 	})
 
+	It("keeps an earlier process out through a record without a start time", func() {
+		Expect(table.Apply(leave("i", 5), 1)).To(BeTrue())
+		Expect(table.Apply(claim("i", "unused", "1:1", 9, 1), 2)).To(BeTrue())
+		Expect(table.Apply(claim("i", "s", "1:1", 0, 1), 3)).To(BeTrue())
+		i, _ := table.Instance("i")
+		Expect(table.Apply(registry.Report{Instance: i, Silent: true, Rules: registry.IndependentProcesses}, 4)).To(BeTrue())
+		Expect(table.Preview(claim("i", "s", "1:1", 3, 1))).To(Equal(registry.Departed))
+	})
+
 	It("of an ID that never was does not take the place of one that was registered", func() {
 		Expect(table.Apply(claim("i", "s", "1:1", 5, 1), 1)).To(BeTrue())
 		Expect(table.Apply(leave("i", 5), 2)).To(BeTrue())
