Start the VM of a spec with its logger instead of replacing it

Cause: the spec. No product code changes the logger after the start. Ruled out: a race in the accept loop, which is given the logger once.

Change: the VM of the spec starts with the logger. Its checks are the same.

--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -196,6 +196,10 @@
 }
 
 func startVM(control *fakeControl, id string, adjust func(*Config)) *vm {
+	return startVMWithLog(control, id, adjust, slog.New(slog.NewTextHandler(GinkgoWriter, nil)))
+}
+
+func startVMWithLog(control *fakeControl, id string, adjust func(*Config), log *slog.Logger) *vm {
 	callers, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
@@ -205,7 +209,6 @@
 		adjust(&config)
 	}
 	v := &vm{controlPort: &controlPort{fakeControl: control}, clock: &testClock{}, url: "http://" + callers.Addr().String(), done: make(chan error, 1)}
-	log := slog.New(slog.NewTextHandler(GinkgoWriter, nil))
 	v.Server = newServer(config, v.controlPort, peers.Addr().String(), controlrpc.PlainDialer, v.clock.clock(), log)
 	ctx, stop := context.WithCancel(context.Background())
 	v.stop = stop
--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -104,8 +104,7 @@
 
 	It("recovers from a panic in a handler and writes one log line for the request", func() {
 		logs := &logBuffer{}
-		v := startVM(newFakeControl(), "entry-1", nil)
-		v.log = slog.New(slog.NewTextHandler(logs, nil))
+		v := startVMWithLog(newFakeControl(), "entry-1", nil, slog.New(slog.NewTextHandler(logs, nil)))
 		answer := serveOnce(v.instrument(slog.LevelInfo, func(http.ResponseWriter, *http.Request) { panic("broken") }))
 		Expect(answer.status).To(Equal(http.StatusInternalServerError))
 		Expect(answer.header.Get(upstreamapi.HeaderRequestID)).To(Equal("given-1"))
