--- a/cmd/wmuxctl/explain.go
+++ b/cmd/wmuxctl/explain.go
@@ -143,13 +143,13 @@
 	var rows [][]any
 	for _, target := range e.Targets {
 		if len(target.Upstreams) == 0 {
-			rows = append(rows, []any{target.Service, "-", "-", "-", "-", "-", "-", "-", "no upstream"})
+			rows = append(rows, []any{target.Service, "-", "-", "-", "-", "-", "-", "-", "-", "no upstream"})
 		}
 		for _, u := range target.Upstreams {
 			rows = append(rows, explainRow(target.Service, u))
 		}
 	}
-	writeTable(w, "SERVICE|ORDER|UPSTREAM|DOMAIN|COST|SHARE|CONNECTIONS|VIA|DECIDED BY", rows)
+	writeTable(w, "SERVICE|ORDER|UPSTREAM|ADDRESS|DOMAIN|COST|SHARE|CONNECTIONS|VIA|DECIDED BY", rows)
 	for _, refusal := range e.Refusals {
 		_, _ = fmt.Fprintf(w, "refused with status %d (%.2f of such requests): %s\n", refusal.Status, refusal.Share, refusal.Reason)
 	}
@@ -169,7 +169,7 @@
 	if u.MaxInFlight > 0 {
 		connections += fmt.Sprintf(", at most %d", u.MaxInFlight)
 	}
-	return []any{service, order, u.ID, u.FailureDomain, fmt.Sprintf("%.2f", u.Cost), fmt.Sprintf("%.2f", u.Share), connections, via, decidedBy(u)}
+	return []any{service, order, u.ID, u.Address, u.FailureDomain, fmt.Sprintf("%.2f", u.Cost), fmt.Sprintf("%.2f", u.Share), connections, via, decidedBy(u)}
 }
 
 // decidedBy names what speaks against an upstream, or "cost" if nothing else does.
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -84,6 +84,7 @@
 // UpstreamState is an upstream and what decides about it.
 type UpstreamState struct {
 	ID            string `json:"upstream"`
+	Address       string `json:"address"`
 	FailureDomain string `json:"failure_domain"`
 	// Order is the place in the order of choice from 1, or 0 if the upstream would not be chosen, for the reason Excluded.
 	Order    int    `json:"order"`
@@ -330,7 +331,7 @@
 func (r *Router) explainUpstream(now time.Time, tracker *replica.Tracker, u *upstream, c replica.Candidate) UpstreamState {
 	perSecond := r.coldPerSecond(u, now)
 	return UpstreamState{
-		ID: c.ID, FailureDomain: u.instance.FailureDomain, Cost: tracker.Cost(now, c), Share: r.pace.Share(now, c.ID),
+		ID: c.ID, Address: u.instance.Address, FailureDomain: u.instance.FailureDomain, Cost: tracker.Cost(now, c), Share: r.pace.Share(now, c.ID),
 		Cold: now.Before(c.ColdUntil) || perSecond > 0, PerSecond: perSecond, Stalled: tracker.Stalled(now, c.ID),
 		InFlight: tracker.InFlight(c.ID), MaxInFlight: c.MaxInFlight, Idle: u.pool.IdleCount(), Local: c.Local,
 	}
--- a/internal/router/explain_test.go
+++ b/internal/router/explain_test.go
@@ -87,6 +87,20 @@
 		Expect(forward()).To(Equal(order[:1]))
 	}
 
+	// Guards against explanations that hide at which of two addresses a VM uses an upstream that has moved.
+	It("names the addresses at which the upstreams are used", func() {
+		addresses := map[string]string{}
+		for _, up := range explain("x").Targets[0].Upstreams {
+			addresses[up.ID] = up.Address
+		}
+		for _, up := range append(u[:], far) {
+			if at, named := addresses[up.instance.ID]; named {
+				Expect(at).To(Equal(up.instance.Address))
+			}
+		}
+		Expect(addresses).NotTo(BeEmpty())
+	})
+
 	It("names the upstream to which a forwarded request goes", func() {
 		e := explain("x")
 		Expect(e.Route).To(Equal("r"))
