Remove upstreams that have become silent together

The leader proposed these removals one after the other.

Now they are proposed at the same time and are committed in a few entries of the log.

--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/wisteriamux/wisteriamux/internal/controlrpc"
 	"github.com/wisteriamux/wisteriamux/internal/controlstate"
 	"github.com/wisteriamux/wisteriamux/internal/fault"
@@ -17,6 +19,9 @@
 	// takeoverSilence is how long a registered process must have been silent before a process with another service or address takes its
 	// ID over.
 	takeoverSilence = 3 * time.Second
+	// maxRemovals limits the removals of silent upstreams that are proposed at the same time. Entry VMs adopt removals together that are
+	// committed together.
+	maxRemovals = 256
 	// earlierMemberTimeout is how long a member of an earlier version counts after its last call. Each member calls every second.
 	earlierMemberTimeout = 10 * time.Second
 	// earlierMember is the name under which all members of earlier versions are recorded, which do not tell theirs.
@@ -206,13 +211,22 @@
 		s.log.Warn("no silent upstream removed because most upstreams are silent", "silent", len(silent), "upstreams", used)
 		silent = nil
 	}
+	removals, ctx := errgroup.WithContext(ctx)
+	removals.SetLimit(maxRemovals)
 	for _, instance := range append(silent, unused...) {
-		report := registry.Report{Instance: instance, Silent: true, Rules: s.reportRules()}
-		if _, err := s.propose(ctx, controlstate.Command{ReportInstance: &controlstate.ReportInstance{Report: report}}); err != nil {
-			s.log.Warn("silent upstream not removed", "upstream", instance.ID, "code", fault.CodeOf(err), "error", err)
-			return
-		}
-		s.instances.remove(instance.ID)
-		s.log.Info("silent upstream removed", "upstream", instance.ID, "service", instance.Service, "silent_for", instanceTimeout)
+		removals.Go(func() error { return s.removeSilentInstance(ctx, instance) })
 	}
+	if err := removals.Wait(); err != nil {
+		s.log.Warn("silent upstreams not removed", "silent", len(silent)+len(unused), "code", fault.CodeOf(err), "error", err)
+	}
+}
+
+func (s *Service) removeSilentInstance(ctx context.Context, instance registry.Instance) error {
+	report := registry.Report{Instance: instance, Silent: true, Rules: s.reportRules()}
+	if _, err := s.propose(ctx, controlstate.Command{ReportInstance: &controlstate.ReportInstance{Report: report}}); err != nil {
+		return err
+	}
+	s.instances.remove(instance.ID)
+	s.log.Info("silent upstream removed", "upstream", instance.ID, "service", instance.Service, "silent_for", instanceTimeout)
+	return nil
 }
