Choose upstreams last at whose address a later process reports

Cause: since an upstream that has ended stays registered until it has been silent for 10 s, as nobody else's report shows that it has ended. Each entry VM learned from a failed attempt of its own that another process listens there.

An entry VM now passes an upstream at whose address a process of a used service is registered that started later, as long as another upstream of the service is available. The report may be wrong, so that nothing is taken from the upstream: it is used if there is no other, as before once it has answered or the process there has refused a request for the later one, and after 12 s at the latest, when a silent upstream has been removed.

--- a/cmd/wmuxctl/explain.go
+++ b/cmd/wmuxctl/explain.go
@@ -179,7 +179,7 @@
 		applies bool
 		name    string
 	}{
-		{u.Excluded != "", u.Excluded}, {u.Stalled, "stalled or in backoff"}, {u.Share < 1, "pace"}, {u.Cold, "cold"},
+		{u.Excluded != "", u.Excluded}, {u.Contested, "address contested"}, {u.Stalled, "stalled or in backoff"}, {u.Share < 1, "pace"}, {u.Cold, "cold"},
 		{u.MaxInFlight > 0 && u.InFlight >= u.MaxInFlight, "connections"}, {!u.Local, "failure domain"},
 	} {
 		if factor.applies {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -168,8 +168,11 @@
 	r.mu.Lock()
 	r.tracker.Done(a.sent.Add(took), id, a.ticket, result)
 	r.observePace(a, result, took)
-	if result == replica.Misdirected {
+	switch result {
+	case replica.Misdirected:
 		r.taken[a.upstream.location()] = true
+	case replica.Answered:
+		delete(r.contests, a.upstream.location())
 	}
 	before, after, changed := r.tracker.UpdateCondition(now, id)
 	r.mu.Unlock()
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -96,8 +96,10 @@
 	// PerSecond is the rate of a cold upstream, 0 if there is none.
 	PerSecond float64 `json:"cold_per_second"`
 	// Stalled is set if the upstream has stalled or is in backoff.
-	Stalled  bool `json:"stalled"`
-	InFlight int  `json:"in_flight"`
+	Stalled bool `json:"stalled"`
+	// Contested is set if others are chosen first because a process that started later reports the same address.
+	Contested bool `json:"contested"`
+	InFlight  int  `json:"in_flight"`
 	// MaxInFlight is the share of this VM of the connections to the upstream, 0 if there is no limit.
 	MaxInFlight int  `json:"max_in_flight"`
 	Idle        int  `json:"idle_connections"`
@@ -333,7 +335,8 @@
 	return UpstreamState{
 		ID: c.ID, Address: u.instance.Address, FailureDomain: u.instance.FailureDomain, Cost: tracker.Cost(now, c), Share: r.pace.Share(now, c.ID),
 		Cold: now.Before(c.ColdUntil) || perSecond > 0, PerSecond: perSecond, Stalled: tracker.Stalled(now, c.ID),
-		InFlight: tracker.InFlight(c.ID), MaxInFlight: c.MaxInFlight, Idle: u.pool.IdleCount(), Local: c.Local,
+		Contested: r.contests.passes(u.location(), now, r.taken),
+		InFlight:  tracker.InFlight(c.ID), MaxInFlight: c.MaxInFlight, Idle: u.pool.IdleCount(), Local: c.Local,
 	}
 }
 
--- a/internal/router/pace.go
+++ b/internal/router/pace.go
@@ -19,14 +19,21 @@
 // tracker is r.tracker or a reader of it. The caller must hold mu.
 func (r *Router) selectUpstream(now time.Time, view *View, service string, tried []*upstream, tracker *replica.Tracker, draw func() float64) int {
 	candidates := view.candidates[service]
-	choose := func(lastResort bool) int {
+	choose := func(passContested, lastResort bool) int {
 		return pace.Choose(now, tracker, r.pace, candidates, func(id string) bool {
-			return wasTried(tried, id) || r.unavailable(view.byID[id], now, lastResort)
+			u := view.byID[id]
+			return wasTried(tried, id) || r.unavailable(u, now, lastResort) || passContested && r.contests.passes(u.location(), now, r.taken)
 		}, draw)
 	}
-	index := choose(false)
+	index := -1
+	if len(r.contests) > 0 {
+		index = choose(true, false)
+	}
+	if index < 0 {
+		index = choose(false, false)
+	}
 	if index < 0 && !r.notices.Empty() {
-		index = choose(true)
+		index = choose(false, true)
 	}
 	return index
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -131,6 +131,8 @@
 	pace *pace.Controller
 	// taken holds the upstreams whose address another process has taken.
 	taken map[location]bool
+	// contests holds the upstreams whose address a later process reports.
+	contests contests
 	// endChecks holds the requests that ran at upstreams whose connections were closed, while it is being checked whether
 	// these upstreams have ended.
 	endChecks map[registry.Process][]suspect.End
@@ -206,7 +208,7 @@
 		builder: newViewBuilder(config, codec, memory),
 		tracker: replica.New(rand.Uint64()), budgets: map[string]*serviceBudget{}, started: time.Now(), routes: map[string]*routeStats{},
 		overload: map[string]*overload.Controller{}, limits: ratelimit.NewBook(), issuer: ratelimit.NewIssuer(), coldFull: map[registry.Process]time.Time{}, links: reach.New(),
-		notices: notice.NewBook(), pace: pace.New(), taken: map[location]bool{}, endChecks: map[registry.Process][]suspect.End{}, guard: suspect.NewGuard(config.ID), reportDue: make(chan struct{}, 1),
+		notices: notice.NewBook(), pace: pace.New(), taken: map[location]bool{}, contests: contests{}, endChecks: map[registry.Process][]suspect.End{}, guard: suspect.NewGuard(config.ID), reportDue: make(chan struct{}, 1),
 	}
 	r.builder.dialled = r.recordDial
 	if config.RelayAddress != "" {
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -88,6 +88,7 @@
 	// upstreams holds all upstreams by instance ID, and byService those of each service by instance ID.
 	upstreams map[string]*upstream
 	byService map[string]map[string]*upstream
+	addresses addressIndex
 	routes    *route.Index
 	// evacuated lists the evacuated failure domains.
 	evacuated []string
@@ -103,7 +104,7 @@
 func newViewBuilder(config Config, codec upstreamconn.Codec, memory *responsemem.Memory) *viewBuilder {
 	return &viewBuilder{
 		domain: config.FailureDomain, dialer: config.DialUpstream, codec: codec, memory: memory,
-		upstreams: map[string]*upstream{}, byService: map[string]map[string]*upstream{},
+		upstreams: map[string]*upstream{}, byService: map[string]map[string]*upstream{}, addresses: addressIndex{},
 	}
 }
 
@@ -134,6 +135,8 @@
 	obsolete []*upstreamconn.Pool
 	// dropped is set if an upstream, a route or a service is gone, or if another process has taken its place.
 	dropped bool
+	// contested are the upstreams at whose addresses a later process has been registered.
+	contested []contestedUpstream
 }
 
 // apply returns the view that results from a reply. Only the services whose upstreams have changed are built anew: in a large
@@ -157,8 +160,12 @@
 	keep := map[string]bool{}
 	for _, instance := range reply.Instances.Changed {
 		keep[instance.ID] = true
+		before, known := b.upstreams[instance.ID]
 		change.obsolete = append(change.obsolete, b.upsert(instance, now, dirty)...)
 		change.dropped = change.dropped || instance.State != registry.Ready
+		if !known || before.location() != b.upstreams[instance.ID].location() {
+			change.contested = append(change.contested, b.contestedAt(instance.ID)...)
+		}
 	}
 	removed := reply.Instances.Removed
 	if reply.Instances.Whole {
@@ -173,6 +180,7 @@
 			change.obsolete = append(change.obsolete, removedUpstream.pool)
 			dirty[removedUpstream.instance.Service] = true
 			delete(b.upstreams, id)
+			b.addresses.remove(removedUpstream.instance.Address, id)
 			delete(b.byService[removedUpstream.instance.Service], id)
 		}
 	}
@@ -221,12 +229,14 @@
 	if ok {
 		dirty[existing.instance.Service] = true
 		delete(b.byService[existing.instance.Service], instance.ID)
+		b.addresses.remove(existing.instance.Address, instance.ID)
 	}
 	dirty[instance.Service] = true
 	if b.byService[instance.Service] == nil {
 		b.byService[instance.Service] = map[string]*upstream{}
 	}
 	b.upstreams[instance.ID], b.byService[instance.Service][instance.ID] = next, next
+	b.addresses.add(instance.Address, instance.ID)
 	return obsolete
 }
 
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -179,6 +179,7 @@
 	r.view.Store(view)
 	r.logEvacuation(before, view)
 	r.paceStarts(before, view, reply.Instances.Changed)
+	r.addContests(change.contested)
 	for _, pool := range change.obsolete {
 		pool.Close()
 	}
@@ -218,10 +219,12 @@
 		return ok && u.process() == key
 	}
 	r.links.Retain(func(id string) bool { return live[id] })
-	maps.DeleteFunc(r.taken, func(l location, _ bool) bool {
+	located := func(l location) bool {
 		u, ok := view.registered(l.process.Instance)
-		return !ok || u.location() != l
-	})
+		return ok && u.location() == l
+	}
+	maps.DeleteFunc(r.taken, func(l location, _ bool) bool { return !located(l) })
+	r.contests.retain(time.Now(), located)
 	r.limits.Retain(registered)
 	maps.DeleteFunc(r.coldFull, func(key registry.Process, _ time.Time) bool { return !registered(key) })
 	r.notices.Retain(registered)
