--- a/internal/router/contest.go
+++ b/internal/router/contest.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// contestPeriod is how long an upstream is passed whose address a later process reports. By then the control group has removed it if it
+// contestPeriod is how long an upstream is chosen last whose address a later process reports. By then the control group has removed it if it
 // is silent, which takes 10 s and the time until its removal is committed and adopted.
 const contestPeriod = 12 * time.Second
 
@@ -14,7 +14,7 @@
 // other report may also be wrong, so that they are used if there is no other upstream.
 type contests map[location]contest
 
-// contest is the later process at the address of an upstream, and when the upstream is no longer passed for it.
+// contest is the later process at the address of an upstream, and when it no longer counts.
 type contest struct {
 	by    location
 	until time.Time
@@ -30,9 +30,9 @@
 	}
 }
 
-// passes reports whether other upstreams go before the one at the location. A process that has refused a request for the later one shows
+// demotes reports whether others are chosen before the upstream at the location. A process that has refused a request for the later one shows
 // that the later report is wrong.
-func (c contests) passes(at location, now time.Time, taken map[location]bool) bool {
+func (c contests) demotes(at location, now time.Time, taken map[location]bool) bool {
 	contested, ok := c[at]
 	return ok && now.Before(contested.until) && !taken[contested.by]
 }
--- a/internal/router/contest_test.go
+++ b/internal/router/contest_test.go
@@ -87,7 +87,7 @@
 		adopt(instance("made-up", "t", address, 9))
 		Expect(r.contests).To(HaveLen(1))
 		end("made-up", replica.Misdirected)
-		Expect(r.contests.passes(r.View().byID["old"].location(), now, r.taken)).To(BeFalse())
+		Expect(r.contests.demotes(r.View().byID["old"].location(), now, r.taken)).To(BeFalse())
 	})
 
 	It("is used as before once it has answered", func() {
@@ -98,8 +98,8 @@
 
 	It("is used as before if it is still registered after the time in which silent upstreams are removed", func() {
 		adopt(instance("made-up", "t", address, 9))
-		Expect(r.contests.passes(r.View().byID["old"].location(), now.Add(11*time.Second), r.taken)).To(BeTrue())
-		Expect(r.contests.passes(r.View().byID["old"].location(), time.Now().Add(contestPeriod), r.taken)).To(BeFalse())
+		Expect(r.contests.demotes(r.View().byID["old"].location(), now.Add(11*time.Second), r.taken)).To(BeTrue())
+		Expect(r.contests.demotes(r.View().byID["old"].location(), time.Now().Add(contestPeriod), r.taken)).To(BeFalse())
 	})
 
 	It("is used if there is no other, and forgotten once it is gone", func() {
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -335,7 +335,7 @@
 	return UpstreamState{
 		ID: c.ID, Address: u.instance.Address, FailureDomain: u.instance.FailureDomain, Cost: tracker.Cost(now, c), Share: r.pace.Share(now, c.ID),
 		Cold: now.Before(c.ColdUntil) || perSecond > 0, PerSecond: perSecond, Stalled: tracker.Stalled(now, c.ID),
-		Contested: r.contests.passes(u.location(), now, r.taken),
+		Contested: r.contests.demotes(u.location(), now, r.taken),
 		InFlight:  tracker.InFlight(c.ID), MaxInFlight: c.MaxInFlight, Idle: u.pool.IdleCount(), Local: c.Local,
 	}
 }
--- a/internal/router/pace.go
+++ b/internal/router/pace.go
@@ -15,14 +15,15 @@
 // maxPaceLines bounds the log lines about slow starts in one sweepInterval: after a change of many upstreams only their number matters.
 const maxPaceLines = 20
 
-// selectUpstream returns the index of the upstream of the service for a request, or -1 if there is none. It records nothing. The
-// tracker is r.tracker or a reader of it. The caller must hold mu.
+// selectUpstream returns the index of the upstream of the service for a request, or -1 if there is none: one that is not contested if
+// there is any, and one that leaves only as a last resort. It records nothing. The tracker is r.tracker or a reader of it. The caller
+// must hold mu.
 func (r *Router) selectUpstream(now time.Time, view *View, service string, tried []*upstream, tracker *replica.Tracker, draw func() float64) int {
 	candidates := view.candidates[service]
-	choose := func(passContested, lastResort bool) int {
+	choose := func(skipContested, lastResort bool) int {
 		return pace.Choose(now, tracker, r.pace, candidates, func(id string) bool {
 			u := view.byID[id]
-			return wasTried(tried, id) || r.unavailable(u, now, lastResort) || passContested && r.contests.passes(u.location(), now, r.taken)
+			return wasTried(tried, id) || r.unavailable(u, now, lastResort) || skipContested && r.contests.demotes(u.location(), now, r.taken)
 		}, draw)
 	}
 	index := -1
