Send a request again for free that another process has refused with 421

The attempt has reached no upstream of its service, so that the retry is the first arrival there.

An attempt that gets 421, directly or through a relay, now counts as not sent: its retry takes no token and none of the attempts of its route. Each entry VM learns by the first one that the address is taken, so that there is at most one for each VM and upstream.

Ruled out: the limit on attempts (the route allows 2).

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -211,6 +211,12 @@
 	return replica.Answered
 }
 
+// isMisdirected reports whether another process than the upstream has refused the attempt. There is one such attempt for each entry VM and
+// upstream, after which the address counts as taken.
+func isMisdirected(response *upstreamconn.Response) bool {
+	return response != nil && response.Misdirected
+}
+
 // retryKind returns how the retry of an attempt with this result is charged to the budget.
 func retryKind(response *upstreamconn.Response, err error) attemptKind {
 	if mayHaveArrived(response, err) {
@@ -219,10 +225,10 @@
 	return replacementAttempt
 }
 
-// mayHaveArrived reports whether an upstream may have received the attempt, in which case a retry costs a token.
+// mayHaveArrived reports whether an upstream of the service may have received the attempt, in which case a retry costs a token.
 func mayHaveArrived(response *upstreamconn.Response, err error) bool {
 	var requestErr *upstreamconn.RequestError
-	if isNoRoom(err) || isUnsentForLinks(err) || keyRefusal(err) != nil {
+	if isNoRoom(err) || isUnsentForLinks(err) || keyRefusal(err) != nil || isMisdirected(response) {
 		return false
 	}
 	return response != nil || !errors.As(err, &requestErr) || requestErr.Sent
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -203,7 +203,7 @@
 		f.keyRefused = refused
 	}
 	switch {
-	case isNoRoom(done.err):
+	case isNoRoom(done.err), isMisdirected(done.response):
 		f.attempts--
 	case isUnsentForLinks(done.err):
 		f.attempts--
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -330,7 +330,7 @@
 	switch outcome {
 	case relay.Answered:
 		return gather.Success
-	case relay.Unsent, relay.Unreachable, relay.Declined, relay.Limited, relay.Partitioned, relay.Unconfirmed, relay.KeyRemoved:
+	case relay.Unsent, relay.Misdirected, relay.Unreachable, relay.Declined, relay.Limited, relay.Partitioned, relay.Unconfirmed, relay.KeyRemoved:
 		return gather.NotSent
 	}
 	return gather.Failure
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -323,6 +323,23 @@
 		}
 	})
 
+	// Guards against requests that fail at a sound upstream's service because the first attempt went to a made-up process at its address.
+	It("sends a request again that another process has refused, also without a token of the budget", func() {
+		for _, first := range []*fakeUpstream{startFakeUpstream("near-1", "near", "a", 9, 2), startFakeUpstream("far1-1", "far1", "b", 9, 2)} {
+			first.replaced.Store(true)
+			requester.adopt(near, far1, far2, first)
+			relaying.adopt(near, far1, far2, first)
+			for _, slower := range []*fakeUpstream{near, far1} {
+				requester.router.tracker.RecordPeerCost(time.Now(), slower.instance.ID, 3)
+			}
+			_, err := requester.search(searchRoute(first.instance.Service))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(first.requests.Load()).To(Equal(int64(1)))
+		}
+		Expect(requester.router.Counts().Extra).To(BeZero())
+		Expect(requester.router.Counts().Denied).To(BeZero())
+	})
+
 	It("reports that nothing ran when the relay does not know the upstream", func() {
 		relaying.adoptEmptyView()
 		_, err := requester.search(searchRoute("far1"))
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -290,7 +290,7 @@
 	}
 	outcome := gather.Failure
 	switch {
-	case isNoRoom(p.err), keyRefusal(p.err) != nil:
+	case isNoRoom(p.err), keyRefusal(p.err) != nil, isMisdirected(p.response):
 		outcome = gather.NotSent
 	case isUnsentForLinks(p.err):
 		outcome = gather.NotSent
