--- a/cmd/wmux-router/metrics.go
+++ b/cmd/wmux-router/metrics.go
@@ -21,15 +21,26 @@
 // latencyTarget is the share of a route's requests that must be answered within the route's latency objective.
 const latencyTarget = 0.99
 
-// serveMetrics serves the metrics of the router over HTTP if the settings contain an address for them. It returns the
-// observer that records requests, or nil if there is no address.
-func serveMetrics(loaded settings.Router, r *router.Router, callers *callermem.Memory, output *telemetry.BoundedWriter, log *slog.Logger) (platform.RequestObserver, error) {
+// newMetrics returns the instruments of the process, nil if the settings contain no address for metrics.
+func newMetrics(loaded settings.Router) (*telemetry.Metrics, error) {
 	if loaded.MetricsAddress == "" {
 		return nil, nil
 	}
-	metrics, err := telemetry.NewMetrics("wmux-router")
-	if err != nil {
-		return nil, err
+	return telemetry.NewMetrics("wmux-router")
+}
+
+// stepObserver returns the observer that records the steps of searches, nil without metrics.
+func stepObserver(metrics *telemetry.Metrics) router.StepObserver {
+	if metrics == nil {
+		return nil
+	}
+	return func(route string, step router.Step, took time.Duration) { metrics.Step(route, string(step), took) }
+}
+
+// serveMetrics serves the metrics of the router over HTTP unless they are nil. It returns the observer that records requests, or nil.
+func serveMetrics(loaded settings.Router, r *router.Router, callers *callermem.Memory, metrics *telemetry.Metrics, output *telemetry.BoundedWriter, log *slog.Logger) (platform.RequestObserver, error) {
+	if metrics == nil {
+		return nil, nil
 	}
 	gauges := map[string]func() int64{
 		"wisteriamux.view.revision":        func() int64 { return int64(r.View().Revision) },
--- a/cmd/wmux-router/run.go
+++ b/cmd/wmux-router/run.go
@@ -61,7 +61,11 @@
 	}
 	control := newControlClient(loaded, transport)
 	defer control.Close()
-	r, relayServer, err := newRouter(loaded, transport, control, log)
+	metrics, err := newMetrics(loaded)
+	if err != nil {
+		return err
+	}
+	r, relayServer, err := newRouter(loaded, transport, control, metrics, log)
 	if err != nil {
 		return err
 	}
@@ -76,7 +80,7 @@
 	var stopping platform.Stop
 	ready := func() bool { return !stopping.Begun() && r.View().Ready() && r.ServesKeys() }
 	serve(callers.Listener(healthListener, systemHeadLimit), callers, platform.NewReadyHandler(ready), log)
-	observe, err := serveMetrics(loaded, r, callers, output, log)
+	observe, err := serveMetrics(loaded, r, callers, metrics, output, log)
 	if err != nil {
 		return err
 	}
@@ -104,7 +108,7 @@
 
 // newRouter returns the router and the relay server, which sends attempts to upstreams for other entry VMs. The relay
 // server listens only if the settings contain a relay address.
-func newRouter(loaded settings.Router, transport *security.Transport, control *controlrpc.Client, log *slog.Logger) (*router.Router, *relay.Server, error) {
+func newRouter(loaded settings.Router, transport *security.Transport, control *controlrpc.Client, metrics *telemetry.Metrics, log *slog.Logger) (*router.Router, *relay.Server, error) {
 	r := router.New(router.Config{
 		ID: loaded.ID, FailureDomain: loaded.FailureDomain, Seeds: loaded.ControlAddresses(),
 		ExtraShare: usableExtraShare * loaded.ExtraShare, ExtraFloor: loaded.ExtraFloor,
@@ -116,6 +120,7 @@
 		KeyRevoke:         time.Duration(loaded.KeyRevokeMillis * float64(time.Millisecond)),
 		QuotaWindow:       time.Duration(loaded.QuotaWindowSeconds * float64(time.Second)), QuotaOverage: loaded.QuotaOverage,
 		ColdOverage: loaded.ColdOverage, ColdSlack: loaded.ColdSlack, Pace: loaded.Pace,
+		ObserveStep: stepObserver(metrics),
 	}, control, platform.Codec{}, log)
 	relayServer := relay.NewServer(r, log)
 	if loaded.RelayAddress == "" {
--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -140,6 +140,9 @@
 // AnsweredCount returns the number of shards that have returned their result.
 func (s *Search) AnsweredCount() int { return s.answered }
 
+// Sufficient reports whether enough shards have returned their result for a response.
+func (s *Search) Sufficient() bool { return s.answered > 0 && s.answered >= s.config.MinShards }
+
 // HedgesDue returns the shards whose latest attempt is older than the hedge delay, that wait for no report and that may
 // have another attempt.
 func (s *Search) HedgesDue(now time.Time) []int {
@@ -171,7 +174,7 @@
 // with the square of its coverage. After it, a response is worth a small fraction whatever its coverage, so the search
 // finishes as soon as MinShards is reached and frees the upstreams.
 func (s *Search) Decide(now time.Time) Decision {
-	sufficient := s.answered > 0 && s.answered >= s.config.MinShards
+	sufficient := s.Sufficient()
 	switch {
 	case s.open == 0 && sufficient:
 		return Finish
--- a/internal/relay/cancel_test.go
+++ b/internal/relay/cancel_test.go
@@ -22,6 +22,8 @@
 
 func (e *countingExecutor) Credits(context.Context, CreditsArgs) CreditsReply { return CreditsReply{} }
 
+func (e *countingExecutor) ObserveAttempt(time.Duration, time.Duration) {}
+
 func (e *countingExecutor) TakeOver(TakeOverArgs) TakeOverReply { return TakeOverReply{} }
 
 func (e *countingExecutor) Attempt(ctx context.Context, _ Attempt, _ time.Duration, _ *upstreamconn.Request) (*upstreamconn.Response, error) {
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -15,10 +15,12 @@
 
 // Link is the connection to one relay. It is safe for concurrent use.
 type Link struct {
-	peer      controlrpc.Peer
-	dial      controlrpc.Dialer
-	log       *slog.Logger
-	nextBatch atomic.Uint64
+	peer controlrpc.Peer
+	dial controlrpc.Dialer
+	log  *slog.Logger
+	// observeOverhead is as in Peers.
+	observeOverhead func(time.Duration)
+	nextBatch       atomic.Uint64
 	// inFlight is the number of batches in progress.
 	inFlight atomic.Int64
 
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -50,6 +50,8 @@
 
 func (e *executor) Credits(context.Context, CreditsArgs) CreditsReply { return CreditsReply{} }
 
+func (e *executor) ObserveAttempt(time.Duration, time.Duration) {}
+
 func (e *executor) TakeOver(TakeOverArgs) TakeOverReply { return TakeOverReply{} }
 
 func (e *executor) Attempt(ctx context.Context, a Attempt, _ time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error) {
--- a/internal/relay/overhead.go
+++ b/internal/relay/overhead.go
@@ -44,6 +44,9 @@
 }
 
 func (l *Link) recordOverhead(now time.Time, sample time.Duration) {
+	if l.observeOverhead != nil {
+		l.observeOverhead(sample)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.overhead.record(now, sample)
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -25,6 +25,9 @@
 	dial   controlrpc.Dialer
 	log    *slog.Logger
 
+	// observeOverhead is called with the time that a relay added to the attempts of a batch. It may be nil.
+	observeOverhead func(time.Duration)
+
 	// mu guards the fields below.
 	mu         sync.Mutex
 	links      map[string]*Link
@@ -50,6 +53,9 @@
 		holders: map[string][]*Link{}}
 }
 
+// ObserveOverhead sets the function that is called with the time that a relay added to the attempts of a batch. It must be called before Update.
+func (p *Peers) ObserveOverhead(observe func(time.Duration)) { p.observeOverhead = observe }
+
 // Update applies the list of peers from the control group.
 func (p *Peers) Update(peers []controlrpc.Peer, now time.Time) {
 	p.mu.Lock()
@@ -65,7 +71,9 @@
 		if ok {
 			existing.close()
 		}
-		p.links[peer.ID] = newLink(peer, p.dial, p.log)
+		link := newLink(peer, p.dial, p.log)
+		link.observeOverhead = p.observeOverhead
+		p.links[peer.ID] = link
 		p.lastListed[peer.ID] = now
 		changed = true
 	}
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -35,6 +35,8 @@
 	Attempt(ctx context.Context, attempt Attempt, expected time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error)
 	// Permit grants or denies a permit for an upstream with a rate limit.
 	Permit(args PermitArgs) PermitReply
+	// ObserveAttempt records the times from the arrival of a batch to the start and to the end of one of its attempts.
+	ObserveAttempt(start, end time.Duration)
 	// CheckKey returns a KeyError if no request with the claim may be sent.
 	CheckKey(claim *KeyClaim) error
 	// Credits grants or denies credits of a team, and TakeOver lends the parts of the rates of teams.
@@ -189,10 +191,12 @@
 		}
 		go func() {
 			defer cancel()
+			start := time.Since(received)
 			response, err := s.executor.Attempt(ctx, attempt, args.Expected, request)
 			ended := endOf(response, err)
 			ended.Number, ended.Took = attempt.Number, time.Since(received)
 			ended.Reduction = s.reduction(attempt.Instance)
+			s.executor.ObserveAttempt(start, ended.Took)
 			r.end(ended, response)
 		}()
 	}
--- a/internal/router/rank_test.go
+++ b/internal/router/rank_test.go
@@ -28,6 +28,8 @@
 	return relay.CreditsReply{}
 }
 
+func (*rankRecorder) ObserveAttempt(time.Duration, time.Duration) {}
+
 func (*rankRecorder) TakeOver(relay.TakeOverArgs) relay.TakeOverReply { return relay.TakeOverReply{} }
 
 func (r *rankRecorder) Attempt(_ context.Context, a relay.Attempt, _ time.Duration, _ *upstreamconn.Request) (*upstreamconn.Response, error) {
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -49,6 +49,12 @@
 	return response, err
 }
 
+// ObserveAttempt implements relay.Executor.
+func (r *Router) ObserveAttempt(start, end time.Duration) {
+	r.observeRelayStep(StepRelayStart, start)
+	r.observeRelayStep(StepRelayAttempt, end)
+}
+
 // refusesWork reports whether the upstream has told this VM to send nothing, which other VMs may not know. The caller must hold mu.
 func (r *Router) refusesWork(u *upstream, now time.Time) bool {
 	return r.taken[u.location()] || r.notices.PausedUntil(u.process()).After(now) || r.notices.Leaving(now, u.process(), true)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -71,6 +71,8 @@
 	SearchMemoryBytes int64
 	// Admission is AdmissionFraction, which is the default, or AdmissionRanked.
 	Admission string
+	// ObserveStep records the steps of searches. It may be nil.
+	ObserveStep StepObserver
 	// Pace makes upstreams get a smaller share of requests after they have started or recovered.
 	Pace bool
 }
@@ -213,6 +215,7 @@
 	r.builder.dialled = r.recordDial
 	if config.RelayAddress != "" {
 		r.peers = relay.NewPeers(config.ID, config.FailureDomain, config.DialRelay, log)
+		r.peers.ObserveOverhead(func(overhead time.Duration) { r.observeRelayStep(StepRelayOverhead, overhead) })
 	}
 	r.epoch.Store(newLinkEpoch())
 	r.view.Store(&View{})
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -75,6 +75,7 @@
 	mayHaveRun bool
 	// keyRefused is set once nothing more may be sent because of the key of the request.
 	keyRefused *relay.KeyError
+	steps      searchSteps
 }
 
 // Search sends the request to one upstream of each shard and returns the top records. An error with code NotRun means
@@ -102,6 +103,8 @@
 	if err := r.takeQuota(ctx, rt, request); err != nil {
 		return nil, err
 	}
+	steps := searchSteps{route: rt.Name, received: request.Received, observe: r.config.ObserveStep}
+	steps.reached(StepAdmitted)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	goal, deadline, hedge := r.deadlines(rt, request)
@@ -118,11 +121,13 @@
 		cancels:   make([][]context.CancelFunc, shards),
 		lastRelay: make([]*relay.Link, shards),
 		parts:     make([]shardPart, shards),
-		caution:   suspect.NewCaution(suspected.yes), heldKinds: map[int]attemptKind{},
+		caution:   suspect.NewCaution(suspected.yes), heldKinds: map[int]attemptKind{}, steps: steps,
 	}
 	defer s.abandonRelayed()
 	s.send(ctx, suspected.order(rt.Shards), firstAttempt)
+	s.steps.reached(StepSent)
 	result, err := s.collect(ctx)
+	s.steps.reached(StepEnded)
 	if err != nil {
 		r.refundQuota(request)
 		return nil, err
@@ -228,6 +233,7 @@
 	late := false
 	for {
 		now := time.Now()
+		s.steps.observeParts(s.state)
 		if !late && now.After(s.goal.Add(lateTolerance)) {
 			late = true
 			s.router.late(s.route, now, s.goal.Sub(s.request.Received))
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -23,6 +24,8 @@
 	scope            = "wisteriamux"
 	requestsName     = "wisteriamux.requests"
 	durationName     = "wisteriamux.request.duration"
+	stepName         = "wisteriamux.step.duration"
+	keyStep          = "step"
 	objectiveName    = "wisteriamux.objective.requests"
 	keyKind          = "kind"
 	keyStatus        = "status"
@@ -40,12 +43,15 @@
 
 // Metrics holds the OpenTelemetry instruments of a process. It is safe for concurrent use.
 type Metrics struct {
-	handler    http.Handler
-	reader     *sdk.ManualReader
-	meter      metric.Meter
-	requests   metric.Int64Counter
-	duration   metric.Float64Histogram
-	objectives metric.Int64Counter
+	handler  http.Handler
+	reader   *sdk.ManualReader
+	meter    metric.Meter
+	requests metric.Int64Counter
+	duration metric.Float64Histogram
+	steps    metric.Float64Histogram
+	// stepOptions holds the metric.MeasurementOption of each stepKey.
+	stepOptions sync.Map
+	objectives  metric.Int64Counter
 }
 
 // NewMetrics creates the instruments of a process. Handler exposes all of them to Prometheus, and Sample reads the
@@ -79,6 +85,12 @@
 	if err != nil {
 		return fault.New(fault.Internal, "metrics.new", "%s: %w", durationName, err)
 	}
+	m.steps, err = m.meter.Float64Histogram(stepName, metric.WithUnit("s"),
+		metric.WithDescription("time until a step of a search or of an attempt at a relay"),
+		metric.WithExplicitBucketBoundaries(buckets()...))
+	if err != nil {
+		return fault.New(fault.Internal, "metrics.new", "%s: %w", stepName, err)
+	}
 	m.objectives, err = m.meter.Int64Counter(objectiveName, metric.WithDescription("requests by service-level objective"))
 	if err != nil {
 		return fault.New(fault.Internal, "metrics.new", "%s: %w", objectiveName, err)
@@ -119,6 +131,18 @@
 	m.duration.Record(context.Background(), latency.Seconds(), attributes)
 }
 
+// Step records how long a step of a request took. The kind is empty for steps that belong to requests of several kinds.
+func (m *Metrics) Step(kind, step string, took time.Duration) {
+	key := stepKey{kind, step}
+	option, ok := m.stepOptions.Load(key)
+	if !ok {
+		option, _ = m.stepOptions.LoadOrStore(key, metric.WithAttributeSet(attribute.NewSet(attribute.String(keyKind, kind), attribute.String(keyStep, step))))
+	}
+	m.steps.Record(context.Background(), took.Seconds(), option.(metric.RecordOption))
+}
+
+type stepKey struct{ kind, step string }
+
 // Objective records one request that counts towards a service-level objective, and whether it met the objective.
 func (m *Metrics) Objective(objective burn.Objective, good bool) {
 	attributes := attribute.NewSet(
