--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -50,6 +51,16 @@
 
 func (e *executor) Credits(context.Context, CreditsArgs) CreditsReply { return CreditsReply{} }
 
+func (e *executor) Accept(a Attempt, _ *upstreamconn.Request) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var declined *DeclinedError
+	if err := e.errors[a.Instance]; errors.As(err, &declined) || fault.Is(err, fault.Moved) {
+		return err
+	}
+	return nil
+}
+
 func (e *executor) ObserveAttempt(time.Duration, time.Duration) {}
 
 func (e *executor) TakeOver(TakeOverArgs) TakeOverReply { return TakeOverReply{} }
@@ -205,6 +216,20 @@
 		Expect(outcomes).To(Equal(map[int]Outcome{0: Unsent, 1: Declined}))
 	})
 
+	// Guards against searches that are late because their VM spends its processor time on a message for each attempt that a relay does not make.
+	It("names all attempts that the relay does not make in its first report, and is asked for the next one once", func() {
+		const declined = 50
+		instances := []string{"hangs"}
+		for n := range declined {
+			instances = append(instances, fmt.Sprintf("slow-%d", n))
+			exec.errors[instances[n+1]] = &DeclinedError{Cost: 4}
+		}
+		_, out := start(RunArgs{Quiet: time.Second}, instances...)
+		var d delivery
+		Eventually(out).Should(Receive(&d))
+		Expect(d.report.Ended).To(HaveLen(declined))
+	})
+
 	It("cancels single attempts, and the rest when the search ends, so that upstreams do no needless work", func() {
 		batch, out := start(RunArgs{}, "u1", "hangs", "hangs-2")
 		var d delivery
