Report a batch of second attempts when one of them has ended, not before

Callers saw searches with a short objective answered late. Change: such a batch counts as settled from the start. Since no empty report tells any more that the relay lives, the hedge of a second attempt waits for the time that a report takes, not for a relay short of processor time.

--- a/internal/relay/reporter.go
+++ b/internal/relay/reporter.go
@@ -26,7 +26,7 @@
 	// quietUntil is the time until which parts are held back, since the requesting VM cannot use single parts earlier.
 	quietUntil time.Time
 	lastReport time.Time
-	// settled is set once a report has been sent at quietUntil or later.
+	// settled is set once a report has been sent at quietUntil or later, and from the start if no parts are held back.
 	settled    bool
 	unreported []Ended
 	// parts holds the records of the answered attempts in unreported.
@@ -38,7 +38,7 @@
 }
 
 func newReporter(args RunArgs, now time.Time) *reporter {
-	return &reporter{top: args.Top, whole: args.Whole, pending: len(args.Attempts), lastReport: now, quietUntil: now.Add(args.Quiet)}
+	return &reporter{top: args.Top, whole: args.Whole, pending: len(args.Attempts), lastReport: now, quietUntil: now.Add(args.Quiet), settled: args.Quiet <= 0}
 }
 
 // end records the end of an attempt, and the records of its part if it was answered.
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -179,12 +179,21 @@
 		}
 		s.relayed = append(s.relayed, batch)
 		for shard, a := range batch.open {
-			s.state.AwaitReport(shard, a.sent.Add(s.hedgeAfter+reportLead+reportGrace))
+			s.state.AwaitReport(shard, a.sent.Add(s.hedgeAfter+reportDelay(batch.kind)))
 			s.cancels[shard] = append(s.cancels[shard], func() { s.abandonShard(batch, shard) })
 		}
 	}
 }
 
+// reportDelay returns how much later than a direct attempt a relayed one is hedged. Only parts of first attempts are held back, and all
+// of them are in the report that the relay makes when they are no longer.
+func reportDelay(kind attemptKind) time.Duration {
+	if kind == firstAttempt {
+		return reportLead + reportGrace
+	}
+	return reportLead
+}
+
 func (s *search) runArgs(batch *relayed) relay.RunArgs {
 	r := s.request
 	args := relay.RunArgs{
