Name all attempts that a relay does not make in its first report

Callers saw searches with a short objective answered late. Cause: a relay decided in a goroutine for each attempt whether to make it, and reported as soon as the first of them had ended. Of the reports of first attempts, half named a single attempt out of 8 (trial with log lines). The VM of the caller then sent each replacement as a batch of its own: two messages each way for each of some 20 shards of a search. Change: the executor's decision (Accept) is apart from the attempt. A relay decides on all attempts of a batch when it arrives, without goroutines, and the first report names all that are not made, so that they are replaced in one batch for each relay. An early cancellation is handled the same way. Forward keeps both parts in one step.

--- a/internal/relay/cancel_test.go
+++ b/internal/relay/cancel_test.go
@@ -22,6 +22,8 @@
 
 func (e *countingExecutor) Credits(context.Context, CreditsArgs) CreditsReply { return CreditsReply{} }
 
+func (e *countingExecutor) Accept(Attempt, *upstreamconn.Request) error { return nil }
+
 func (e *countingExecutor) ObserveAttempt(time.Duration, time.Duration) {}
 
 func (e *countingExecutor) TakeOver(TakeOverArgs) TakeOverReply { return TakeOverReply{} }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -37,7 +37,7 @@
 	hold := &responsemem.Hold{}
 	defer hold.Release()
 	received := time.Now()
-	response, err := p.server.executor.Attempt(ctx, args.Attempt, args.Expected, &upstreamconn.Request{
+	response, err := p.server.attempt(ctx, args.Attempt, args.Expected, &upstreamconn.Request{
 		ID: args.Request, Method: args.Method, Target: args.Target, Host: args.Host, Header: args.Header, Body: args.Body, Caller: args.Caller,
 		Instance: args.Attempt.Instance, Remaining: args.Remaining, MaxBodyBytes: min(args.MaxBodyBytes, maxRelayedBytes), Hold: hold,
 		Check: p.server.keyCheck(args.Key),
@@ -56,6 +56,14 @@
 	return nil
 }
 
+// attempt makes an attempt if the executor accepts it.
+func (s *Server) attempt(ctx context.Context, attempt Attempt, expected time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error) {
+	if err := s.executor.Accept(attempt, request); err != nil {
+		return nil, err
+	}
+	return s.executor.Attempt(ctx, attempt, expected, request)
+}
+
 // sent reports whether the upstream may have received an attempt that ended with the error.
 func sent(err error) bool {
 	var linkLost *LinkLostError
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -29,9 +29,12 @@
 // drainPollInterval is how often Wait checks for batches in progress during a shutdown, which takes seconds.
 const drainPollInterval = 10 * time.Millisecond
 
-// Executor sends a request to one upstream process. An error with code Moved means that the process is unknown or does
-// not accept requests, and a DeclinedError that it is slow or failing. In both cases nothing was sent.
+// Executor sends requests to upstream processes.
 type Executor interface {
+	// Accept returns an error if the attempt is not to be made: with code Moved if the process is unknown or does not accept requests,
+	// and a DeclinedError if it is slow or failing.
+	Accept(attempt Attempt, request *upstreamconn.Request) error
+	// Attempt makes an attempt that was accepted. An error with code Moved means that nothing was sent.
 	Attempt(ctx context.Context, attempt Attempt, expected time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error)
 	// Permit grants or denies a permit for an upstream with a rate limit.
 	Permit(args PermitArgs) PermitReply
@@ -179,16 +182,23 @@
 	received := time.Now()
 	for _, attempt := range args.Attempts {
 		if slices.Contains(cancelled, attempt.Number) {
-			go r.end(Ended{Number: attempt.Number, Outcome: Unsent, Reason: cancelledBefore}, nil)
+			r.state.end(Ended{Number: attempt.Number, Outcome: Unsent, Reason: cancelledBefore}, nil)
 			continue
 		}
-		ctx, cancel := context.WithCancel(ctx)
-		r.cancels[attempt.Number] = cancel
 		request := &upstreamconn.Request{
 			ID: args.Request, Method: args.Method, Target: args.Target, Host: args.Host, Header: args.Header,
 			Body: args.Body, Caller: args.Caller, Instance: attempt.Instance, Remaining: args.Remaining, MaxBodyBytes: gather.MaxPartBytes(args.Top),
 			Check: s.keyCheck(args.Key),
 		}
+		if err := s.executor.Accept(attempt, request); err != nil {
+			// All attempts that are not accepted are in the first report, so that the requesting VM replaces them together.
+			ended := endOf(nil, err)
+			ended.Number, ended.Reduction = attempt.Number, s.reduction(attempt.Instance)
+			r.state.end(ended, nil)
+			continue
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		r.cancels[attempt.Number] = cancel
 		go func() {
 			defer cancel()
 			start := time.Since(received)
--- a/internal/router/evacuate_test.go
+++ b/internal/router/evacuate_test.go
@@ -69,7 +69,7 @@
 
 	It("makes a relay refuse attempts of VMs that do not know of it, so that they try another upstream without a token", func() {
 		set(relaying, "b")
-		_, err := relaying.router.Attempt(context.Background(), relay.Attempt{Instance: "far"}, time.Second, &upstreamconn.Request{Target: "/x", Remaining: time.Second})
+		_, err := relaying.relayAttempt(context.Background(), relay.Attempt{Instance: "far"}, time.Second, &upstreamconn.Request{Target: "/x", Remaining: time.Second})
 		Expect(relay.Classify(nil, err)).To(Equal(relay.Unsent))
 		for range 20 {
 			Expect(search()).To(Succeed())
--- a/internal/router/pace_test.go
+++ b/internal/router/pace_test.go
@@ -119,7 +119,7 @@
 				vm.router.pace.Started(time.Now(), "other", 30*time.Second)
 				vm.router.mu.Unlock()
 				a.Instance = "other"
-				response, err := vm.router.Attempt(context.Background(), a, time.Second, request)
+				response, err := vm.relayAttempt(context.Background(), a, time.Second, request)
 				if relay.Classify(response, err) == relay.Declined {
 					declined++
 				}
--- a/internal/router/rank_test.go
+++ b/internal/router/rank_test.go
@@ -28,6 +28,8 @@
 	return relay.CreditsReply{}
 }
 
+func (*rankRecorder) Accept(relay.Attempt, *upstreamconn.Request) error { return nil }
+
 func (*rankRecorder) ObserveAttempt(time.Duration, time.Duration) {}
 
 func (*rankRecorder) TakeOver(relay.TakeOverArgs) relay.TakeOverReply { return relay.TakeOverReply{} }
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -14,33 +14,43 @@
 	"github.com/wisteriamux/wisteriamux/internal/upstreamconn"
 )
 
-// Attempt executes an attempt on behalf of another entry VM. It implements relay.Executor.
-func (r *Router) Attempt(ctx context.Context, requested relay.Attempt, expected time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error) {
+// Accept decides whether an attempt is made on behalf of another entry VM. It implements relay.Executor.
+func (r *Router) Accept(requested relay.Attempt, request *upstreamconn.Request) error {
 	u, ok := r.View().byID[requested.Instance]
 	if !ok {
-		return nil, fault.New(fault.Moved, "router.attempt", "upstream %q is unknown or does not accept requests", requested.Instance)
+		return unknownUpstream(requested.Instance)
 	}
 	if r.partitionedFrom(u) {
-		return nil, &relay.LinkLostError{}
+		return &relay.LinkLostError{}
 	}
 	if err := r.refuseQuarantined(request); err != nil {
-		return nil, err
+		return err
 	}
 	now := time.Now()
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.refusesWork(u, now) {
-		r.mu.Unlock()
-		return nil, fault.New(fault.Moved, "router.attempt", "upstream %q leaves, wants no requests or has lost its address", requested.Instance)
+		return fault.New(fault.Moved, "router.attempt", "upstream %q leaves, wants no requests or has lost its address", requested.Instance)
 	}
-	if cost, bad := r.tracker.Degraded(now, requested.Instance); bad && requested.Optional {
-		r.mu.Unlock()
-		return nil, &relay.DeclinedError{Cost: cost}
+	cost, bad := r.tracker.Degraded(now, requested.Instance)
+	if (bad && requested.Optional) || r.declinesForPace(now, requested) {
+		return &relay.DeclinedError{Cost: cost}
 	}
-	if r.declinesForPace(now, requested) {
-		cost, _ := r.tracker.Degraded(now, requested.Instance)
-		r.mu.Unlock()
-		return nil, &relay.DeclinedError{Cost: cost}
+	return nil
+}
+
+func unknownUpstream(id string) error {
+	return fault.New(fault.Moved, "router.attempt", "upstream %q is unknown or does not accept requests", id)
+}
+
+// Attempt makes an attempt on behalf of another entry VM. It implements relay.Executor.
+func (r *Router) Attempt(ctx context.Context, requested relay.Attempt, expected time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error) {
+	u, ok := r.View().byID[requested.Instance]
+	if !ok {
+		return nil, unknownUpstream(requested.Instance)
 	}
+	now := time.Now()
+	r.mu.Lock()
 	r.counts.Executed++
 	a := &attempt{upstream: u, sent: now, expected: expected, ticket: r.tracker.Sent(now, requested.Instance, expected)}
 	r.mu.Unlock()
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -222,6 +222,14 @@
 	return vm.router.peers.Pick(domain, 0, nil, time.Now()) != nil
 }
 
+// relayAttempt makes an attempt on behalf of another VM if the VM accepts it.
+func (vm *relayVM) relayAttempt(ctx context.Context, a relay.Attempt, expected time.Duration, request *upstreamconn.Request) (*upstreamconn.Response, error) {
+	if err := vm.router.Accept(a, request); err != nil {
+		return nil, err
+	}
+	return vm.router.Attempt(ctx, a, expected, request)
+}
+
 var _ = Describe("a search over two failure domains", func() {
 	var requester, relaying *relayVM
 	var near, far1, far2 *fakeUpstream
@@ -310,7 +318,7 @@
 				Expect(fault.CodeOf(err)).To(Equal(fault.NotRun))
 			}
 			Expect(replaced.requests.Load()).To(Equal(int64(1)))
-			_, err := relaying.router.Attempt(context.Background(), relay.Attempt{Instance: replaced.instance.ID}, time.Second, &upstreamconn.Request{Target: "/x"})
+			_, err := relaying.relayAttempt(context.Background(), relay.Attempt{Instance: replaced.instance.ID}, time.Second, &upstreamconn.Request{Target: "/x"})
 			if replaced == far1 {
 				Expect(fault.CodeOf(err)).To(Equal(fault.Moved), "the relay knows it as well")
 			}
@@ -389,10 +397,10 @@
 		vm.adopt(u)
 		vm.router.tracker.RecordPeerCost(time.Now(), "u", 5)
 		request := &upstreamconn.Request{Method: "GET", Target: "/x", Remaining: time.Second}
-		_, err := vm.router.Attempt(context.Background(), relay.Attempt{Instance: "u", Optional: true}, time.Millisecond, request)
+		_, err := vm.relayAttempt(context.Background(), relay.Attempt{Instance: "u", Optional: true}, time.Millisecond, request)
 		Expect(relay.Classify(nil, err)).To(Equal(relay.Declined))
 		Expect(u.requests.Load()).To(BeZero())
-		response, err := vm.router.Attempt(context.Background(), relay.Attempt{Instance: "u"}, time.Millisecond, request)
+		response, err := vm.relayAttempt(context.Background(), relay.Attempt{Instance: "u"}, time.Millisecond, request)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(response.Stamp).To(Equal("stamp-u"))
 	})
