Do not divert attempts for the pace of upstreams where a replacement would be late

Callers saw searches with a short objective answered late. Cause: a relay declines an attempt at an upstream that is to get a smaller share than the requesting VM knows, whatever time the search has left. An upstream that pauses for 100 ms is seen as silent by a search that takes 3 ms, so each pause of an upstream began a slow start. Change: the requesting VM marks attempts as urgent whose replacement would respond after its goal. Relays do not divert these. Attempts at upstreams that fail, stand still or are much slower are declined as before, and the share of the requesting VM itself still applies.

--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -28,6 +28,9 @@
 	Optional bool
 	// Rank is the priority of the request, where 0 is the most urgent.
 	Rank int
+	// Urgent means that the response of another upstream would come too late, so that the relay does not decline the attempt only to give
+	// the upstream a smaller share of requests.
+	Urgent bool
 	// Reduction is by how much the requesting VM reduces the share of requests that the upstream gets, 0 for not. The relay does not reduce
 	// it by that much again.
 	Reduction float64
--- a/internal/router/pace.go
+++ b/internal/router/pace.go
@@ -96,7 +96,7 @@
 // declinesForPace reports whether this VM, as a relay, does not send an optional attempt, because the upstream is to get a smaller share
 // of its requests than the requesting VM knows. The caller must hold mu.
 func (r *Router) declinesForPace(now time.Time, requested relay.Attempt) bool {
-	if !requested.Optional || r.pace.Empty() {
+	if !requested.Optional || requested.Urgent || r.pace.Empty() {
 		return false
 	}
 	return pace.Declines(pace.Allowed(now, r.tracker, r.pace, requested.Instance), 1-requested.Reduction, rand.Float64())
--- a/internal/router/pace_test.go
+++ b/internal/router/pace_test.go
@@ -129,5 +129,19 @@
 		Expect(try(relay.Attempt{Optional: true})).To(BeNumerically(">", 20))
 		Expect(try(relay.Attempt{Optional: true, Reduction: 0.85})).To(BeZero(), "it has let less than a fifth pass")
 		Expect(try(relay.Attempt{})).To(BeZero())
+		Expect(try(relay.Attempt{Optional: true, Urgent: true})).To(BeZero(), "a replacement would respond too late")
+	})
+
+	// Guards against searches with a short objective that are late because relays divert their attempts to other upstreams.
+	It("lets no attempt of a search be diverted whose replacement would respond after the goal", func() {
+		vm.adoptAs(1, u)
+		rt := searchRoute("s")
+		urgent := func(untilGoal time.Duration) bool {
+			a := vm.router.chooseUpstream(rt, "s", nil, firstAttempt)
+			s := &search{router: vm.router, route: rt, request: &Request{}, goal: time.Now().Add(untilGoal), expected: 5 * time.Millisecond, tried: make([][]*upstream, 1)}
+			return s.runArgs(&relayed{kind: firstAttempt, open: map[int]*attempt{0: a}}).Attempts[0].Urgent
+		}
+		Expect(urgent(20 * time.Millisecond)).To(BeTrue())
+		Expect(urgent(time.Second)).To(BeFalse())
 	})
 })
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -204,6 +204,12 @@
 	return reportLead
 }
 
+// canReplace reports whether an attempt that a relay declines can be replaced in time: its report and the replacement through another relay
+// pass between VMs.
+func (s *search) canReplace(now time.Time) bool {
+	return now.Add(2*(reportLead+reportGrace) + s.expected).Before(s.goal)
+}
+
 func (s *search) runArgs(batch *relayed) relay.RunArgs {
 	r := s.request
 	args := relay.RunArgs{
@@ -214,12 +220,13 @@
 	if batch.kind == firstAttempt {
 		args.Quiet = s.hedgeAfter
 	}
+	urgent := !s.canReplace(time.Now())
 	for shard, a := range batch.open {
 		args.Remaining = remaining(s.route, r, a)
 		args.Attempts = append(args.Attempts, relay.Attempt{
 			Number: shard, Instance: a.upstream.instance.ID, Rank: s.request.Team.RankOn(s.route),
-			Reduction: a.reduction,
-			Optional:  len(s.router.View().byService[s.route.Shards[shard]])-len(s.tried[shard]) >= minAlternatives,
+			Urgent: urgent, Reduction: a.reduction,
+			Optional: len(s.router.View().byService[s.route.Shards[shard]])-len(s.tried[shard]) >= minAlternatives,
 		})
 	}
 	s.router.mu.Lock()
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -50,8 +50,9 @@
 	request  *Request
 	goal     time.Time
 	deadline time.Time
-	// hedgeAfter is the delay before a hedge.
+	// hedgeAfter is the delay before a hedge, and expected the usual response time of the route.
 	hedgeAfter time.Duration
+	expected   time.Duration
 	state      *gather.Search
 	results    chan partResult
 	reports    chan relayReport
@@ -110,7 +111,7 @@
 	goal, deadline, hedge := r.deadlines(rt, request)
 	shards := len(rt.Shards)
 	s := &search{
-		router: r, route: rt, request: request, goal: goal, deadline: deadline, hedgeAfter: hedge,
+		router: r, route: rt, request: request, goal: goal, deadline: deadline, hedgeAfter: hedge, expected: r.UsualResponseTime(rt),
 		state: gather.New(gather.Config{
 			Shards: shards, MinShards: minShards(shards, rt.Coverage), Attempts: max(1, rt.Attempts),
 			SoftDeadline: goal, Deadline: deadline, HedgeDelay: hedge,
