Choose the upstreams of a search with fewer look-ups and less arithmetic

Callers saw searches with a short objective answered late. For each candidate it looked the upstream up by ID, hashed its location although no address was taken, and looked its observations up twice; it iterated over a map of requests in flight that is mostly empty, and computed the decay of values that are zero. Change: candidates are compared with the members of their service, observations are looked up once, requests in flight are a slice, and what is zero does not decay. Choices and costs are the same; the specs and simulations of replica, pace and router are unchanged.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -117,6 +118,7 @@
 
 // request is a request in flight.
 type request struct {
+	id       uint64
 	sentAt   time.Time
 	expected time.Duration
 }
@@ -136,7 +138,8 @@
 	stallBackoff time.Duration
 	// stalledUntil is the time until which the upstream counts as stalled.
 	stalledUntil time.Time
-	inFlight     map[uint64]request
+	// inFlight holds the requests in the order in which they were sent. There are few, and each choice reads them.
+	inFlight []request
 	// condition is the result of the last UpdateCondition.
 	condition Condition
 }
@@ -156,18 +159,21 @@
 func (t *Tracker) stats(id string) *stats {
 	s, ok := t.upstreams[id]
 	if !ok {
-		s = &stats{ratio: 1, inFlight: map[uint64]request{}}
+		s = &stats{ratio: 1}
 		t.upstreams[id] = s
 	}
 	return s
 }
 
+// unobserved are the observations of an upstream without any. They are not changed.
+var unobserved = &stats{ratio: 1}
+
 // peek returns the observations of the upstream without recording that it exists.
 func (t *Tracker) peek(id string) *stats {
 	if s, ok := t.upstreams[id]; ok {
 		return s
 	}
-	return &stats{ratio: 1}
+	return unobserved
 }
 
 // Reader returns a tracker with the same observations and random choices of its own. Choices and costs that are read from it
@@ -188,18 +194,20 @@
 // Sent records a request and returns its ID for Done. The expected latency is the usual one of the route.
 func (t *Tracker) Sent(now time.Time, id string, expected time.Duration) uint64 {
 	t.nextID++
-	t.stats(id).inFlight[t.nextID] = request{sentAt: now, expected: expected}
+	s := t.stats(id)
+	s.inFlight = append(s.inFlight, request{id: t.nextID, sentAt: now, expected: expected})
 	return t.nextID
 }
 
 // Done records the result of a request. A second result for the same ID is ignored.
 func (t *Tracker) Done(now time.Time, id string, requestID uint64, result Result) {
 	s := t.stats(id)
-	r, ok := s.inFlight[requestID]
-	if !ok {
+	index := slices.IndexFunc(s.inFlight, func(r request) bool { return r.id == requestID })
+	if index < 0 {
 		return
 	}
-	delete(s.inFlight, requestID)
+	r := s.inFlight[index]
+	s.inFlight = slices.Delete(s.inFlight, index, index+1)
 	switch result {
 	case Answered:
 		s.recordOutcome(now, r, 1)
@@ -227,6 +235,9 @@
 }
 
 func (s *stats) refusalRate(now time.Time) float64 {
+	if s.refusals == 0 {
+		return 0
+	}
 	return s.refusals * math.Exp(-float64(now.Sub(s.refusalsAt))/float64(errorDecay))
 }
 
@@ -275,11 +286,17 @@
 func (s *stats) latencyRatio(now time.Time) float64 { return s.latencyRatioAfter(now, latencyDecay) }
 
 func (s *stats) latencyRatioAfter(now time.Time, constant time.Duration) float64 {
+	if s.ratio == 1 {
+		return 1
+	}
 	decay := math.Exp(-float64(now.Sub(s.ratioAt)) / float64(constant))
 	return 1 + (s.ratio-1)*decay
 }
 
 func (s *stats) errorRate(now time.Time) float64 {
+	if s.errors == 0 {
+		return 0
+	}
 	return s.errors * math.Exp(-float64(now.Sub(s.errorsAt))/float64(errorDecay))
 }
 
@@ -312,13 +329,12 @@
 
 // Degraded returns the cost of an upstream and whether it is so high that another upstream should be tried instead.
 func (t *Tracker) Degraded(now time.Time, id string) (cost float64, bad bool) {
-	cost = t.healthCost(now, id)
+	cost = t.peek(id).healthCost(now)
 	return cost, cost >= degradedCost
 }
 
 // healthCost returns the part of the cost that is the same for every entry VM that sends to the upstream.
-func (t *Tracker) healthCost(now time.Time, id string) float64 {
-	s := t.peek(id)
+func (s *stats) healthCost(now time.Time) float64 {
 	cost := s.latencyRatio(now) + errorPenalty*s.errorRate(now)
 	if s.stalled(now) {
 		cost += stallPenalty
@@ -340,7 +356,11 @@
 	s := t.peek(c.ID)
 	slots := math.Max(1, float64(c.Slots))
 	waiting := math.Max(0, float64(len(s.inFlight))+1-slots) / slots
-	cost := t.healthCost(now, c.ID) + s.latencyRatio(now)*waiting + refusalPenalty*s.refusalRate(now)
+	cost := s.healthCost(now)
+	if waiting > 0 {
+		cost += s.latencyRatio(now) * waiting
+	}
+	cost += refusalPenalty * s.refusalRate(now)
 	if c.Paced {
 		cost += (s.latencyRatioAfter(now, pacedLatencyDecay) - s.latencyRatio(now)) * (1 + waiting)
 	}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -89,7 +89,7 @@
 // unavailableFor returns why no request may be sent to the upstream, or "". The caller must hold mu.
 func (r *Router) unavailableFor(u *upstream, now time.Time, lastResort bool) string {
 	switch {
-	case r.taken[u.location()]:
+	case len(r.taken) > 0 && r.taken[u.location()]:
 		return "address taken"
 	case r.roomAt(u).After(now):
 		return "rate limit"
--- a/internal/router/pace.go
+++ b/internal/router/pace.go
@@ -19,10 +19,10 @@
 // there is any, and one that leaves only as a last resort. It records nothing. The tracker is r.tracker or a reader of it. The caller
 // must hold mu.
 func (r *Router) selectUpstream(now time.Time, view *View, service string, tried []*upstream, tracker *replica.Tracker, draw func() float64) int {
-	candidates := view.candidates[service]
+	candidates, members := view.candidates[service], view.byService[service]
 	choose := func(skipContested, lastResort bool) int {
 		return pace.Choose(now, tracker, r.pace, candidates, func(id string) bool {
-			u := view.byID[id]
+			u := members[slices.IndexFunc(members, func(u *upstream) bool { return u.instance.ID == id })]
 			return wasTried(tried, id) || r.unavailable(u, now, lastResort) || skipContested && r.contests.demotes(u.location(), now, r.taken)
 		}, draw)
 	}
