--- a/test/callers/callers_test.go
+++ b/test/callers/callers_test.go
@@ -202,7 +202,7 @@
 
 var targets = []struct {
 	program string
-	start   func(descriptors int) *target
+	start   func(descriptors int, more ...string) *target
 }{{"wmux-router", startRouter}, {"wmux-entry", startEntry}, {"wmux-control", startControl}}
 
 var _ = Describe("a process that untrusted callers reach", func() {
--- a/test/callers/harness_test.go
+++ b/test/callers/harness_test.go
@@ -49,6 +49,7 @@
 	readyPort    = 7003
 	relayPort    = 7004
 	upstreamPort = 7005
+	metricsPort  = 7006
 )
 
 // Limits of the route table, those of the users' sites.
@@ -170,10 +171,10 @@
 }
 
 // startControl starts a control group of one member with the route table, and returns the member as a target.
-func startControl(descriptors int) *target {
+func startControl(descriptors int, more ...string) *target {
 	settings := fmt.Sprintf("id = %q\nfailure_domain = \"a\"\nrpc_address = %q\ndata_dir = %q\nformation = \"seeds\"\nseeds = [%q]\n"+
 		"first_start = true\ndirectory_address = %q\n", address(1, rpcPort), address(1, rpcPort), filepath.Join(GinkgoT().TempDir(), "data"),
-		address(1, rpcPort), address(1, httpPort))
+		address(1, rpcPort), address(1, httpPort)) + strings.Join(more, "")
 	t := &target{
 		process: start("wmux-control", "run", settings, descriptors),
 		address: address(1, httpPort), path: "/config/replace", host: address(1, httpPort), maxBody: 2 << 20,
@@ -188,7 +189,7 @@
 }
 
 // startRouter starts a control group, an upstream and a router.
-func startRouter(descriptors int) *target {
+func startRouter(descriptors int, more ...string) *target {
 	startControl(0)
 	upstream, err := standin.Start(standin.Config{
 		ID: "single-0", Service: "single", FailureDomain: "a", Address: address(3, upstreamPort),
@@ -207,7 +208,7 @@
 		upstream.Close()
 	})
 	settings := fmt.Sprintf("id = \"router-1\"\nfailure_domain = \"a\"\ncaller_address = %q\nhealth_address = %q\nseeds = [%q]\ncontrol_port = %d\n"+
-		"relay_address = %q\nlame_duck_ms = 500\n", address(2, callerPort), address(2, readyPort), address(1, rpcPort), rpcPort, address(2, relayPort))
+		"relay_address = %q\nlame_duck_ms = 500\n", address(2, callerPort), address(2, readyPort), address(1, rpcPort), rpcPort, address(2, relayPort)) + fmt.Sprintf("metrics_address = %q\n", address(2, metricsPort)) + strings.Join(more, "")
 	t := &target{
 		process: start("wmux-router", "run", settings, descriptors),
 		address: address(2, callerPort), path: "/orders/1", host: "shop.example", maxBody: maxBodyBytes, upstream: upstream,
@@ -218,10 +219,10 @@
 }
 
 // startEntry starts a control group and an entry daemon.
-func startEntry(descriptors int) *target {
+func startEntry(descriptors int, more ...string) *target {
 	startControl(0)
 	settings := fmt.Sprintf("id = \"entry-1\"\nfailure_domain = \"a\"\ncaller_address = %q\nrpc_address = %q\ncontrol_addresses = [%q]\nlame_duck_ms = 300\n",
-		address(2, callerPort), address(2, rpcPort), address(1, rpcPort))
+		address(2, callerPort), address(2, rpcPort), address(1, rpcPort)) + strings.Join(more, "")
 	t := &target{
 		process: start("wmux-entry", "", settings, descriptors),
 		address: address(2, callerPort), path: "/v1/search", host: address(2, callerPort), maxBody: 1 << 20,
