Hold the first parts at relays for a quarter of the latency objective at most

Callers saw searches with a short objective answered late. Cause: relays hold parts back until a second attempt is due, for an objective of 40 ms after 16 ms. With the attempts sent after 7 ms and two ways between VMs, the parts of each batch in which one attempt stands still came 26 ms after the search. Change: parts that have ended after a quarter of the objective are reported then, once; later ones wait until a hedge is due as before, and hedges do not come earlier. Where a hedge is due before that, nothing changes.

--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -53,6 +53,9 @@
 	// Quiet is how long the relay may hold back single parts: the requesting VM does not need them before it would hedge.
 	// Failures are reported immediately.
 	Quiet time.Duration
+	// Hold is how long the relay holds back the first parts if that is less than Quiet, 0 if it is not. Parts that end later are held back
+	// until Quiet. The requesting VM uses it if its response may be due before it would hedge.
+	Hold time.Duration
 	// Top is the maximum number of records in the response to the caller.
 	Top int
 	// Whole requests the records of each part separately, so that the requesting VM may use one part without another.
--- a/internal/relay/reporter.go
+++ b/internal/relay/reporter.go
@@ -25,6 +25,8 @@
 	pending int
 	// quietUntil is the time until which parts are held back, since the requesting VM cannot use single parts earlier.
 	quietUntil time.Time
+	// holdUntil is the time of a report of the parts that have ended by then, if it is before quietUntil.
+	holdUntil  time.Time
 	lastReport time.Time
 	// settled is set once a report has been sent at quietUntil or later, and from the start if no parts are held back.
 	settled    bool
@@ -38,7 +40,10 @@
 }
 
 func newReporter(args RunArgs, now time.Time) *reporter {
-	return &reporter{top: args.Top, whole: args.Whole, pending: len(args.Attempts), lastReport: now, quietUntil: now.Add(args.Quiet), settled: args.Quiet <= 0}
+	return &reporter{
+		top: args.Top, whole: args.Whole, pending: len(args.Attempts), lastReport: now, holdUntil: now.Add(args.Hold),
+		quietUntil: now.Add(args.Quiet), settled: args.Quiet <= 0,
+	}
 }
 
 // end records the end of an attempt, and the records of its part if it was answered.
@@ -62,7 +67,11 @@
 	}
 	at := r.lastReport.Add(maxReportDelay)
 	if len(r.unreported) > 0 {
-		at = earlier(at, later(r.quietUntil, r.lastReport.Add(minReportInterval)))
+		held := r.quietUntil
+		if r.lastReport.Before(r.holdUntil) {
+			held = earlier(held, r.holdUntil)
+		}
+		at = earlier(at, later(held, r.lastReport.Add(minReportInterval)))
 	}
 	if !r.settled {
 		at = earlier(at, r.quietUntil)
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -79,6 +79,10 @@
 	reportGrace = 10 * time.Millisecond
 )
 
+// holdShare is the fraction of the latency objective for which relays hold back the first parts at most. A hedge may be due only when a
+// response to a short objective should have been sent.
+const holdShare = 0.25
+
 // minAlternatives is the number of untried upstreams of a shard from which a relay may decline an attempt: one to
 // replace the attempt and one for a hedge or retry.
 const minAlternatives = 2
@@ -219,6 +223,7 @@
 	// Parts of second attempts are not held back: the search waits for little else.
 	if batch.kind == firstAttempt {
 		args.Quiet = s.hedgeAfter
+		args.Hold = time.Duration(holdShare * float64(s.route.Objective))
 	}
 	urgent := !s.canReplace(time.Now())
 	for shard, a := range batch.open {
