--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -199,8 +199,8 @@
 	}
 }
 
-// reportDelay returns how much later than a direct attempt a relayed one is hedged. Only parts of first attempts are held back, and all
-// of them are in the report that the relay makes when they are no longer.
+// reportDelay returns how much later than a direct attempt a relayed one is hedged. Parts of first attempts may be held at a relay that is
+// short of processor time; those of second attempts are reported when they end.
 func reportDelay(kind attemptKind) time.Duration {
 	if kind == firstAttempt {
 		return reportLead + reportGrace
