--- a/test/callers/callers_test.go
+++ b/test/callers/callers_test.go
@@ -220,15 +220,7 @@
 				}
 				closeAll := c.send(t, size)
 				defer closeAll()
-				Expect(t.alive()).To(BeTrue())
-				descriptors := t.descriptors()
-				if t.upstream != nil {
-					t.upstream.Delay.Store(0)
-				}
-				Eventually(t.ordinary, answerTimeout, pollInterval).Should(BeTrue(), "an ordinary request must be answered while the crowd stays")
-				AddReportEntry(fmt.Sprintf("seen: peak resident memory %d MiB, %d open descriptors", t.peakMemory()>>20, descriptors))
-				Expect(t.alive()).To(BeTrue())
-				Expect(t.peakMemory()).To(BeNumerically("<", vmMemoryBytes))
+				descriptors := t.expectUnharmed(vmMemoryBytes)
 				// A request in progress may need a connection to an upstream beside that of its caller.
 				Expect(descriptors).To(BeNumerically("<", 2*size+reserveDescriptors))
 			})
--- a/test/callers/lowered_test.go
+++ b/test/callers/lowered_test.go
@@ -145,11 +145,12 @@
 	}
 })
 
-// expectUnharmed expects that the process lives within the memory and answers an ordinary request.
-func (t *target) expectUnharmed(memory int64) {
+// expectUnharmed expects that the process lives within the memory and answers an ordinary request. It returns the number of descriptors
+// that the process had open while the crowd stayed.
+func (t *target) expectUnharmed(memory int64) (descriptors int) {
 	GinkgoHelper()
 	Expect(t.alive()).To(BeTrue())
-	descriptors := t.descriptors()
+	descriptors = t.descriptors()
 	if t.upstream != nil {
 		t.upstream.Delay.Store(0)
 	}
@@ -157,4 +158,5 @@
 	AddReportEntry(fmt.Sprintf("seen: peak resident memory %d MiB, %d open descriptors", t.peakMemory()>>20, descriptors))
 	Expect(t.alive()).To(BeTrue())
 	Expect(t.peakMemory()).To(BeNumerically("<", memory))
+	return descriptors
 }
